--- /dev/null
+++ b/packages/server/src/callers/chatBody.ts
@@ -0,0 +1,138 @@
+import type { Failure } from '@cactusstair/protocol';
+import { createFailure } from '@cactusstair/protocol';
+import { visit } from 'jsonc-parser';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { z } from 'zod';
+
+const MAX_NAME_LENGTH = 200;
+const MAX_MESSAGES = 1000;
+const MAX_NESTING = 32;
+
+/** Requests with at most this many expected tokens belong to the class `short`. */
+const SHORT_COMPLETION_TOKENS = 256;
+
+const contentPart = z.looseObject({ type: z.string(), text: z.string().optional() });
+
+const chatBodySchema = z.looseObject({
+  model: z.string().min(1).max(MAX_NAME_LENGTH),
+  messages: z
+    .array(
+      z.looseObject({
+        role: z.string().min(1).max(32),
+        content: z.union([z.string(), z.array(contentPart)]).nullish(),
+      }),
+    )
+    .min(1)
+    .max(MAX_MESSAGES),
+  stream: z.boolean().nullish(),
+  stream_options: z.looseObject({ include_usage: z.boolean().optional() }).nullish(),
+  max_tokens: z.number().int().positive().nullish(),
+  max_completion_tokens: z.number().int().positive().nullish(),
+  n: z.literal(1, { error: 'must be 1' }).nullish(),
+  metadata: z.record(z.string(), z.string()).nullish(),
+});
+
+/** A checked request body in the chat completions format. Unknown fields are passed on. */
+export type ChatBody = z.output<typeof chatBodySchema>;
+
+export type RequestClass = 'short' | 'long';
+
+/** Limits on what a caller may send. */
+export interface ChatLimits {
+  promptCharacters: number;
+  completionTokens: number;
+}
+
+/** Parses and checks a request body. */
+export function parseChatBody(bytes: Buffer, limits: ChatLimits): Result<ChatBody, Failure> {
+  const text = bytes.toString('utf8');
+  const problem = findJsonProblem(text);
+  if (problem !== undefined) return err(createFailure('malformed_request', problem));
+  const parsed = chatBodySchema.safeParse(JSON.parse(text));
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    const field = issue?.path.join('.') || 'the body';
+    return err(createFailure('malformed_request', `${field}: ${issue?.message ?? 'is invalid'}`));
+  }
+  return checkSizes(parsed.data, limits);
+}
+
+function checkSizes(body: ChatBody, limits: ChatLimits): Result<ChatBody, Failure> {
+  const promptLength = getPromptText(body).length;
+  if (promptLength > limits.promptCharacters) {
+    const message = `the prompt has ${promptLength} characters, ${limits.promptCharacters} are allowed`;
+    return err(createFailure('request_too_large', message));
+  }
+  const completionTokens = body.max_completion_tokens ?? body.max_tokens ?? 0;
+  if (completionTokens > limits.completionTokens) {
+    const message = `max_tokens is ${completionTokens}, ${limits.completionTokens} are allowed`;
+    return err(createFailure('request_too_large', message));
+  }
+  return ok(body);
+}
+
+/**
+ * Finds what makes a text unfit as a JSON request: a syntax error, too deep nesting or a
+ * repeated key. Parsers differ in which of two equal keys they take, so an upstream could
+ * read another request than the one that was checked.
+ */
+function findJsonProblem(text: string): string | undefined {
+  let problem: string | undefined;
+  const keysByLevel: Set<string>[] = [];
+  const enter = () => {
+    keysByLevel.push(new Set());
+    if (keysByLevel.length > MAX_NESTING) {
+      problem ??= `the body is nested deeper than ${MAX_NESTING} levels`;
+      return false;
+    }
+    return true;
+  };
+  const leave = () => {
+    keysByLevel.pop();
+  };
+  visit(
+    text,
+    {
+      onObjectBegin: enter,
+      onObjectEnd: leave,
+      onArrayBegin: enter,
+      onArrayEnd: leave,
+      onObjectProperty: (key) => {
+        const keys = keysByLevel.at(-1);
+        if (keys?.has(key)) problem ??= `the key ${JSON.stringify(key.slice(0, 64))} is repeated`;
+        keys?.add(key);
+      },
+      onError: (_error, offset) => {
+        problem ??= `the body is not valid JSON at offset ${offset}`;
+      },
+    },
+    { disallowComments: true, allowTrailingComma: false, allowEmptyContent: false },
+  );
+  return problem;
+}
+
+/** Returns the text of all messages, with their roles, as one string. */
+export function getPromptText(body: ChatBody): string {
+  return body.messages
+    .map(({ role, content }) => {
+      const text =
+        typeof content === 'string'
+          ? content
+          : (content ?? []).map((part) => part.text ?? '').join('');
+      return `${role}: ${text}\n`;
+    })
+    .join('');
+}
+
+/** Estimates how many tokens the answer will have. */
+export function estimateCompletionTokens(body: ChatBody): number {
+  const hint = Number(body.metadata?.['expected_tokens']);
+  if (Number.isInteger(hint) && hint > 0) return hint;
+  return body.max_completion_tokens ?? body.max_tokens ?? SHORT_COMPLETION_TOKENS;
+}
+
+/** Returns the class by which a request is queued and measured. */
+export function classifyRequest(body: ChatBody): RequestClass {
+  return estimateCompletionTokens(body) <= SHORT_COMPLETION_TOKENS ? 'short' : 'long';
+}
--- /dev/null
+++ b/packages/server/src/callers/serviceController.ts
@@ -0,0 +1,45 @@
+import { All, Controller, Inject, Req, Res } from '@nestjs/common';
+import type { FastifyReply, FastifyRequest } from 'fastify';
+
+import type { CallerContext } from './callerContext.js';
+import { CALLER_CONTEXT } from './callerContext.js';
+import { callerHeaderNames } from './callerHeaders.js';
+import { openRequest, sendFailure } from './openRequest.js';
+
+const SERVICE_URL = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
+
+/** Plain services by path. */
+@Controller('services')
+export class ServiceController {
+  constructor(@Inject(CALLER_CONTEXT) private readonly context: CallerContext) {}
+
+  @All(['*path'])
+  async forward(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
+    const opened = openRequest(this.context, request, reply);
+    if (opened.isErr()) {
+      sendFailure(reply, opened.error);
+      return;
+    }
+    const { requestId } = opened.value.headers;
+    const [, service = '', path = '/', query = ''] = SERVICE_URL.exec(request.url) ?? [];
+    const result = await this.context.services.handle({
+      ...opened.value,
+      service,
+      method: request.method,
+      path: `${path}${query}`,
+      contentType: request.headers['content-type'],
+      body: Buffer.isBuffer(request.body) ? request.body : undefined,
+    });
+    if (result.isErr()) {
+      sendFailure(reply, result.error, requestId);
+      return;
+    }
+    const { status, contentType, body, replayed } = result.value;
+    reply
+      .code(status)
+      .header(callerHeaderNames.requestId, requestId)
+      .header('content-type', contentType);
+    if (replayed) reply.header(callerHeaderNames.replayed, 'true');
+    reply.send(body);
+  }
+}
--- /dev/null
+++ b/packages/server/src/entryInstance.ts
@@ -0,0 +1,317 @@
+import type { Failure } from '@cactusstair/protocol';
+import { createFailure, OperatorService, PeerService } from '@cactusstair/protocol';
+import { CascadePolicy, CrashQuarantine, RetryBudget, VersionStatsRecorder } from '@cactusstair/routing';
+import type { Logger } from '@cactusstair/utils';
+import {
+  createLogger,
+  createRandom,
+  Invariants,
+  LifecycleManager,
+  systemClock,
+} from '@cactusstair/utils';
+import { Registry } from 'prom-client';
+
+import { CallerServer } from './callers/callerServer.js';
+import { Coordination } from './coordination.js';
+import { createChannelCredentials, createServerCredentials } from './credentials.js';
+import { GrpcServer } from './grpcServer.js';
+import { ConfigEditor } from './operators/configEditor.js';
+import { createOperatorService } from './operators/operatorService.js';
+import { EntryMetrics } from './ops/metrics.js';
+import { OpsServer } from './ops/opsServer.js';
+import { ConfigFeed } from './peers/configFeed.js';
+import { InstanceDirectory } from './peers/instanceDirectory.js';
+import { PeerLinks } from './peers/peerLinks.js';
+import { createPeerService } from './peers/peerService.js';
+import { ChatHandler } from './requests/chatHandler.js';
+import { RatingClient } from './requests/ratingClient.js';
+import { RungRunner } from './requests/rungRunner.js';
+import { ServiceHandler } from './requests/serviceHandler.js';
+import { RolloutController } from './rollouts/rolloutController.js';
+import { RolloutEditor } from './rollouts/rolloutEditor.js';
+import type { EntrySettings } from './settings.js';
+import { EngineClient } from './upstreams/engineClient.js';
+import { ServiceClient } from './upstreams/serviceClient.js';
+import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
+import { VersionResolver } from './workspaces/versionResolver.js';
+
+type InstanceState = 'starting' | 'serving' | 'stopping';
+
+const CALL_GRACE_MS = 2000;
+const DRAIN_POLL_MS = 20;
+
+/**
+ * One entry instance: everything between callers and upstreams in one process.
+ *
+ * All instances run the same program, and none is special.
+ */
+export class EntryInstance {
+  private state: InstanceState = 'starting';
+
+  private readonly clock = systemClock;
+
+  private readonly random = createRandom(Date.now() % 2 ** 31);
+
+  private readonly incarnation = Date.now();
+
+  private readonly logger: Logger;
+
+  private readonly registry = new Registry();
+
+  private readonly metrics = new EntryMetrics(this.registry);
+
+  private readonly invariants: Invariants;
+
+  /** Tasks and connections that a graceful shutdown needs until its end. */
+  private readonly lifecycle: LifecycleManager;
+
+  private readonly links: PeerLinks;
+
+  private readonly coordination: Coordination;
+
+  private readonly counters: VersionStatsRecorder;
+
+  private readonly quarantine = new CrashQuarantine({ clock: this.clock });
+
+  private readonly directory: UpstreamDirectory;
+
+  private readonly instances: InstanceDirectory;
+
+  private callerServer: CallerServer | undefined;
+
+  constructor(private readonly settings: EntrySettings) {
+    const { id, zone } = settings.instance;
+    this.logger = createLogger({
+      level: settings.logging.level,
+      fields: { instance: id, zone },
+    });
+    this.counters = new VersionStatsRecorder({ instance: id, incarnation: this.incarnation });
+    this.invariants = new Invariants(
+      this.registry,
+      settings.invariants.fatal,
+      (invariant, detail) => this.logger.error('invariant is violated', { invariant, detail }),
+    );
+    this.lifecycle = new LifecycleManager((task, error) =>
+      this.logger.error('task failed', { task, error: String(error) }),
+    );
+    this.links = new PeerLinks({
+      view: () => this.coordination.membership,
+      credentials: createChannelCredentials(settings.tls),
+      random: this.random,
+    });
+    this.coordination = new Coordination({
+      settings,
+      incarnation: this.incarnation,
+      links: this.links,
+      clock: this.clock,
+      random: this.random,
+      logger: this.logger,
+      lifecycle: this.lifecycle,
+    });
+    this.directory = new UpstreamDirectory({
+      replica: this.coordination.replica,
+      quarantine: this.quarantine,
+      clock: this.clock,
+      random: this.random,
+      logger: this.logger,
+      zone,
+      connectMs: settings.limits.connectMs,
+    });
+    this.instances = new InstanceDirectory({
+      settings,
+      incarnation: this.incarnation,
+      store: this.coordination.store,
+      membership: this.coordination.membership,
+      links: this.links,
+      quarantine: this.quarantine,
+      billing: this.coordination.billing,
+      clock: this.clock,
+      random: this.random,
+      logger: this.logger,
+    });
+  }
+
+  /** Starts listening on all ports. Rejects when a port is in use. */
+  async start(): Promise<void> {
+    const { listen } = this.settings;
+    const ops = new OpsServer(this.registry, () => this.checkReadiness());
+    this.lifecycle.own('ops server', () => ops.close());
+    await ops.listen(listen.metrics);
+    await this.startGrpcServers();
+    this.startTasks();
+    this.callerServer = await this.createCallerServer();
+    await this.callerServer.listen(listen.callers);
+    this.state = 'serving';
+    this.logger.info('instance is serving', { callers: listen.callers });
+  }
+
+  /** Stops without cutting a request: unready, refuse new work, drain, flush, leave. */
+  async stop(): Promise<void> {
+    if (this.state === 'stopping') return;
+    const { unreadyMs, drainMs } = this.settings.shutdown;
+    this.logger.info('instance is stopping');
+    this.state = 'stopping';
+    this.coordination.membership.startLeaving();
+    // The load balancer needs a moment to notice; requests that still arrive are served.
+    await this.clock.sleep(unreadyMs);
+    this.refusing = true;
+    await this.awaitDrain(drainMs);
+    await this.callerServer?.close();
+    await this.coordination.claims.flush();
+    await this.coordination.billing.flush();
+    await this.instances.publish(true);
+    await this.lifecycle.close();
+    await this.directory.close();
+    this.links.close();
+    this.logger.info('instance has stopped');
+  }
+
+  private refusing = false;
+
+  private checkReadiness(): string | undefined {
+    if (this.state !== 'serving') return `the instance is ${this.state}`;
+    const { replica } = this.coordination;
+    if (!Number.isFinite(replica.getConfirmedAgeMs())) {
+      return 'the configuration has not been read yet';
+    }
+    if (replica.getSessionKeys().keys.length === 0) return 'there is no session key';
+    return undefined;
+  }
+
+  private checkAdmission(): Failure | undefined {
+    if (this.refusing) return createFailure('stopping', 'the instance is stopping');
+    if (!Number.isFinite(this.coordination.replica.getConfirmedAgeMs())) {
+      return createFailure('not_ready', 'the configuration has not been read yet', 1000);
+    }
+    return undefined;
+  }
+
+  private async awaitDrain(drainMs: number): Promise<void> {
+    const deadlineMs = this.clock.monotonicMs() + drainMs;
+    while (this.clock.monotonicMs() < deadlineMs) {
+      const [inFlight] = (await this.metrics.inFlight.get()).values;
+      if (!inFlight || inFlight.value === 0) return;
+      await this.clock.sleep(DRAIN_POLL_MS);
+    }
+    this.logger.warn('requests are still open after the drain time', { drainMs });
+  }
+
+  private async startGrpcServers(): Promise<void> {
+    const { replica, claims, billing, membership, store } = this.coordination;
+    const { settings, clock, quarantine, counters } = this;
+    const editor = new ConfigEditor(store, clock);
+    const rollouts = new RolloutEditor(editor, clock);
+    const credentials = createServerCredentials(settings.tls);
+    const peers = new GrpcServer(
+      PeerService,
+      createPeerService({ membership, replica, claims, billing, quarantine, counters, clock }),
+      credentials,
+    );
+    const operators = new GrpcServer(
+      OperatorService,
+      createOperatorService({
+        editor,
+        rollouts,
+        store,
+        replica,
+        membership,
+        permits: settings.permits,
+        clock,
+        sessionLifetimeMs: settings.sessions.lifetimeMs,
+      }),
+      credentials,
+    );
+    this.lifecycle.own('peer server', () => peers.close(CALL_GRACE_MS));
+    this.lifecycle.own('operator server', () => operators.close(CALL_GRACE_MS));
+    await peers.listen(settings.listen.peers);
+    await operators.listen(settings.listen.operators);
+    const controller = new RolloutController({
+      settings,
+      incarnation: this.incarnation,
+      store,
+      replica,
+      rollouts,
+      membership,
+      links: this.links,
+      directory: this.directory,
+      counters,
+      clock,
+      random: this.random,
+      logger: this.logger,
+    });
+    this.lifecycle.startTask('rollouts', (signal) => controller.run(signal));
+  }
+
+  private startTasks(): void {
+    const { replica, store, membership } = this.coordination;
+    const feed = new ConfigFeed({
+      replica,
+      store,
+      membership,
+      links: this.links,
+      clock: this.clock,
+      random: this.random,
+      logger: this.logger,
+    });
+    replica.onChange(() => this.metrics.configRevision.set(replica.appliedRevision));
+    this.lifecycle.startTask('configuration', (signal) => feed.run(signal));
+    this.lifecycle.startTask('membership', (signal) => this.instances.run(signal));
+    this.lifecycle.startTask('upstreams', (signal) => this.directory.run(signal));
+  }
+
+  private createCallerServer(): Promise<CallerServer> {
+    const { settings, clock, metrics, invariants, directory, quarantine, random } = this;
+    const { replica, sessions, billing, quotas, claims } = this.coordination;
+    const { limits } = settings;
+    const resolver = new VersionResolver(replica, settings.permits);
+    const retryBudget = new RetryBudget({ clock });
+    const rungs = new RungRunner({
+      directory,
+      resolver,
+      engines: new EngineClient(),
+      quarantine,
+      retryBudget,
+      metrics,
+      invariants,
+      clock,
+      firstTokenMs: limits.firstTokenMs,
+      interTokenMs: limits.interTokenMs,
+      queueMs: { short: limits.queueShortMs, long: limits.queueLongMs },
+    });
+    const chat = new ChatHandler({
+      resolver,
+      sessions,
+      billing,
+      quotas,
+      quarantine,
+      cascades: new CascadePolicy({ clock, random, instance: settings.instance.id }),
+      rungs,
+      ratings: new RatingClient(settings.platform.rating),
+      counters: this.counters,
+      metrics,
+      invariants,
+      clock,
+      random,
+      requestMs: limits.requestMs,
+      sessionLifetimeMs: settings.sessions.lifetimeMs,
+      ratingSampleShare: settings.ratings.sampleShare,
+    });
+    const services = new ServiceHandler({
+      directory,
+      services: new ServiceClient(),
+      claims,
+      peers: this.links,
+      billing,
+      retryBudget,
+      metrics,
+      invariants,
+      clock,
+      answerMs: limits.serviceAnswerMs,
+    });
+    return CallerServer.create({
+      context: { replica, chat, services, limits, checkAdmission: () => this.checkAdmission() },
+      bodyBytes: limits.bodyBytes,
+      headerBytes: limits.headerBytes,
+    });
+  }
+}
--- /dev/null
+++ b/packages/server/src/operators/operatorService.ts
@@ -0,0 +1,289 @@
+import { randomBytes, randomUUID } from 'node:crypto';
+
+import type {
+  ConfigReplica,
+  Membership,
+  ObjectStore,
+  StoredObject,
+  VersionPermits,
+} from '@cactusstair/coordination';
+import { exportBills } from '@cactusstair/coordination';
+import type { Change, Failure, OperatorServer } from '@cactusstair/protocol';
+import {
+  Cascade,
+  createFailure,
+  Model,
+  Rollout,
+  SessionKeys,
+  Upstream,
+  VersionState,
+  Workspace,
+} from '@cactusstair/protocol';
+import type { Clock } from '@cactusstair/utils';
+import type { handleUnaryCall } from '@grpc/grpc-js';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+
+import type { RolloutEditor } from '../rollouts/rolloutEditor.js';
+import {
+  checkCascade,
+  checkModel,
+  checkRollout,
+  checkUpstream,
+  checkWorkspace,
+} from './changeRules.js';
+import { describeChange } from './changeStatus.js';
+import type { ConfigEditor } from './configEditor.js';
+import { createServiceError } from './operatorFailure.js';
+
+/** What the operators' calls reach. */
+export interface OperatorServiceOptions {
+  editor: ConfigEditor;
+  rollouts: RolloutEditor;
+  store: ObjectStore;
+  replica: ConfigReplica;
+  membership: Membership;
+  permits: VersionPermits;
+  clock: Clock;
+  sessionLifetimeMs: number;
+}
+
+type Handler<Request, Reply> = (
+  request: Request,
+) => Promise<Result<Reply, Failure>> | Result<Reply, Failure>;
+
+/** A new session key signs only after every instance has had time to learn it. */
+const KEY_SPREAD_MS = 15_000;
+const SESSION_KEY_BYTES = 32;
+const DELETABLE_KINDS: readonly string[] = ['workspace', 'model', 'upstream', 'cascade', 'rollout'];
+
+/** Adapts a handler to gRPC; failures carry their result code in the metadata. */
+function serve<Request, Reply>(run: Handler<Request, Reply>): handleUnaryCall<Request, Reply> {
+  return (call, callback) => {
+    Promise.resolve()
+      .then(() => run(call.request))
+      .catch((error: unknown) => err(createFailure('internal', String(error))))
+      .then((result) => {
+        if (result.isOk()) callback(null, result.value);
+        else callback(createServiceError(result.error));
+      });
+  };
+}
+
+function withVersion<T>(object: StoredObject, value: T) {
+  return { value, version: object.version, revision: object.revision };
+}
+
+/** Creates the handlers of the operators' calls. */
+export function createOperatorService(options: OperatorServiceOptions): OperatorServer {
+  const { editor, rollouts, replica, membership, permits, store } = options;
+  return {
+    putWorkspace: serve(({ workspace, expectedVersion }) =>
+      putChecked(editor, 'workspace', workspace, expectedVersion, Workspace.toJSON, checkWorkspace),
+    ),
+    getWorkspace: serve(async ({ name }) =>
+      (await editor.get('workspace', name)).map((object) => {
+        const { value: workspace, ...rest } = withVersion(object, Workspace.fromJSON(object.value));
+        return { workspace, ...rest };
+      }),
+    ),
+    listWorkspaces: serve(async () =>
+      (await editor.list('workspace')).map((objects) => ({
+        items: objects.map((object) => {
+          const { value, ...rest } = withVersion(object, Workspace.fromJSON(object.value));
+          return { workspace: value, ...rest };
+        }),
+      })),
+    ),
+    putModel: serve(async ({ model, expectedVersion }) => {
+      const stored = model && (await rollouts.readModel(model.name));
+      return putChecked(editor, 'model', model, expectedVersion, Model.toJSON, (value) =>
+        checkModel(value, stored?.isOk() ? stored.value.value : undefined),
+      );
+    }),
+    getModel: serve(async ({ name }) =>
+      (await editor.get('model', name)).map((object) => {
+        const { value: model, ...rest } = withVersion(object, Model.fromJSON(object.value));
+        return { model, ...rest };
+      }),
+    ),
+    listModels: serve(async () =>
+      (await editor.list('model')).map((objects) => ({
+        items: objects.map((object) => {
+          const { value, ...rest } = withVersion(object, Model.fromJSON(object.value));
+          return { model: value, ...rest };
+        }),
+      })),
+    ),
+    withdrawVersion: serve((request) => withdrawVersion(options, request)),
+    putUpstream: serve(({ upstream, expectedVersion }) =>
+      putChecked(editor, 'upstream', upstream, expectedVersion, Upstream.toJSON, checkUpstream),
+    ),
+    getUpstream: serve(async ({ name }) =>
+      (await editor.get('upstream', name)).map((object) => {
+        const { value: upstream, ...rest } = withVersion(object, Upstream.fromJSON(object.value));
+        return { upstream, ...rest };
+      }),
+    ),
+    listUpstreams: serve(async () =>
+      (await editor.list('upstream')).map((objects) => ({
+        items: objects.map((object) => {
+          const { value, ...rest } = withVersion(object, Upstream.fromJSON(object.value));
+          return { upstream: value, ...rest };
+        }),
+      })),
+    ),
+    putCascade: serve(({ cascade, expectedVersion }) =>
+      putChecked(
+        editor,
+        'cascade',
+        cascade && { ...cascade, objectName: `${cascade.workspace}.${cascade.name}` },
+        expectedVersion,
+        Cascade.toJSON,
+        (value) => checkCascade(value, replica),
+      ),
+    ),
+    getCascade: serve(async ({ name }) =>
+      (await editor.get('cascade', name)).map((object) => {
+        const { value: cascade, ...rest } = withVersion(object, Cascade.fromJSON(object.value));
+        return { cascade, ...rest };
+      }),
+    ),
+    listCascades: serve(async () =>
+      (await editor.list('cascade')).map((objects) => ({
+        items: objects.map((object) => {
+          const { value, ...rest } = withVersion(object, Cascade.fromJSON(object.value));
+          return { cascade: value, ...rest };
+        }),
+      })),
+    ),
+    startRollout: serve(({ rollout }) => {
+      if (!rollout) return err(createFailure('invalid_change', 'rollout: is missing'));
+      const violation = checkRollout(rollout);
+      return violation ? err(violation) : rollouts.start(rollout);
+    }),
+    controlRollout: serve(({ name, action, expectedVersion }) =>
+      rollouts.control(name, action, expectedVersion),
+    ),
+    getRollout: serve(async ({ name }) =>
+      (await rollouts.read(name)).map(({ object, value }) => ({
+        rollout: value,
+        version: object.version,
+        revision: object.revision,
+      })),
+    ),
+    listRollouts: serve(async () =>
+      (await editor.list('rollout')).map((objects) => ({
+        items: objects.map((object) => {
+          const { value, ...rest } = withVersion(object, Rollout.fromJSON(object.value));
+          return { rollout: value, ...rest };
+        }),
+      })),
+    ),
+    deleteObject: serve(({ kind, name, expectedVersion }) => {
+      if (!DELETABLE_KINDS.includes(kind)) {
+        const message = `kind: must be one of ${DELETABLE_KINDS.join(', ')}`;
+        return err(createFailure('invalid_change', message));
+      }
+      return editor.remove(kind, name, expectedVersion);
+    }),
+    rotateSessionKeys: serve(() => rotateSessionKeys(options)),
+    getChange: serve((request) => ok(describeChange(request, membership, permits))),
+    listInstances: serve(() =>
+      ok({
+        instances: membership.getMembers().map((member) => ({
+          id: member.id,
+          zone: member.zone,
+          status: member.status.replace('MEMBER_STATUS_', '').toLowerCase(),
+          incarnation: member.incarnation,
+          appliedRevision: member.appliedRevision,
+          confirmedAgeMs: member.confirmedAgeMs,
+        })),
+      }),
+    ),
+    exportBills: async (call) => {
+      try {
+        for await (const bill of exportBills(store, call.request.workspace || undefined)) {
+          call.write(bill);
+        }
+        call.end();
+      } catch (error) {
+        call.emit(
+          'error',
+          createServiceError(createFailure('store_unavailable', String(error))),
+        );
+      }
+    },
+  };
+}
+
+async function putChecked<T extends { name: string; objectName?: string }>(
+  editor: ConfigEditor,
+  kind: string,
+  value: T | undefined,
+  expectedVersion: number,
+  toJson: (value: T) => unknown,
+  check: (value: T) => Failure | undefined,
+): Promise<Result<Change, Failure>> {
+  if (!value) return err(createFailure('invalid_change', `${kind}: is missing`));
+  const violation = check(value);
+  if (violation) return err(violation);
+  return editor.put(kind, value.objectName ?? value.name, toJson(value), expectedVersion);
+}
+
+/** Withdraws a version. An operator who races with others still gets the version withdrawn. */
+async function withdrawVersion(
+  options: OperatorServiceOptions,
+  request: { model: string; version: string; expectedVersion: number },
+): Promise<Result<Change, Failure>> {
+  const { editor, rollouts } = options;
+  const found = await rollouts.readModel(request.model);
+  if (found.isErr()) return err(found.error);
+  const { object, value } = found.value;
+  if (request.expectedVersion > 0 && request.expectedVersion !== object.version) {
+    const message = `model ${request.model} has version ${object.version}, the change expected ${request.expectedVersion}`;
+    return err(createFailure('conflict', message));
+  }
+  if (!value.versions.some((each) => each.version === request.version)) {
+    const message = `model ${request.model} has no version ${request.version}`;
+    return err(createFailure('not_found', message));
+  }
+  const changed = await rollouts.withState(
+    request.model,
+    request.version,
+    VersionState.WITHDRAWN,
+  );
+  if (changed.isErr()) return err(changed.error);
+  return (await editor.get('model', request.model)).map((stored) => editor.createChange(stored));
+}
+
+/** Adds a key that signs after it has spread, and retires keys whose tokens have expired. */
+async function rotateSessionKeys(
+  options: OperatorServiceOptions,
+): Promise<Result<Change, Failure>> {
+  const { editor, clock, sessionLifetimeMs } = options;
+  const found = await editor.get('sessionkeys', 'current');
+  if (found.isErr() && found.error.name !== 'not_found') return err(found.error);
+  const stored = found.isOk() ? found.value : undefined;
+  const nowMs = clock.wallMs();
+  const keys = SessionKeys.fromJSON(stored?.value ?? {}).keys.filter(
+    (key) => key.retiredAtMs === 0 || key.retiredAtMs > nowMs,
+  );
+  const signFromMs = keys.length === 0 ? nowMs : nowMs + KEY_SPREAD_MS;
+  for (const key of keys) {
+    if (key.retiredAtMs === 0) key.retiredAtMs = signFromMs + sessionLifetimeMs;
+  }
+  keys.push({
+    keyId: randomUUID(),
+    secret: randomBytes(SESSION_KEY_BYTES).toString('base64url'),
+    acceptFromMs: nowMs,
+    signFromMs,
+    retiredAtMs: 0,
+  });
+  return editor.put(
+    'sessionkeys',
+    'current',
+    SessionKeys.toJSON({ keys }),
+    stored?.version ?? 0,
+  );
+}
--- /dev/null
+++ b/packages/server/src/ops/opsServer.ts
@@ -0,0 +1,36 @@
+import type { FastifyInstance } from 'fastify';
+import { fastify } from 'fastify';
+import type { Registry } from 'prom-client';
+
+/** Why an instance is not ready; undefined when it is. */
+export type ReadinessCheck = () => string | undefined;
+
+/** Serves `/metrics`, `/healthz` and `/readyz` for operators and the load balancer. */
+export class OpsServer {
+  private readonly app: FastifyInstance;
+
+  constructor(registry: Registry, checkReadiness: ReadinessCheck) {
+    this.app = fastify({ forceCloseConnections: true });
+    this.app.get('/metrics', async (_request, reply) => {
+      reply.type(registry.contentType);
+      return registry.metrics();
+    });
+    this.app.get('/healthz', async () => ({ status: 'ok' }));
+    this.app.get('/readyz', async (_request, reply) => {
+      const reason = checkReadiness();
+      if (reason === undefined) return { status: 'ready' };
+      reply.code(503);
+      return { status: 'unready', reason };
+    });
+  }
+
+  /** Starts listening on `address`, an IP address and a port. */
+  async listen(address: string): Promise<void> {
+    const [host, port] = address.split(':');
+    await this.app.listen({ host: host ?? '127.0.0.1', port: Number(port) });
+  }
+
+  async close(): Promise<void> {
+    await this.app.close();
+  }
+}
--- /dev/null
+++ b/packages/server/src/peers/peerLinks.ts
@@ -0,0 +1,166 @@
+import type { BillCopier } from '@cactusstair/coordination';
+import type {
+  AwaitClaimReply,
+  AwaitClaimRequest,
+  Bill,
+  ConfigDelta,
+  ExchangeReply,
+  ExchangeRequest,
+  FetchConfigRequest,
+  MemberRecord,
+  VersionStatsList,
+} from '@cactusstair/protocol';
+import { MemberStatus, PeerClient } from '@cactusstair/protocol';
+import type { Random } from '@cactusstair/utils';
+import type { CallOptions, ChannelCredentials, Metadata, ServiceError } from '@grpc/grpc-js';
+import { Metadata as GrpcMetadata } from '@grpc/grpc-js';
+
+/** What the links need to know about the other instances. */
+export interface PeerView {
+  getSelf(): MemberRecord;
+  getMembers(): MemberRecord[];
+}
+
+/** Options of `PeerLinks`. */
+export interface PeerLinksOptions {
+  view: () => PeerView;
+  credentials: ChannelCredentials;
+  random: Random;
+}
+
+type UnaryCall<Request, Reply> = (
+  request: Request,
+  metadata: Metadata,
+  options: Partial<CallOptions>,
+  callback: (error: ServiceError | null, reply: Reply) => void,
+) => unknown;
+
+const EXCHANGE_TIMEOUT_MS = 1000;
+const COPY_TIMEOUT_MS = 500;
+const CALL_GRACE_MS = 1000;
+const MAX_COPY_ATTEMPTS = 3;
+
+/** The gRPC channels to the other instances. A channel is opened at its first call. */
+export class PeerLinks implements BillCopier {
+  private readonly clients = new Map<string, PeerClient>();
+
+  constructor(private readonly options: PeerLinksOptions) {}
+
+  exchange(address: string, request: ExchangeRequest): Promise<ExchangeReply> {
+    const client = this.getClient(address);
+    return call(client.exchange.bind(client), request, EXCHANGE_TIMEOUT_MS);
+  }
+
+  fetchConfig(address: string, request: FetchConfigRequest): Promise<ConfigDelta> {
+    const client = this.getClient(address);
+    return call(client.fetchConfig.bind(client), request, request.waitMs + CALL_GRACE_MS);
+  }
+
+  getVersionStats(address: string): Promise<VersionStatsList> {
+    const client = this.getClient(address);
+    return call(client.getVersionStats.bind(client), {}, EXCHANGE_TIMEOUT_MS);
+  }
+
+  /** Asks the owner of a claim for its outcome; undefined when the owner is gone or restarted. */
+  async awaitClaim(
+    owner: string,
+    incarnation: number,
+    request: AwaitClaimRequest,
+  ): Promise<AwaitClaimReply | undefined> {
+    const member = this.findMember(owner);
+    if (!member || member.incarnation !== incarnation) return undefined;
+    try {
+      const client = this.getClient(member.peersAddress);
+      return await call(
+        client.awaitClaim.bind(client),
+        request,
+        request.waitMs + CALL_GRACE_MS,
+      );
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Copies bills to one other instance, of another zone where possible. */
+  async copy(bills: Bill[]): Promise<boolean> {
+    for (const member of this.listCopyHolders().slice(0, MAX_COPY_ATTEMPTS)) {
+      try {
+        const client = this.getClient(member.peersAddress);
+        const reply = await call(client.copyBills.bind(client), { bills }, COPY_TIMEOUT_MS);
+        if (reply.held) return true;
+      } catch {
+        // The next candidate is asked instead.
+      }
+    }
+    return false;
+  }
+
+  /** Tells all other instances that bills are stored. Lost messages cost memory until adoption. */
+  release(origin: string, incarnation: number, upToSequence: number): void {
+    for (const member of this.listOthers()) {
+      const client = this.getClient(member.peersAddress);
+      const request = { origin, incarnation, upToSequence };
+      call(client.releaseBills.bind(client), request, EXCHANGE_TIMEOUT_MS).catch(() => {});
+    }
+  }
+
+  close(): void {
+    for (const client of this.clients.values()) client.close();
+    this.clients.clear();
+  }
+
+  private getClient(address: string): PeerClient {
+    let client = this.clients.get(address);
+    if (!client) {
+      client = new PeerClient(address, this.options.credentials, {
+        // An instance that comes back is reached soon, not after a long back-off.
+        'grpc.max_reconnect_backoff_ms': 1000,
+        'grpc.keepalive_time_ms': 10_000,
+        'grpc.keepalive_timeout_ms': 2000,
+      });
+      this.clients.set(address, client);
+    }
+    return client;
+  }
+
+  private findMember(id: string): MemberRecord | undefined {
+    return this.options
+      .view()
+      .getMembers()
+      .find((member) => member.id === id);
+  }
+
+  private listOthers(): MemberRecord[] {
+    const view = this.options.view();
+    const self = view.getSelf();
+    return view
+      .getMembers()
+      .filter(({ id, status }) => id !== self.id && status === MemberStatus.ALIVE);
+  }
+
+  /** Lists other instances in random order, those of other zones first. */
+  private listCopyHolders(): MemberRecord[] {
+    const { zone } = this.options.view().getSelf();
+    return this.listOthers()
+      .map((member) => ({
+        member,
+        rank: (member.zone === zone ? 1 : 0) + this.options.random.next(),
+      }))
+      .sort((a, b) => a.rank - b.rank)
+      .map(({ member }) => member);
+  }
+}
+
+function call<Request, Reply>(
+  method: UnaryCall<Request, Reply>,
+  request: Request,
+  timeoutMs: number,
+): Promise<Reply> {
+  return new Promise((resolve, reject) => {
+    const options = { deadline: Date.now() + timeoutMs };
+    method(request, new GrpcMetadata(), options, (error, reply) => {
+      if (error) reject(error);
+      else resolve(reply);
+    });
+  });
+}
--- /dev/null
+++ b/packages/server/src/peers/peerService.ts
@@ -0,0 +1,90 @@
+import type {
+  BillingJournal,
+  ClaimJournal,
+  ConfigReplica,
+  Membership,
+} from '@cactusstair/coordination';
+import type { PeerServer } from '@cactusstair/protocol';
+import type { CrashQuarantine, VersionStatsRecorder } from '@cactusstair/routing';
+import type { Clock } from '@cactusstair/utils';
+import type { handleUnaryCall } from '@grpc/grpc-js';
+import { status } from '@grpc/grpc-js';
+
+/** What the peer calls reach. */
+export interface PeerServiceOptions {
+  membership: Membership;
+  replica: ConfigReplica;
+  claims: ClaimJournal;
+  billing: BillingJournal;
+  quarantine: CrashQuarantine;
+  counters: VersionStatsRecorder;
+  clock: Clock;
+}
+
+const MAX_WAIT_MS = 30_000;
+
+/** Adapts an async function to a gRPC handler; an error becomes INTERNAL without its stack. */
+function handle<Request, Reply>(
+  run: (request: Request) => Promise<Reply> | Reply,
+): handleUnaryCall<Request, Reply> {
+  return (call, callback) => {
+    Promise.resolve()
+      .then(() => run(call.request))
+      .then(
+        (reply) => callback(null, reply),
+        (error: unknown) => callback({ code: status.INTERNAL, details: String(error) }),
+      );
+  };
+}
+
+/** Creates the handlers of the calls between instances. */
+export function createPeerService(options: PeerServiceOptions): PeerServer {
+  const { membership, replica, claims, billing, quarantine, counters, clock } = options;
+  return {
+    exchange: handle((request) => {
+      membership.applyExchange(request);
+      quarantine.importEntries(request.quarantine);
+      const reply = membership.createExchange(request.sender?.id ?? '');
+      return {
+        responder: reply.sender,
+        members: reply.members,
+        zones: reply.zones,
+        quarantine: quarantine.exportEntries(),
+      };
+    }),
+    fetchConfig: handle(async ({ afterRevision, waitMs }) => {
+      if (waitMs > 0 && replica.appliedRevision <= afterRevision) {
+        await waitForRevision(replica, afterRevision, Math.min(waitMs, MAX_WAIT_MS), clock);
+      }
+      return replica.exportDelta(afterRevision);
+    }),
+    copyBills: handle(({ bills }) => {
+      billing.holdCopies(bills);
+      return { held: true };
+    }),
+    releaseBills: handle(({ origin, incarnation, upToSequence }) => {
+      billing.releaseCopies(origin, incarnation, upToSequence);
+      return {};
+    }),
+    awaitClaim: handle(({ workspace, key, waitMs }) =>
+      claims.awaitLocal(workspace, key, Math.min(waitMs, MAX_WAIT_MS)),
+    ),
+    getVersionStats: handle(() => counters.exportStats()),
+  };
+}
+
+/** Waits until a newer revision is applied or `waitMs` have passed. */
+async function waitForRevision(
+  replica: ConfigReplica,
+  afterRevision: number,
+  waitMs: number,
+  clock: Clock,
+): Promise<void> {
+  const changed = new AbortController();
+  const checkRevision = () => {
+    if (replica.appliedRevision > afterRevision) changed.abort();
+  };
+  replica.onChange(checkRevision);
+  await clock.sleep(waitMs, changed.signal);
+  replica.offChange(checkRevision);
+}
--- /dev/null
+++ b/packages/server/src/requests/chatHandler.ts
@@ -0,0 +1,398 @@
+import { createHash, randomUUID } from 'node:crypto';
+
+import type {
+  BillingJournal,
+  QuotaLease,
+  Session,
+  SessionTokens,
+} from '@cactusstair/coordination';
+import type { BillStep, Failure, Workspace } from '@cactusstair/protocol';
+import { createFailure, getResultCode } from '@cactusstair/protocol';
+import type {
+  CascadePolicy,
+  CascadeRequest,
+  CrashQuarantine,
+  RungInfo,
+  VersionStatsRecorder,
+} from '@cactusstair/routing';
+import type { Clock, Invariants, Random } from '@cactusstair/utils';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+
+import type { AnswerSink } from '../callers/answerSink.js';
+import type { CallerHeaders } from '../callers/callerHeaders.js';
+import type { ChatBody } from '../callers/chatBody.js';
+import { classifyRequest, estimateCompletionTokens, getPromptText } from '../callers/chatBody.js';
+import type { EntryMetrics } from '../ops/metrics.js';
+import { computePrefixHashes } from '../upstreams/prefixHashes.js';
+import type { ResolvedVersion, Target, VersionResolver } from '../workspaces/versionResolver.js';
+import { computeCostMicros, sumSteps } from './pricing.js';
+import type { RatingClient } from './ratingClient.js';
+import type { ChatCall, RungAnswer, RungRunner } from './rungRunner.js';
+import { VersionLatencies } from './versionLatencies.js';
+
+/** Options of `ChatHandler`. Times are in milliseconds. */
+export interface ChatHandlerOptions {
+  resolver: VersionResolver;
+  sessions: SessionTokens;
+  billing: BillingJournal;
+  quotas: QuotaLease;
+  quarantine: CrashQuarantine;
+  cascades: CascadePolicy;
+  rungs: RungRunner;
+  ratings: RatingClient;
+  counters: VersionStatsRecorder;
+  metrics: EntryMetrics;
+  invariants: Invariants;
+  clock: Clock;
+  random: Random;
+  requestMs: number;
+  sessionLifetimeMs: number;
+  /** Share of answers that are sent to the rating service, in 0..1. */
+  ratingSampleShare: number;
+}
+
+/** A chat request of an authenticated caller. */
+export interface ChatRequest {
+  workspace: Workspace;
+  headers: CallerHeaders;
+  body: ChatBody;
+  /** Aborts when the caller goes away. */
+  signal: AbortSignal;
+}
+
+/** A session and the token that carries it. */
+interface BoundSession {
+  session: Session;
+  token: string;
+}
+
+/** A request whose target, session and rungs are settled. */
+interface PreparedChat {
+  call: ChatCall;
+  target: Target;
+  bound: BoundSession;
+  /** Rungs that may be used, from cheap to strong. */
+  rungs: ResolvedVersion[];
+}
+
+const RATING_TIMEOUT_MS = 500;
+const CHARACTERS_PER_TOKEN = 4;
+const MS_PER_SECOND = 1000;
+
+/** Serves chat requests: from the session to the bill, step by step. */
+export class ChatHandler {
+  private readonly latencies = new VersionLatencies();
+
+  constructor(private readonly options: ChatHandlerOptions) {}
+
+  /** Answers a request through `sink`, with the answer or with a numbered failure. */
+  async handle(request: ChatRequest, sink: AnswerSink): Promise<void> {
+    const { metrics, clock } = this.options;
+    const startedAtMs = clock.monotonicMs();
+    const labels = { workspace: request.workspace.name, class: classifyRequest(request.body) };
+    metrics.inFlight.inc();
+    try {
+      const result = await this.serve(request, sink);
+      if (result.isErr()) sink.fail(result.error, request.headers.requestId);
+      const code = result.isErr() ? getResultCode(result.error).code : 0;
+      metrics.requests.inc({ ...labels, code });
+    } finally {
+      metrics.inFlight.dec();
+      metrics.requestSeconds.observe(labels, (clock.monotonicMs() - startedAtMs) / MS_PER_SECOND);
+    }
+  }
+
+  private async serve(request: ChatRequest, sink: AnswerSink): Promise<Result<void, Failure>> {
+    const prepared = await this.prepare(request);
+    if (prepared.isErr()) return err(prepared.error);
+    const { call } = prepared.value;
+    const { quotas, invariants } = this.options;
+    const reserved = estimateTokens(request.body);
+    const quota = quotas.tryConsume(call.workspace.name, call.workspace.tokensPerMinute, reserved);
+    if (quota.isErr()) return err(quota.error);
+    const result = await this.climb(prepared.value, sink);
+    if (result.isErr()) {
+      quotas.refund(call.workspace.name, reserved);
+      invariants.check(
+        'not_run_means_not_dispatched',
+        getResultCode(result.error).ran !== 'no' || !call.dispatched,
+        () => `request ${call.requestId} was dispatched and answered ${result.error.name}`,
+      );
+    }
+    return result;
+  }
+
+  private async prepare(request: ChatRequest): Promise<Result<PreparedChat, Failure>> {
+    const { workspace, body, headers } = request;
+    const { resolver, billing, quarantine } = this.options;
+    const target = resolver.resolveTarget(workspace, body.model);
+    if (target.isErr()) return err(target.error);
+    const bound = await this.bindSession(workspace, target.value, headers.sessionToken);
+    if (bound.isErr()) return err(bound.error);
+    const call = this.createCall(request);
+    if (quarantine.classify(call.fingerprint) === 'guilty') {
+      return err(
+        createFailure('request_quarantined', 'the request crashed the upstreams that ran it'),
+      );
+    }
+    if (!billing.hasRoom()) {
+      return err(createFailure('billing_unavailable', 'bills cannot be stored', MS_PER_SECOND));
+    }
+    const pinned = target.value.models.map((model) =>
+      resolver.followSession(workspace, model, bound.value.session),
+    );
+    // A cascade goes on without the rungs whose version may not be used any more.
+    const rungs = pinned.flatMap((resolved) => (resolved.isOk() ? [resolved.value] : []));
+    const refused = pinned.find((resolved) => resolved.isErr());
+    if (rungs.length === 0 && refused?.isErr()) return err(refused.error);
+    return ok({ call, target: target.value, bound: bound.value, rungs });
+  }
+
+  private createCall(request: ChatRequest): ChatCall {
+    const { body, workspace, headers } = request;
+    const prompt = getPromptText(body);
+    return {
+      requestId: headers.requestId,
+      workspace,
+      body,
+      requestClass: classifyRequest(body),
+      expectedTokens: estimateCompletionTokens(body),
+      prefixHashes: computePrefixHashes(prompt),
+      fingerprint: createHash('sha256').update(`${workspace.name}\n${prompt}`).digest('hex'),
+      deadlineMs: this.options.clock.monotonicMs() + this.options.requestMs,
+      signal: request.signal,
+      dispatched: false,
+      attempts: 0,
+    };
+  }
+
+  /** Verifies the caller's session or begins one that pins the version of every rung. */
+  private async bindSession(
+    workspace: Workspace,
+    target: Target,
+    token: string | undefined,
+  ): Promise<Result<BoundSession, Failure>> {
+    const { sessions, resolver, clock, sessionLifetimeMs } = this.options;
+    if (token !== undefined) {
+      const verified = await sessions.verify(token, workspace.name);
+      return verified.andThen((session) => checkExplicitVersion(session, target, token));
+    }
+    const session: Session = {
+      id: randomUUID(),
+      workspace: workspace.name,
+      pins: {},
+      expiresAtMs: clock.wallMs() + sessionLifetimeMs,
+    };
+    for (const model of target.models) {
+      const chosen = resolver.chooseVersion(
+        workspace,
+        model,
+        session.id,
+        target.explicitVersion,
+      );
+      if (chosen.isErr()) {
+        if (target.models.length === 1) return err(chosen.error);
+      } else {
+        session.pins[model.name] = chosen.value.version.version;
+      }
+    }
+    const minted = await sessions.mint(session);
+    return minted.map((newToken) => ({ session, token: newToken }));
+  }
+
+  /** Runs rungs from the start rung upwards until an answer is good enough, and delivers it. */
+  private async climb(prepared: PreparedChat, sink: AnswerSink): Promise<Result<void, Failure>> {
+    const { call, bound, rungs } = prepared;
+    const steps: BillStep[] = [];
+    let rung = this.chooseStart(prepared, sink.streaming);
+    for (;;) {
+      const resolved = rungs[rung];
+      if (!resolved) return err(createFailure('internal', `the cascade has no rung ${rung}`));
+      sink.begin({
+        requestId: call.requestId,
+        model: resolved.model.name,
+        version: resolved.version.version,
+        sessionToken: bound.token,
+      });
+      const answer = await this.runRung(call, resolved, sink);
+      if (answer.isErr()) return err(answer.error);
+      steps.push(createStep(answer.value));
+      const next = await this.findNextRung(prepared, rung, answer.value, sink.streaming);
+      if (next === undefined) return this.deliver(call, answer.value, steps, sink);
+      this.options.metrics.escalations.inc({
+        workspace: call.workspace.name,
+        class: call.requestClass,
+      });
+      rung = next;
+    }
+  }
+
+  private async runRung(
+    call: ChatCall,
+    resolved: ResolvedVersion,
+    sink: AnswerSink,
+  ): Promise<Result<RungAnswer, Failure>> {
+    const { rungs, counters, metrics } = this.options;
+    const model = resolved.model.name;
+    const version = resolved.version.version;
+    const answer = await rungs.run(call, resolved, (text) => sink.writeToken(text));
+    if (answer.isErr()) {
+      if (call.dispatched && !call.signal.aborted) {
+        counters.recordOutcome({ model, version, failed: true });
+      }
+      return answer;
+    }
+    const { firstTokenMs, totalMs } = answer.value;
+    counters.recordOutcome({ model, version, failed: false, firstTokenMs });
+    this.latencies.record(model, version, totalMs);
+    metrics.firstTokenSeconds.observe(
+      { workspace: call.workspace.name, class: call.requestClass },
+      answer.value.firstTokenMs / MS_PER_SECOND,
+    );
+    return answer;
+  }
+
+  private chooseStart(prepared: PreparedChat, streaming: boolean): number {
+    const request = this.createCascadeRequest(prepared, streaming);
+    return request ? this.options.cascades.chooseStart(request).rung : 0;
+  }
+
+  /** Rates the answer where that is due and returns the rung to escalate to, if any. */
+  private async findNextRung(
+    prepared: PreparedChat,
+    rung: number,
+    answer: RungAnswer,
+    streaming: boolean,
+  ): Promise<number | undefined> {
+    const { call, rungs } = prepared;
+    const request = this.createCascadeRequest(prepared, streaming);
+    if (!request || streaming || rung + 1 >= rungs.length) {
+      if (this.options.random.next() < this.options.ratingSampleShare) {
+        // The caller does not wait for a rating that cannot change its answer.
+        this.rateAnswer(call, answer).catch(() => {});
+      }
+      return undefined;
+    }
+    const rating = await this.rateAnswer(call, answer);
+    const remainingMs = call.deadlineMs - this.options.clock.monotonicMs();
+    const escalate = this.options.cascades.shouldEscalate({
+      ...request,
+      rung,
+      rating,
+      remainingMs,
+    });
+    return escalate ? rung + 1 : undefined;
+  }
+
+  /** Returns undefined for a request that names a model and not a cascade. */
+  private createCascadeRequest(
+    prepared: PreparedChat,
+    streaming: boolean,
+  ): CascadeRequest | undefined {
+    const { call, target, rungs } = prepared;
+    if (!target.cascade) return undefined;
+    return {
+      workspace: call.workspace.name,
+      requestClass: call.requestClass,
+      cascade: target.cascade,
+      rungs: rungs.map((resolved) => this.createRungInfo(call, resolved)),
+      deadlineMs: call.deadlineMs - this.options.clock.monotonicMs(),
+      streaming,
+    };
+  }
+
+  private createRungInfo(call: ChatCall, { model, version }: ResolvedVersion): RungInfo {
+    const usage = {
+      promptTokens: Math.ceil(getPromptText(call.body).length / CHARACTERS_PER_TOKEN),
+      completionTokens: call.expectedTokens,
+    };
+    return {
+      model: model.name,
+      version: version.version,
+      expectedCost: computeCostMicros(version, usage),
+      expectedLatencyMs: this.latencies.getMean(model.name, version.version),
+    };
+  }
+
+  private async rateAnswer(call: ChatCall, answer: RungAnswer): Promise<number | undefined> {
+    const { ratings, counters, cascades } = this.options;
+    const model = answer.resolved.model.name;
+    const version = answer.resolved.version.version;
+    const question = { requestId: call.requestId, model, version, quality: answer.quality };
+    const rating = await ratings.rate(question, RATING_TIMEOUT_MS);
+    if (rating === undefined) return undefined;
+    counters.recordRating({ model, version, rating });
+    cascades.recordRating({
+      workspace: call.workspace.name,
+      requestClass: call.requestClass,
+      model,
+      version,
+      rating,
+    });
+    return rating;
+  }
+
+  /** Stores the bill and then sends the last bytes, so that no whole answer is without a bill. */
+  private async deliver(
+    call: ChatCall,
+    answer: RungAnswer,
+    steps: BillStep[],
+    sink: AnswerSink,
+  ): Promise<Result<void, Failure>> {
+    const { billing, metrics, clock } = this.options;
+    const sum = sumSteps(steps);
+    const billed = await billing.record({
+      workspace: call.workspace.name,
+      requestId: call.requestId,
+      model: answer.resolved.model.name,
+      version: answer.resolved.version.version,
+      ...sum,
+      finishedAtMs: clock.wallMs(),
+      steps,
+    });
+    if (billed.isErr()) {
+      return err(createFailure('answer_incomplete', `the bill is not safe: ${billed.error.message}`));
+    }
+    metrics.costMicros.inc(
+      { workspace: call.workspace.name, class: call.requestClass },
+      sum.costMicros,
+    );
+    await sink.finish({
+      finishReason: answer.finishReason,
+      usage: answer.usage,
+      costMicros: sum.costMicros,
+    });
+    return ok(undefined);
+  }
+}
+
+function checkExplicitVersion(
+  session: Session,
+  target: Target,
+  token: string,
+): Result<BoundSession, Failure> {
+  const [model] = target.models;
+  const pinned = model ? session.pins[model.name] : undefined;
+  if (target.explicitVersion !== undefined && target.explicitVersion !== pinned) {
+    const message = `the session is pinned to version ${pinned ?? 'none'} of ${model?.name ?? ''}`;
+    return err(createFailure('session_invalid', message));
+  }
+  return ok({ session, token });
+}
+
+function createStep(answer: RungAnswer): BillStep {
+  const { resolved, usage } = answer;
+  return {
+    model: resolved.model.name,
+    version: resolved.version.version,
+    promptTokens: usage.promptTokens,
+    completionTokens: usage.completionTokens,
+    costMicros: computeCostMicros(resolved.version, usage),
+  };
+}
+
+function estimateTokens(body: ChatBody): number {
+  const promptTokens = Math.ceil(getPromptText(body).length / CHARACTERS_PER_TOKEN);
+  return promptTokens + estimateCompletionTokens(body);
+}
--- /dev/null
+++ b/packages/server/src/requests/ratingClient.ts
@@ -0,0 +1,38 @@
+import { request } from 'undici';
+import { z } from 'zod';
+
+/** An answer to be rated. */
+export interface RatingQuestion {
+  requestId: string;
+  model: string;
+  version: string;
+  /** Note of the engine about the answer, passed on unread. */
+  quality: number | undefined;
+}
+
+const ratingSchema = z.looseObject({ rating: z.number().min(0).max(1).nullish() });
+
+/** Asks the platform's rating service. Ratings are advice: every failure means "no rating". */
+export class RatingClient {
+  constructor(private readonly baseUrl: string | undefined) {}
+
+  /** Returns the rating in 0..1, or undefined when there is none within `timeoutMs`. */
+  async rate(question: RatingQuestion, timeoutMs: number): Promise<number | undefined> {
+    if (this.baseUrl === undefined) return undefined;
+    try {
+      const answer = await request(`${this.baseUrl}/v1/ratings`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(question),
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      if (answer.statusCode !== 200) {
+        await answer.body.dump();
+        return undefined;
+      }
+      return ratingSchema.parse(await answer.body.json()).rating ?? undefined;
+    } catch {
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/server/src/requests/rungRunner.ts
@@ -0,0 +1,282 @@
+import type { Failure, Workspace } from '@cactusstair/protocol';
+import { createFailure } from '@cactusstair/protocol';
+import type { CrashQuarantine, Permit, RetryBudget } from '@cactusstair/routing';
+import type { Clock, Invariants } from '@cactusstair/utils';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+
+import type { ChatBody, RequestClass } from '../callers/chatBody.js';
+import type { EntryMetrics } from '../ops/metrics.js';
+import type { EngineClient, Usage } from '../upstreams/engineClient.js';
+import type { LinkFailure } from '../upstreams/linkFailure.js';
+import type { Upstream } from '../upstreams/upstream.js';
+import type { ModelPool, UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
+import type { ResolvedVersion, VersionResolver } from '../workspaces/versionResolver.js';
+
+/** A request as far as the rungs of a cascade need it. */
+export interface ChatCall {
+  requestId: string;
+  workspace: Workspace;
+  body: ChatBody;
+  requestClass: RequestClass;
+  expectedTokens: number;
+  /** Cumulative hashes of the prompt's blocks, for prefix-cache affinity. */
+  prefixHashes: string[];
+  /** Identifies the request in the crash quarantine, whoever sends it. */
+  fingerprint: string;
+  /** Monotonic time by which the answer has to be whole. */
+  deadlineMs: number;
+  signal: AbortSignal;
+  /** Whether bytes of the request may have reached an upstream. */
+  dispatched: boolean;
+  /** Calls to upstreams so far, over all rungs. */
+  attempts: number;
+}
+
+/** The whole answer of one rung. */
+export interface RungAnswer {
+  resolved: ResolvedVersion;
+  finishReason: string;
+  usage: Usage;
+  quality: number | undefined;
+  firstTokenMs: number;
+  /** Time from the first attempt to the end of the answer. */
+  totalMs: number;
+}
+
+/** Options of `RungRunner`. Times are in milliseconds. */
+export interface RungRunnerOptions {
+  directory: UpstreamDirectory;
+  resolver: VersionResolver;
+  engines: EngineClient;
+  quarantine: CrashQuarantine;
+  retryBudget: RetryBudget;
+  metrics: EntryMetrics;
+  invariants: Invariants;
+  clock: Clock;
+  firstTokenMs: number;
+  interTokenMs: number;
+  queueMs: Record<RequestClass, number>;
+}
+
+type TokenListener = (text: string) => Promise<void>;
+
+/** What has arrived of an answer over all attempts. */
+interface Progress {
+  tokens: number;
+  text: string;
+  startedAtMs: number;
+  firstTokenAtMs: number | undefined;
+}
+
+const MAX_ATTEMPTS_PER_RUNG = 4;
+const PRIORITY: Record<RequestClass, number> = { short: 1, long: 0 };
+const RETRY_AFTER_MS = 1000;
+const EXCLUSIVE_POLL_MS = 50;
+const MS_PER_SECOND = 1000;
+
+/** Gets the answer of one model version, over as many attempts as the retry budget allows. */
+export class RungRunner {
+  constructor(private readonly options: RungRunnerOptions) {}
+
+  async run(
+    call: ChatCall,
+    resolved: ResolvedVersion,
+    onToken: TokenListener,
+  ): Promise<Result<RungAnswer, Failure>> {
+    const pool = this.options.directory.getModelPool(
+      resolved.model.name,
+      resolved.version.version,
+    );
+    const admitted = await this.admit(call, pool);
+    if (admitted.isErr()) return err(admitted.error);
+    try {
+      return await this.runAttempts(call, resolved, pool, onToken);
+    } finally {
+      admitted.value.release();
+    }
+  }
+
+  private admit(call: ChatCall, pool: ModelPool): Promise<Result<Permit, Failure>> {
+    const { clock, queueMs } = this.options;
+    return pool.admission.acquire({
+      workspace: call.workspace.name,
+      weight: call.workspace.weight || 1,
+      requestClass: call.requestClass,
+      cost: call.expectedTokens,
+      deadlineMs: Math.min(clock.monotonicMs() + queueMs[call.requestClass], call.deadlineMs),
+      signal: call.signal,
+    });
+  }
+
+  private async runAttempts(
+    call: ChatCall,
+    resolved: ResolvedVersion,
+    pool: ModelPool,
+    onToken: TokenListener,
+  ): Promise<Result<RungAnswer, Failure>> {
+    const progress: Progress = {
+      tokens: 0,
+      text: '',
+      startedAtMs: this.options.clock.monotonicMs(),
+      firstTokenAtMs: undefined,
+    };
+    const exclude = new Set<string>();
+    let lastFailure: LinkFailure | undefined;
+    this.options.retryBudget.recordRequest();
+    for (let attempt = 1; attempt <= MAX_ATTEMPTS_PER_RUNG; attempt += 1) {
+      if (attempt > 1 && !this.options.retryBudget.tryTake()) break;
+      const refusal = this.checkBeforeAttempt(call, resolved);
+      if (refusal) return err(refusal);
+      const upstream = await this.chooseUpstream(call, pool, exclude);
+      if (!upstream) break;
+      try {
+        return ok(await this.runAttempt(call, resolved, upstream, progress, onToken));
+      } catch (error) {
+        lastFailure = error as LinkFailure;
+        exclude.add(upstream.name);
+        if (lastFailure.kind === 'aborted') break;
+      }
+    }
+    return err(this.createFailure(call, resolved, lastFailure));
+  }
+
+  /** Configuration may have changed while the request was queued or between two attempts. */
+  private checkBeforeAttempt(call: ChatCall, resolved: ResolvedVersion): Failure | undefined {
+    const fullName = `${resolved.model.name}@${resolved.version.version}`;
+    if (this.options.quarantine.classify(call.fingerprint) === 'guilty') {
+      return call.dispatched
+        ? createFailure('answer_incomplete', 'the request crashed the upstreams that ran it')
+        : createFailure('request_quarantined', 'the request crashed the upstreams that ran it');
+    }
+    if (this.options.resolver.isStillAllowed(call.workspace.name, resolved)) return undefined;
+    const message = `version ${fullName} may not be given new work any more`;
+    return createFailure(call.dispatched ? 'answer_incomplete' : 'model_not_allowed', message);
+  }
+
+  /** A crash suspect runs alone; it waits for its turn as long as its deadline allows. */
+  private async chooseUpstream(
+    call: ChatCall,
+    pool: ModelPool,
+    exclude: Set<string>,
+  ): Promise<Upstream | undefined> {
+    const { quarantine, clock } = this.options;
+    const exclusive = quarantine.classify(call.fingerprint) === 'suspect';
+    const request = { prefixHashes: call.prefixHashes, exclude, exclusive };
+    for (;;) {
+      const upstream = pool.choose(request) ?? pool.choose({ ...request, exclude: new Set() });
+      if (upstream || !exclusive) return upstream;
+      if (call.signal.aborted || clock.monotonicMs() >= call.deadlineMs) return undefined;
+      await clock.sleep(EXCLUSIVE_POLL_MS, call.signal);
+    }
+  }
+
+  private async runAttempt(
+    call: ChatCall,
+    resolved: ResolvedVersion,
+    upstream: Upstream,
+    progress: Progress,
+    onToken: TokenListener,
+  ): Promise<RungAnswer> {
+    const { engines, quarantine, metrics } = this.options;
+    this.assertAllowed(call, resolved);
+    call.attempts += 1;
+    const attempt = call.attempts;
+    const release = upstream.startCall(quarantine.classify(call.fingerprint) === 'suspect');
+    const endSuspicion = quarantine.recordStart(upstream.name, call.fingerprint);
+    const startedAtMs = this.options.clock.monotonicMs();
+    try {
+      const answer = await this.readAnswer(call, resolved, upstream, progress, attempt, onToken);
+      upstream.recordSuccess(this.options.clock.monotonicMs() - startedAtMs);
+      metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: 'success' });
+      return answer;
+    } catch (error) {
+      const failure = error as LinkFailure;
+      metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: failure.kind ?? 'internal' });
+      if (failure.kind === 'aborted') await engines.cancel(upstream.link, call.requestId, attempt);
+      else await upstream.recordFailure(failure);
+      throw error;
+    } finally {
+      endSuspicion();
+      release();
+    }
+  }
+
+  private async readAnswer(
+    call: ChatCall,
+    resolved: ResolvedVersion,
+    upstream: Upstream,
+    progress: Progress,
+    attempt: number,
+    onToken: TokenListener,
+  ): Promise<RungAnswer> {
+    const { clock, engines, metrics, firstTokenMs, interTokenMs } = this.options;
+    const labels = { workspace: call.workspace.name, class: call.requestClass };
+    let lastTokenAtMs = clock.monotonicMs();
+    const events = engines.streamChat(upstream.link, {
+      requestId: call.requestId,
+      attempt,
+      model: resolved.model.name,
+      version: resolved.version.version,
+      body: call.body,
+      priority: PRIORITY[call.requestClass],
+      resumeFrom: progress.tokens,
+      resumeText: progress.text,
+      firstTokenTimeoutMs: firstTokenMs,
+      interTokenTimeoutMs: interTokenMs,
+      signal: call.signal,
+    });
+    // From here on bytes may reach the upstream, whatever the outcome of the call.
+    call.dispatched = true;
+    for await (const event of events) {
+      if (event.type === 'done') {
+        const nowMs = clock.monotonicMs();
+        return {
+          resolved,
+          finishReason: event.finishReason,
+          usage: {
+            promptTokens: event.usage?.promptTokens ?? 0,
+            completionTokens: progress.tokens,
+          },
+          quality: event.quality,
+          firstTokenMs: (progress.firstTokenAtMs ?? nowMs) - progress.startedAtMs,
+          totalMs: nowMs - progress.startedAtMs,
+        };
+      }
+      const nowMs = clock.monotonicMs();
+      if (progress.firstTokenAtMs === undefined) progress.firstTokenAtMs = nowMs;
+      else metrics.tokenGapSeconds.observe(labels, (nowMs - lastTokenAtMs) / MS_PER_SECOND);
+      lastTokenAtMs = nowMs;
+      progress.tokens += 1;
+      progress.text += event.text;
+      await onToken(event.text);
+    }
+    throw new Error('the engine client ended without a done event');
+  }
+
+  private assertAllowed(call: ChatCall, resolved: ResolvedVersion): void {
+    const fullName = `${resolved.model.name}@${resolved.version.version}`;
+    this.options.invariants.check(
+      'dispatched_version_is_allowed',
+      this.options.resolver.isStillAllowed(call.workspace.name, resolved),
+      () => `request ${call.requestId} was about to run on ${fullName}`,
+    );
+  }
+
+  private createFailure(
+    call: ChatCall,
+    resolved: ResolvedVersion,
+    lastFailure: LinkFailure | undefined,
+  ): Failure {
+    const fullName = `${resolved.model.name}@${resolved.version.version}`;
+    if (call.dispatched) {
+      const reason = lastFailure?.message ?? 'no upstream is available for another attempt';
+      return createFailure('answer_incomplete', `the answer of ${fullName} broke off: ${reason}`);
+    }
+    return createFailure(
+      'no_upstream',
+      `no upstream of ${fullName} is available`,
+      RETRY_AFTER_MS,
+    );
+  }
+}
--- /dev/null
+++ b/packages/server/src/upstreams/engineClient.ts
@@ -0,0 +1,183 @@
+import type { EventSourceMessage } from 'eventsource-parser';
+import { createParser } from 'eventsource-parser';
+import { z } from 'zod';
+
+import type { Link } from './link.js';
+import { classifyLinkError, LinkFailure } from './linkFailure.js';
+
+/** One call to a model engine. */
+export interface EngineCall {
+  requestId: string;
+  /** Counts the calls of one request, from 1. */
+  attempt: number;
+  model: string;
+  version: string;
+  /** Body of the caller's request in the chat completions format. */
+  body: Record<string, unknown>;
+  priority: number;
+  /** Tokens that earlier attempts delivered; generation continues after them. */
+  resumeFrom: number;
+  resumeText: string;
+  firstTokenTimeoutMs: number;
+  interTokenTimeoutMs: number;
+  signal: AbortSignal;
+}
+
+/** Token counts of an answer. */
+export interface Usage {
+  promptTokens: number;
+  completionTokens: number;
+}
+
+/** A part of an engine's answer. */
+export type EngineEvent =
+  | { type: 'token'; text: string }
+  | {
+      type: 'done';
+      finishReason: string;
+      usage: Usage | undefined;
+      /** Opaque note of the engine for the rating service. */
+      quality: number | undefined;
+    };
+
+const chunkSchema = z.looseObject({
+  x_quality: z.number().optional(),
+  usage: z
+    .looseObject({ prompt_tokens: z.number(), completion_tokens: z.number() })
+    .nullish(),
+  choices: z.array(
+    z.looseObject({
+      delta: z.looseObject({ content: z.string().nullish() }).optional(),
+      finish_reason: z.string().nullish(),
+    }),
+  ),
+});
+
+const HTTP_SERVER_ERROR = 500;
+
+/** Calls the chat completions API of model engines, always as a stream. */
+export class EngineClient {
+  /**
+   * Yields the tokens of the answer as they arrive and one `done` event at its end.
+   *
+   * @throws LinkFailure when the answer breaks off, makes no progress or is not this request's.
+   */
+  async *streamChat(link: Link, call: EngineCall): AsyncGenerator<EngineEvent> {
+    try {
+      yield* this.readAnswer(link, call);
+    } catch (error) {
+      throw classifyLinkError(error);
+    }
+  }
+
+  /** Tells an engine to stop working on a request. Failures are ignored: the engine may be gone. */
+  async cancel(link: Link, requestId: string, attempt: number): Promise<void> {
+    try {
+      const answer = await link.dispatcher.request({
+        method: 'POST',
+        path: '/v1/cancel',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ requestId, attempt }),
+        headersTimeout: 1000,
+      });
+      await answer.body.dump();
+    } catch {
+      // The engine frees the slot itself when it notices the closed connection.
+    }
+  }
+
+  private async *readAnswer(link: Link, call: EngineCall): AsyncGenerator<EngineEvent> {
+    const answer = await link.dispatcher.request({
+      method: 'POST',
+      path: '/v1/chat/completions',
+      headers: {
+        'content-type': 'application/json',
+        'x-request-id': call.requestId,
+        'x-attempt': String(call.attempt),
+        'x-priority': String(call.priority),
+      },
+      body: JSON.stringify(createEngineBody(call)),
+      headersTimeout: call.firstTokenTimeoutMs,
+      bodyTimeout: call.interTokenTimeoutMs,
+      signal: call.signal,
+    });
+    // Keeps a late network error from being reported as unhandled after the reader has left.
+    answer.body.on('error', () => {});
+    if (answer.statusCode !== 200) {
+      await answer.body.dump();
+      const kind = answer.statusCode >= HTTP_SERVER_ERROR ? 'status' : 'mismatch';
+      throw new LinkFailure(kind, `the engine answered with status ${answer.statusCode}`, true);
+    }
+    if (answer.headers['x-request-id'] !== call.requestId) {
+      answer.body.destroy();
+      throw new LinkFailure('mismatch', 'the answer belongs to another request', true);
+    }
+    yield* parseStream(answer.body);
+  }
+}
+
+function createEngineBody(call: EngineCall): Record<string, unknown> {
+  const body: Record<string, unknown> = {
+    ...call.body,
+    model: call.model,
+    version: call.version,
+    stream: true,
+    stream_options: { include_usage: true },
+  };
+  if (call.resumeFrom > 0) {
+    body['resume_from'] = call.resumeFrom;
+    body['resume_text'] = call.resumeText;
+  }
+  return body;
+}
+
+async function* parseStream(body: AsyncIterable<Buffer>): AsyncGenerator<EngineEvent> {
+  const messages: EventSourceMessage[] = [];
+  const parser = createParser({ onEvent: (message) => messages.push(message) });
+  const decoder = new TextDecoder();
+  const done: Extract<EngineEvent, { type: 'done' }> = {
+    type: 'done',
+    finishReason: '',
+    usage: undefined,
+    quality: undefined,
+  };
+  for await (const bytes of body) {
+    parser.feed(decoder.decode(bytes, { stream: true }));
+    for (const message of messages.splice(0)) {
+      if (message.data === '[DONE]') {
+        if (done.finishReason === '') break;
+        yield done;
+        return;
+      }
+      const text = readChunk(message.data, done);
+      if (text !== '') yield { type: 'token', text };
+    }
+  }
+  // A body that ends without the end marker was cut, even if the connection closed normally.
+  throw new LinkFailure('crash', 'the answer ended before its end marker', true);
+}
+
+/** Reads one chunk into `done` and returns its text. */
+function readChunk(data: string, done: Extract<EngineEvent, { type: 'done' }>): string {
+  let json: unknown;
+  try {
+    json = JSON.parse(data);
+  } catch {
+    throw new LinkFailure('mismatch', 'a chunk of the answer is not JSON', true);
+  }
+  const parsed = chunkSchema.safeParse(json);
+  if (!parsed.success) {
+    throw new LinkFailure('mismatch', 'a chunk of the answer has an unknown shape', true);
+  }
+  const { choices, usage, x_quality: quality } = parsed.data;
+  if (usage) {
+    done.usage = {
+      promptTokens: usage.prompt_tokens,
+      completionTokens: usage.completion_tokens,
+    };
+  }
+  if (quality !== undefined) done.quality = quality;
+  const choice = choices[0];
+  if (choice?.finish_reason) done.finishReason = choice.finish_reason;
+  return choice?.delta?.content ?? '';
+}
--- /dev/null
+++ b/packages/server/src/upstreams/linkFailure.ts
@@ -0,0 +1,47 @@
+/** Why a call to an upstream failed. */
+export type LinkFailureKind =
+  /** No connection; nothing was sent. */
+  | 'connect'
+  /** The connection closed or was reset before the answer was whole. */
+  | 'crash'
+  /** No progress within the timeout. */
+  | 'timeout'
+  /** The upstream answered with a 5xx status. */
+  | 'status'
+  /** The answer belongs to another request or is not well formed. */
+  | 'mismatch'
+  /** The caller went away or the request's deadline passed. */
+  | 'aborted';
+
+/** A failed call to an upstream. */
+export class LinkFailure extends Error {
+  constructor(
+    readonly kind: LinkFailureKind,
+    message: string,
+    /** Whether bytes of the request may have reached the upstream. */
+    readonly dispatched: boolean,
+  ) {
+    super(message);
+    this.name = 'LinkFailure';
+  }
+}
+
+const KIND_BY_ERROR_CODE: Record<string, LinkFailureKind> = {
+  ECONNREFUSED: 'connect',
+  EHOSTUNREACH: 'connect',
+  ENETUNREACH: 'connect',
+  UND_ERR_CONNECT_TIMEOUT: 'connect',
+  UND_ERR_HEADERS_TIMEOUT: 'timeout',
+  UND_ERR_BODY_TIMEOUT: 'timeout',
+  UND_ERR_ABORTED: 'aborted',
+  ABORT_ERR: 'aborted',
+};
+
+/** Classifies an error of the HTTP client. Unknown errors count as dispatched. */
+export function classifyLinkError(error: unknown): LinkFailure {
+  if (error instanceof LinkFailure) return error;
+  const { code, name, message } = error as Error & { code?: string };
+  const kind: LinkFailureKind =
+    name === 'AbortError' ? 'aborted' : (KIND_BY_ERROR_CODE[code ?? ''] ?? 'crash');
+  return new LinkFailure(kind, message, kind !== 'connect');
+}
--- /dev/null
+++ b/packages/server/src/upstreams/serviceClient.ts
@@ -0,0 +1,66 @@
+import type { Dispatcher } from 'undici';
+
+import type { Link } from './link.js';
+import { classifyLinkError } from './linkFailure.js';
+
+/** One call to a plain service. */
+export interface ServiceCall {
+  requestId: string;
+  attempt: number;
+  method: string;
+  /** Path with query string, starting with a slash. */
+  path: string;
+  headers: Record<string, string>;
+  body: Buffer | undefined;
+  answerTimeoutMs: number;
+  signal: AbortSignal;
+  /** Uses a connection that nobody has used before. Set for calls that must not be repeated. */
+  newConnection: boolean;
+}
+
+/** The answer of a plain service. */
+export interface ServiceAnswer {
+  status: number;
+  contentType: string;
+  /** Whether the service says that it is leaving. */
+  leaving: boolean;
+  body: Buffer;
+}
+
+/** Calls plain services. */
+export class ServiceClient {
+  /** @throws LinkFailure when no whole answer arrives in time. */
+  async send(link: Link, call: ServiceCall): Promise<ServiceAnswer> {
+    try {
+      if (call.newConnection) {
+        return await link.withNewConnection((dispatcher) => this.exchange(dispatcher, call));
+      }
+      return await this.exchange(link.dispatcher, call);
+    } catch (error) {
+      throw classifyLinkError(error);
+    }
+  }
+
+  private async exchange(dispatcher: Dispatcher, call: ServiceCall): Promise<ServiceAnswer> {
+    const answer = await dispatcher.request({
+      method: call.method as Dispatcher.HttpMethod,
+      path: call.path,
+      headers: {
+        ...call.headers,
+        'x-request-id': call.requestId,
+        'x-attempt': String(call.attempt),
+      },
+      body: call.body ?? null,
+      headersTimeout: call.answerTimeoutMs,
+      bodyTimeout: call.answerTimeoutMs,
+      signal: call.signal,
+    });
+    const body = Buffer.from(await answer.body.arrayBuffer());
+    return {
+      status: answer.statusCode,
+      contentType: String(answer.headers['content-type'] ?? 'application/octet-stream'),
+      leaving: answer.headers['x-upstream-leaving'] !== undefined,
+      body,
+    };
+  }
+}
--- /dev/null
+++ b/packages/server/src/upstreams/upstream.ts
@@ -0,0 +1,203 @@
+import type { Upstream as UpstreamConfig } from '@cactusstair/protocol';
+import { UpstreamKind } from '@cactusstair/protocol';
+import type {
+  CrashQuarantine,
+  PrefixIndex,
+  UpstreamHealth,
+  UpstreamView,
+} from '@cactusstair/routing';
+import { ConcurrencyLimit } from '@cactusstair/routing';
+import type { Clock, Logger } from '@cactusstair/utils';
+
+import { Link } from './link.js';
+import type { LinkFailure } from './linkFailure.js';
+import type { LoadReport } from './loadReport.js';
+import { fetchCacheEvents, fetchLoadReport } from './loadReport.js';
+
+/** What an upstream shares with the others. */
+export interface UpstreamContext {
+  clock: Clock;
+  logger: Logger;
+  quarantine: CrashQuarantine;
+  prefixIndex: PrefixIndex;
+  connectMs: number;
+}
+
+const POLL_INTERVAL_MS = 500;
+const PROBE_TIMEOUT_MS = 800;
+const DEFAULT_SLOTS = 16;
+
+/** One upstream as this instance sees it: its link, its load and its health. */
+export class Upstream {
+  readonly link: Link;
+
+  private readonly limit = new ConcurrencyLimit();
+
+  private outstanding = 0;
+
+  private exclusiveCalls = 0;
+
+  private report: LoadReport | undefined;
+
+  private reportedAtMs = 0;
+
+  private sentSinceReport = 0;
+
+  constructor(
+    readonly config: UpstreamConfig,
+    readonly health: UpstreamHealth,
+    private readonly context: UpstreamContext,
+  ) {
+    this.link = new Link(config.url, { connectTimeoutMs: context.connectMs });
+    if (config.leaving) health.markLeaving('platform_list');
+  }
+
+  get name(): string {
+    return this.config.name;
+  }
+
+  /** Whether the upstream has said that it has loaded `version` of `model`. */
+  hasVersion(model: string, version: string): boolean {
+    const loaded = this.report?.versions ?? [];
+    return loaded.some((each) => each.model === model && each.version === version);
+  }
+
+  /** Whether a request that may crash its upstream runs here alone at this moment. */
+  isExclusive(): boolean {
+    return this.exclusiveCalls > 0;
+  }
+
+  /** Requests that this instance may have in flight here. */
+  getCapacity(): number {
+    const slots = this.getSlots();
+    return Math.max(1, Math.min(slots, this.limit.getLimit()));
+  }
+
+  getView(): UpstreamView {
+    const { clock } = this.context;
+    return {
+      name: this.name,
+      zone: this.config.zone,
+      slots: this.getSlots(),
+      outstanding: this.outstanding,
+      reported: this.report && {
+        active: this.report.active,
+        queued: this.report.queued,
+        ageMs: clock.monotonicMs() - this.reportedAtMs,
+      },
+      sentSinceReport: this.sentSinceReport,
+      availability: this.health.getAvailability(),
+      readyForMs: this.health.getReadyForMs(),
+    };
+  }
+
+  /** Counts a call; the returned function ends it. */
+  startCall(exclusive: boolean): () => void {
+    this.outstanding += 1;
+    this.sentSinceReport += 1;
+    if (exclusive) this.exclusiveCalls += 1;
+    let ended = false;
+    return () => {
+      if (ended) return;
+      ended = true;
+      this.outstanding -= 1;
+      if (exclusive) this.exclusiveCalls -= 1;
+    };
+  }
+
+  /** @param latencyMs time to the first token, or to the answer of a plain service. */
+  recordSuccess(latencyMs: number): void {
+    this.health.recordSuccess();
+    this.limit.recordSample({ latencyMs, inFlight: this.outstanding, failed: false });
+  }
+
+  /**
+   * Finds out what a failed call means, with a probe over a new connection: a crashed upstream
+   * does not answer it; one that answers has lost or silenced the old connections only.
+   */
+  async recordFailure(failure: LinkFailure): Promise<void> {
+    if (failure.kind === 'aborted') return;
+    if (failure.kind === 'timeout') {
+      this.limit.recordSample({ latencyMs: 0, inFlight: this.outstanding, failed: true });
+    }
+    const before = this.report?.incarnation;
+    const probed = failure.kind === 'status' ? this.report : await this.probe();
+    const restarted = probed !== undefined && probed.incarnation !== before;
+    if (failure.kind === 'crash' && (probed === undefined || restarted)) {
+      this.context.quarantine.recordCrash(this.name);
+    }
+    if (failure.kind === 'timeout' && probed) this.link.replace();
+    this.health.recordFailure(failure.kind === 'mismatch' ? 'status' : failure.kind);
+  }
+
+  markLeaving(): void {
+    if (this.health.isMarkedLeaving()) return;
+    this.context.logger.info('upstream is leaving', { upstream: this.name });
+    this.health.markLeaving('upstream');
+  }
+
+  /** Polls the load report until `signal` aborts. */
+  async pollLoad(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const report = await this.probe();
+      if (signal.aborted) return;
+      this.recordProbe(report);
+      if (report && this.config.kind === UpstreamKind.ENGINE) await this.pollCacheEvents(report);
+      await this.context.clock.sleep(POLL_INTERVAL_MS, signal);
+    }
+  }
+
+  private async probe(): Promise<LoadReport | undefined> {
+    try {
+      return await fetchLoadReport(this.config.url, PROBE_TIMEOUT_MS);
+    } catch {
+      return undefined;
+    }
+  }
+
+  private recordProbe(report: LoadReport | undefined): void {
+    const before = this.health.getAvailability();
+    this.health.recordProbe(report !== undefined);
+    if (report) {
+      if (report.incarnation !== this.report?.incarnation) {
+        this.context.prefixIndex.removeUpstream(this.name);
+      }
+      this.report = report;
+      this.reportedAtMs = this.context.clock.monotonicMs();
+      this.sentSinceReport = 0;
+      if (report.leaving) this.markLeaving();
+      else this.health.clearLeaving('upstream');
+    }
+    const after = this.health.getAvailability();
+    if (after !== before) {
+      this.context.logger.info('upstream availability changed', {
+        upstream: this.name,
+        before,
+        after,
+      });
+    }
+  }
+
+  private async pollCacheEvents(report: LoadReport): Promise<void> {
+    const { prefixIndex } = this.context;
+    const lastSequence = prefixIndex.getLastSequence(this.name);
+    if ((report.cacheEvents ?? 0) <= lastSequence) return;
+    try {
+      const events = await fetchCacheEvents(this.config.url, lastSequence, PROBE_TIMEOUT_MS);
+      prefixIndex.applyEvents(
+        this.name,
+        events.map(({ sequence, type, block }) => ({
+          sequence,
+          type: type === 'added' ? 'stored' : type,
+          prefixHash: block,
+        })),
+      );
+    } catch {
+      // Cache events are hints; the next poll asks again.
+    }
+  }
+
+  private getSlots(): number {
+    return this.config.slots || this.report?.slots || DEFAULT_SLOTS;
+  }
+}
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -9,6 +9,6 @@
 export type { Random } from './random.js';
 export { createRandom } from './random.js';
 export type { SettingsProblem } from './settings.js';
-export { formatSettingsProblem, loadSettings, parseSettings } from './settings.js';
+export { formatSettingsProblem, loadSettings, locateSetting, parseSettings } from './settings.js';
 export type { WaitOptions } from './waitFor.js';
 export { waitFor, WaitTimeoutError } from './waitFor.js';
--- a/packages/utils/src/settings.ts
+++ b/packages/utils/src/settings.ts
@@ -104,3 +104,14 @@
   }
   return parseSettings(text, file, schema);
 }
+
+/** Creates a problem for a key of a file that was read before, with the line of the key. */
+export function locateSetting(
+  file: string,
+  path: readonly string[],
+  message: string,
+): SettingsProblem {
+  const lineCounter = new LineCounter();
+  const document = parseDocument(readFileSync(file, 'utf8'), { lineCounter });
+  return { file, line: findLine(document, lineCounter, path), key: path.join('.'), message };
+}
