--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,4 +1,11 @@
 /** Coordination parts over a versioned object store, usable without the daemon. */
+// Object API, configuration, sessions and leases.
+export type { ConfigKind, ConfigMessage } from './configObjects.js';
+export { configKinds, formatCascadeName, formatConfigValue } from './configObjects.js';
+export type { ConfigListener, ConfigReplicaOptions } from './configReplica.js';
+export { ConfigReplica } from './configReplica.js';
+export type { HttpObjectStoreOptions } from './httpObjectStore.js';
+export { HttpObjectStore } from './httpObjectStore.js';
 export type { StoreFault } from './memoryObjectStore.js';
 export { MemoryObjectStore } from './memoryObjectStore.js';
 export type {
@@ -8,3 +15,11 @@
   StoreResult,
   WatchEvent,
 } from './objectStore.js';
+export type { Session, SessionTokensOptions } from './sessionToken.js';
+export { SessionTokens } from './sessionToken.js';
+export type { StoreFollowerOptions } from './storeFollower.js';
+export { StoreFollower } from './storeFollower.js';
+export type { VersionPermits, VersionPermitState } from './versionPermit.js';
+export { checkVersionPermit, defaultVersionPermits } from './versionPermit.js';
+export type { EditOptions, JsonObject, SettleOptions } from './writeSettled.js';
+export { editObject, getChangeId, writeSettled } from './writeSettled.js';
--- a/packages/coordination/src/memoryObjectStore.ts
+++ b/packages/coordination/src/memoryObjectStore.ts
@@ -85,11 +85,16 @@
     if (this.fault === 'unavailable') throw new Error('the object store is unavailable');
     const live = on(this.emitter, 'event', { signal });
     const past = this.events.filter((event) => this.isSelected(event, kinds, fromRevision));
+    // Noted here, because the revision rises with writes that come while the reader takes the past
+    // events, and those are delivered only after the bookmark.
+    const { revision } = this;
     yield* structuredClone(past);
-    yield { type: 'bookmark', revision: this.revision };
+    yield { type: 'bookmark', revision };
     try {
       for await (const [event] of live as AsyncIterable<[WatchEvent]>) {
         if (this.isSelected(event, kinds, fromRevision)) yield structuredClone(event);
+        // A write of another kind raises the revision too; a watcher that waits for it needs this.
+        else yield { type: 'bookmark', revision: getEventRevision(event) };
       }
     } catch (error) {
       if (!signal.aborted) throw error;
@@ -162,3 +167,7 @@
     return revision > fromRevision && kinds.includes(kind);
   }
 }
+
+function getEventRevision(event: WatchEvent): number {
+  return event.type === 'put' ? event.object.revision : event.revision;
+}
--- a/packages/coordination/src/objectStore.ts
+++ b/packages/coordination/src/objectStore.ts
@@ -47,7 +47,9 @@
   /** Returns the store-wide revision of the latest write. */
   getRevision(): StoreResult<number>;
   /**
-   * Yields the events above `fromRevision` until `signal` aborts or the connection ends.
+   * Yields the events above `fromRevision` in the order of their revisions, until `signal` aborts
+   * or the connection ends. Bookmarks follow the writes of other kinds, so that a reader can tell
+   * that it has missed nothing.
    *
    * @throws Error when the watch cannot be opened or breaks.
    */
