--- a/packages/coordination/src/configReplica.ts
+++ b/packages/coordination/src/configReplica.ts
@@ -151,6 +151,11 @@
     return cascade?.workspace === workspace && cascade.name === name ? cascade : undefined;
   }
 
+  /** Returns the cascades of one workspace. */
+  getCascades(workspace: string): Cascade[] {
+    return this.getMessages('cascade').filter((cascade) => cascade.workspace === workspace);
+  }
+
   getRollouts(): Rollout[] {
     return this.getMessages('rollout');
   }
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -231,12 +231,11 @@
       store,
       replica,
       rollouts,
-      membership,
+      instances: this.instances,
       links: this.links,
       directory: this.directory,
       counters,
       clock,
-      random: this.random,
       logger: this.logger,
     });
     this.lifecycle.startTask('rollouts', (signal) => controller.run(signal));
@@ -249,6 +248,7 @@
       store,
       membership,
       links: this.links,
+      seeds: this.settings.peers.seeds,
       clock: this.clock,
       random: this.random,
       logger: this.logger,
--- a/packages/server/src/operators/configEditor.ts
+++ b/packages/server/src/operators/configEditor.ts
@@ -1,4 +1,4 @@
-import type { ObjectStore, StoredObject } from '@cactusstair/coordination';
+import type { JsonObject, ObjectStore, StoredObject } from '@cactusstair/coordination';
 import { writeSettled } from '@cactusstair/coordination';
 import type { Change, Failure } from '@cactusstair/protocol';
 import type { Clock } from '@cactusstair/utils';
@@ -20,7 +20,13 @@
     value: unknown,
     expectedVersion: number,
   ): Promise<Result<Change, Failure>> {
-    const written = await writeSettled(this.store, kind, name, value, expectedVersion);
+    const written = await writeSettled(
+      this.store,
+      kind,
+      name,
+      value as JsonObject,
+      expectedVersion,
+    );
     return written
       .map((object) => this.createChange(object))
       .mapErr((failure) => describeStoreFailure(failure, `${kind} ${name}`, expectedVersion));
