--- /dev/null
+++ b/packages/place/src/place.ts
@@ -0,0 +1,348 @@
+import { existsSync, mkdirSync, mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+import { fetch } from 'undici';
+import { stringify } from 'yaml';
+
+import type { EntryPlan } from './entryPlan.js';
+import { createEntrySettings, planEntries } from './entryPlan.js';
+import type { PlacedUpstream } from './placeConfig.js';
+import { createConfigEntries, deriveSecret, getApiKey, getServiceNames } from './placeConfig.js';
+import type { PlaceEngines, PlaceOptions, PlaceServices, PlaceZone } from './placeOptions.js';
+import { PlaceProcess } from './placeProcess.js';
+import { deriveSeed } from './seed.js';
+
+/** Published addresses of one entry instance. */
+export interface EntryAddresses {
+  name: string;
+  zone: string;
+  /** Base URL for callers; leads through a proxy if one stands before the instance. */
+  callers: string;
+  /** gRPC address, `ip:port`. */
+  operators: string;
+  peers: string;
+  /** Base URL of metrics, health and readiness. */
+  metrics: string;
+}
+
+const DEFAULT_TIMEOUT_MS = 30_000;
+const repositoryDir = fileURLToPath(new URL('../../../', import.meta.url));
+const standinsMainFile = join(repositoryDir, 'packages/standins/dist/main.js');
+const defaultEntryMainFile = join(repositoryDir, 'packages/cli/dist/main.js');
+// Entry instances stop first, while everything that they flush to still runs.
+const STOP_ORDER = [
+  ['entry'],
+  ['engine', 'service'],
+  ['proxy'],
+  ['rater', 'weights'],
+  ['platform'],
+];
+
+/**
+ * A small place of child processes: the platform, upstreams and entry instances.
+ *
+ * @example
+ * const place = await Place.start({ zones, models, workspaces });
+ * await place.getProcess('riga-a-engine-1').kill();
+ * await place.close();
+ */
+export class Place {
+  readonly processes: PlaceProcess[] = [];
+
+  readonly entries: EntryAddresses[] = [];
+
+  /** Directory of the settings files (`*.yaml`) and the logs (`*.log`). */
+  readonly runDir: string;
+
+  private readonly clusterKeyFile: string;
+
+  private readonly proxies = new Map<string, { address: string; control: string }>();
+
+  private readonly upstreams: PlacedUpstream[] = [];
+
+  private closing: Promise<void> | undefined;
+
+  private readonly killAll = () => {
+    for (const child of this.processes) child.killNow();
+  };
+
+  private constructor(private readonly options: PlaceOptions) {
+    if (options.runDir !== undefined) {
+      this.runDir = options.runDir;
+      mkdirSync(options.runDir, { recursive: true });
+    } else {
+      this.runDir = mkdtempSync(join(tmpdir(), 'cactusstair-place-'));
+    }
+    this.clusterKeyFile = join(this.runDir, 'cluster.key');
+    writeFileSync(this.clusterKeyFile, `${deriveSecret(options.seed ?? 1, 'cluster-key')}\n`);
+    process.once('exit', this.killAll);
+  }
+
+  /** Starts a place and waits until every process is ready. */
+  static async start(options: PlaceOptions): Promise<Place> {
+    const place = new Place(options);
+    try {
+      await place.startAll();
+    } catch (error) {
+      await place.close();
+      throw error;
+    }
+    return place;
+  }
+
+  /** Base URL of the object API, without a proxy. */
+  get platformUrl(): string {
+    return this.getUrl('platform');
+  }
+
+  get workspaces(): { name: string; apiKey: string }[] {
+    return this.options.workspaces.map((workspace) => ({
+      name: workspace.name,
+      apiKey: getApiKey(workspace),
+    }));
+  }
+
+  get serviceNames(): string[] {
+    return getServiceNames(this.options);
+  }
+
+  /** Finds a process by name. */
+  getProcess(name: string): PlaceProcess {
+    const found = this.processes.find((entry) => entry.name === name);
+    if (found) return found;
+    const known = this.processes.map((entry) => entry.name).join(', ');
+    throw new Error(`the place has no process "${name}"; it has: ${known}`);
+  }
+
+  /** Returns the base URL of a stand-in, without a proxy. A proxy's is that of its control port. */
+  getUrl(name: string): string {
+    const { readyLine } = this.getProcess(name);
+    return `http://${String(readyLine.control ?? readyLine.address)}`;
+  }
+
+  /** Injects a fault into a stand-in or a proxy. */
+  async injectFault(name: string, fault: { fault: string } & Record<string, unknown>) {
+    const response = await fetch(`${this.getUrl(name)}/fault`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(fault),
+    });
+    if (!response.ok) throw new Error(`${name} refused the fault: ${await response.text()}`);
+  }
+
+  /** Fetches the journal of a stand-in. */
+  async fetchJournal(name: string): Promise<unknown> {
+    return (await fetch(`${this.getUrl(name)}/journal`)).json();
+  }
+
+  /** Enters or removes an upstream in the platform's lagging list of instances. */
+  async listInstance(name: string, state: 'live' | 'leaving' | 'gone'): Promise<void> {
+    const url = `${this.platformUrl}/v1/instances/${name}`;
+    const child = this.getProcess(name);
+    const body = { address: child.readyLine.address, zone: child.zone, state };
+    const response = await (state === 'gone'
+      ? fetch(url, { method: 'DELETE' })
+      : fetch(url, {
+          method: 'PUT',
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify(body),
+        }));
+    if (!response.ok) throw new Error(`the platform did not list ${name}: ${response.status}`);
+  }
+
+  /** Stops every process in order: entry instances, upstreams, then the platform. */
+  close(): Promise<void> {
+    this.closing ??= this.stopAll();
+    return this.closing;
+  }
+
+  private async stopAll(): Promise<void> {
+    for (const group of STOP_ORDER) {
+      const members = this.processes.filter((child) => group.includes(child.role));
+      await Promise.all(members.map((child) => child.stop()));
+    }
+    process.removeListener('exit', this.killAll);
+  }
+
+  private async startAll(): Promise<void> {
+    await this.startPlatform();
+    await Promise.all(this.options.zones.map((zone) => this.startUpstreams(zone)));
+    this.upstreams.sort((a, b) => (a.name < b.name ? -1 : 1));
+    const plans = await planEntries(this.options.zones);
+    await this.writeConfig();
+    await Promise.all(plans.map((plan) => this.startEntry(plan, plans)));
+    this.entries.sort((a, b) => (a.name < b.name ? -1 : 1));
+  }
+
+  private async startPlatform(): Promise<void> {
+    const quality = Object.fromEntries(
+      this.options.models.flatMap((model) =>
+        model.versions
+          .filter((version) => version.quality !== undefined)
+          .map((version) => [`${model.name}@${version.version}`, version.quality]),
+      ),
+    );
+    await Promise.all([
+      this.startStandin('platform', 'platform', '', { ...this.options.platform }),
+      this.startStandin('weights', 'weights', '', { ...this.options.weights }),
+      this.startStandin('rater', 'rater', '', { ...this.options.rater, quality }),
+    ]);
+    for (const name of ['platform', 'weights', 'rater']) await this.startProxiesTo(name);
+  }
+
+  private async startUpstreams(zone: PlaceZone): Promise<void> {
+    let number = 0;
+    const starts: Promise<void>[] = [];
+    for (const engines of zone.engines ?? []) {
+      for (let copy = 0; copy < (engines.count ?? 1); copy += 1) {
+        number += 1;
+        starts.push(this.startEngine(zone.name, `${zone.name}-engine-${number}`, engines));
+      }
+    }
+    for (const services of zone.services ?? []) {
+      for (let copy = 1; copy <= (services.count ?? 1); copy += 1) {
+        starts.push(
+          this.startService(zone.name, `${zone.name}-${services.service}-${copy}`, services),
+        );
+      }
+    }
+    await Promise.all(starts);
+  }
+
+  private async startEngine(zone: string, name: string, engines: PlaceEngines): Promise<void> {
+    const versions = engines.versions.map((text) => {
+      const [model = '', version = ''] = text.split('@');
+      return { model, version };
+    });
+    const quality = Object.fromEntries(
+      this.options.models.flatMap((model) =>
+        model.versions.map((entry) => [`${model.name}@${entry.version}`, entry.quality ?? 0.8]),
+      ),
+    );
+    const weightStore = `http://${this.resolveAddress(name, zone, 'weights')}`;
+    const checksFencing = engines.options?.checksFencing ?? true;
+    const settings = { quality, ...engines.options, name, zone, versions, weightStore };
+    await this.startStandin('engine', name, zone, { ...settings, checksFencing });
+    await this.addUpstream({
+      name,
+      kind: 'engine',
+      zone,
+      service: '',
+      checksFencing,
+      nonIdempotent: false,
+    });
+  }
+
+  private async startService(zone: string, name: string, services: PlaceServices): Promise<void> {
+    await this.startStandin('service', name, zone, { ...services.options, name, zone });
+    await this.addUpstream({
+      name,
+      kind: 'service',
+      zone,
+      service: services.service,
+      checksFencing: false,
+      nonIdempotent: services.nonIdempotent ?? true,
+    });
+  }
+
+  private async addUpstream(upstream: Omit<PlacedUpstream, 'url'>): Promise<void> {
+    await this.startProxiesTo(upstream.name);
+    const url = `http://${this.resolveAddress('*', '*', upstream.name)}`;
+    this.upstreams.push({ ...upstream, url });
+    await this.listInstance(upstream.name, 'live');
+  }
+
+  private async startProxiesTo(target: string, address?: string): Promise<void> {
+    const proxies = (this.options.proxies ?? []).filter((proxy) => proxy.to === target);
+    for (const proxy of proxies) {
+      const targetAddress = address ?? String(this.getProcess(target).readyLine.address);
+      const ready = await this.startStandin('proxy', proxy.name, '', { target: targetAddress });
+      this.proxies.set(proxy.name, {
+        address: String(ready.address),
+        control: String(ready.control),
+      });
+    }
+  }
+
+  /** Returns the address at which `from` reaches `to`, through a proxy if one is set. */
+  private resolveAddress(from: string, fromZone: string, to: string): string {
+    const proxy = (this.options.proxies ?? []).find(
+      (entry) => entry.to === to && [from, fromZone, '*'].includes(entry.from),
+    );
+    if (proxy) return this.proxies.get(proxy.name)?.address ?? '';
+    return String(this.getProcess(to).readyLine.address);
+  }
+
+  private async writeConfig(): Promise<void> {
+    for (const { kind, name, value } of createConfigEntries(this.options, this.upstreams)) {
+      const response = await fetch(`${this.platformUrl}/v1/objects/${kind}/${name}`, {
+        method: 'PUT',
+        headers: { 'content-type': 'application/json', 'if-none-match': '*' },
+        body: JSON.stringify(value),
+      });
+      if (response.status !== 201) {
+        throw new Error(`the object API answered ${response.status} to the new ${kind} ${name}`);
+      }
+    }
+  }
+
+  private async startEntry(plan: EntryPlan, plans: EntryPlan[]): Promise<void> {
+    const mainFile = this.options.entryMainFile ?? defaultEntryMainFile;
+    if (!existsSync(mainFile)) {
+      throw new Error(`${mainFile} does not exist; build the entry instance with npm run build`);
+    }
+    const zone = plan.zone.name;
+    const settings = createEntrySettings(plan, plans, {
+      options: this.options,
+      clusterKeyFile: this.clusterKeyFile,
+      resolveAddress: (target) => this.resolveAddress(plan.name, zone, target),
+    });
+    const file = this.writeSettings(plan.name, settings);
+    const args = [mainFile, 'serve', '--config', file];
+    const ready = await this.startProcess('entry', plan.name, zone, args);
+    await this.startProxiesTo(plan.name, `127.0.0.1:${plan.ports.callers}`);
+    const proxy = (this.options.proxies ?? []).find((entry) => entry.to === plan.name);
+    this.entries.push({
+      name: plan.name,
+      zone,
+      callers: proxy ? `http://${this.proxies.get(proxy.name)?.address}` : String(ready.callers),
+      operators: String(ready.operators),
+      peers: String(ready.peers),
+      metrics: String(ready.metrics),
+    });
+  }
+
+  private startStandin(role: string, name: string, zone: string, settings: object) {
+    const seed = deriveSeed(this.options.seed ?? 1, name);
+    const file = this.writeSettings(name, { seed, ...settings });
+    return this.startProcess(role, name, zone, [
+      standinsMainFile,
+      role,
+      '--config',
+      file,
+      '--stop-with-stdin',
+    ]);
+  }
+
+  private writeSettings(name: string, settings: object): string {
+    const file = join(this.runDir, `${name}.yaml`);
+    writeFileSync(file, stringify(settings));
+    return file;
+  }
+
+  private startProcess(role: string, name: string, zone: string, args: string[]) {
+    const child = new PlaceProcess({
+      role,
+      name,
+      zone,
+      args,
+      logFile: join(this.runDir, `${name}.log`),
+      readyTimeoutMs: this.options.readyTimeoutMs ?? DEFAULT_TIMEOUT_MS,
+      stopTimeoutMs: this.options.stopTimeoutMs ?? DEFAULT_TIMEOUT_MS,
+    });
+    this.processes.push(child);
+    return child.start();
+  }
+}
--- /dev/null
+++ b/packages/place/src/placeOptions.ts
@@ -0,0 +1,117 @@
+import type { EngineOptions, RaterOptions, ServiceOptions } from '@cactusstair/standins';
+import type { PlatformOptions, WeightStoreOptions } from '@cactusstair/standins';
+
+/** A version of a model of the place. */
+export interface PlaceVersion {
+  version: string;
+  /** Default `settled`. */
+  state?: 'candidate' | 'settled' | 'withdrawn';
+  /** Mean quality in 0..1. Default 0.8. */
+  quality?: number;
+  /** Price in micros per 1,000 prompt tokens. Default 100. */
+  promptMicros?: number;
+  /** Price in micros per 1,000 generated tokens. Default 400. */
+  completionMicros?: number;
+}
+
+export interface PlaceModel {
+  name: string;
+  versions: PlaceVersion[];
+  /** Default: the first version. */
+  currentVersion?: string;
+}
+
+export interface PlaceWorkspace {
+  name: string;
+  /** Key that callers send. Default `key-{name}`. */
+  apiKey?: string;
+  /** Allowed models, by name or with their versions. Default: every model and version. */
+  models?: (string | { model: string; versions: string[] })[];
+  /** Allowed services. Default: every service. */
+  services?: string[];
+  /** Default 0: unlimited. */
+  tokensPerMinute?: number;
+  /** Default 1. */
+  weight?: number;
+}
+
+export interface PlaceCascade {
+  workspace: string;
+  name: string;
+  /** Models from cheap to strong. */
+  rungs: string[];
+  /** Default 0.75. */
+  qualityTarget?: number;
+  /** Default 0.9. */
+  targetShare?: number;
+}
+
+/** Engines of one kind in one zone, named `{zone}-engine-{number}`. */
+export interface PlaceEngines {
+  /** Loaded versions as `model@version`. */
+  versions: string[];
+  /** Default 1. */
+  count?: number;
+  /** Further options of the engine stand-in. */
+  options?: Omit<EngineOptions, 'listen' | 'name' | 'zone' | 'versions' | 'weightStore'>;
+}
+
+/** Servers of a plain service in one zone, named `{zone}-{service}-{number}`. */
+export interface PlaceServices {
+  service: string;
+  /** Default 1. */
+  count?: number;
+  /** Whether calls other than GET, HEAD and OPTIONS must not be repeated. Default true. */
+  nonIdempotent?: boolean;
+  /** Further options of the service stand-in. */
+  options?: Omit<ServiceOptions, 'listen' | 'name' | 'zone'>;
+}
+
+export interface PlaceZone {
+  name: string;
+  /** Default: the region of the place. */
+  region?: string;
+  /** Entry instances, named `{zone}-{number}`. Default 1. */
+  entries?: number;
+  engines?: PlaceEngines[];
+  services?: PlaceServices[];
+}
+
+/** A fault-injecting proxy on one link of the place. */
+export interface PlaceProxy {
+  /** Name of the proxy process. */
+  name: string;
+  /**
+   * Which processes use the proxy: a process name, a zone name or `*`. Upstreams and entry
+   * instances publish one address, so links to them are proxied for all (`*`).
+   */
+  from: string;
+  /** Process behind the proxy: `platform`, `weights`, `rater`, an upstream or an entry instance. */
+  to: string;
+}
+
+/** Options of `Place`. */
+export interface PlaceOptions {
+  zones: PlaceZone[];
+  models: PlaceModel[];
+  workspaces: PlaceWorkspace[];
+  cascades?: PlaceCascade[];
+  proxies?: PlaceProxy[];
+  /** Region of zones that name none. Default `local`. */
+  region?: string;
+  /** Seed of every process; each derives its own from it and its name. Default 1. */
+  seed?: number;
+  /** Directory for logs and settings files. Default: a new directory below the system's. */
+  runDir?: string;
+  /** Further settings of each entry instance, merged into its file, for example `permits`. */
+  entrySettings?: Record<string, unknown>;
+  /** Main file of the entry instance. Default `packages/cli/dist/main.js`. */
+  entryMainFile?: string;
+  platform?: Omit<PlatformOptions, 'listen'>;
+  weights?: Omit<WeightStoreOptions, 'listen'>;
+  rater?: Omit<RaterOptions, 'listen' | 'quality'>;
+  /** Time for one process to become ready, in milliseconds. Default 30,000. */
+  readyTimeoutMs?: number;
+  /** Time for one process to stop after SIGTERM, in milliseconds. Default 30,000. */
+  stopTimeoutMs?: number;
+}
--- /dev/null
+++ b/packages/standins/src/engineStandin.ts
@@ -0,0 +1,334 @@
+import type { Random } from '@cactusstair/utils';
+import { createRandom } from '@cactusstair/utils';
+import type { FastifyReply, FastifyRequest } from 'fastify';
+
+import { AnswerSwapper } from './answerSwapper.js';
+import type { EngineFaultTable } from './engineAdmission.js';
+import { findRefusal } from './engineAdmission.js';
+import { TokenGenerator } from './tokenGenerator.js';
+import { BatchScheduler } from './batchScheduler.js';
+import {
+  createEndEvents,
+  createErrorEvent,
+  createPlainAnswer,
+  createRoleEvent,
+  createTokenEvent,
+} from './engineAnswer.js';
+import type { EngineOptions, EngineSettings } from './engineOptions.js';
+import { engineFaults, engineOptionsSchema } from './engineOptions.js';
+import type { EngineRequest } from './engineRequest.js';
+import { parseEngineRequest } from './engineRequest.js';
+import type { EngineJournalEntry } from './engineRun.js';
+import { EngineRun } from './engineRun.js';
+import { FaultTable } from './faultTable.js';
+import { HttpStandin, isControlRequest, resetConnection } from './httpStandin.js';
+import { LaggingReport } from './laggingReport.js';
+import { ModelLoader, orderSchema } from './modelLoader.js';
+import { PrefixCache } from './prefixCache.js';
+
+const DEFAULT_MEAN_QUALITY = 0.8;
+
+/** A model engine with continuous batching, a prefix cache, streams, orders and faults. */
+export class EngineStandin extends HttpStandin {
+  readonly faults: EngineFaultTable = new FaultTable(engineFaults);
+
+  /** Every request received since the process started, also before a crash. */
+  readonly journal: EngineJournalEntry[] = [];
+
+  private readonly settings: EngineSettings;
+
+  private readonly random: Random;
+
+  private readonly loader: ModelLoader;
+
+  private readonly cache: PrefixCache;
+
+  private readonly generator: TokenGenerator;
+
+  private readonly swapper = new AnswerSwapper();
+
+  private readonly loadReport: LaggingReport<object>;
+
+  private readonly runs = new Set<EngineRun>();
+
+  private scheduler: BatchScheduler;
+
+  private incarnation = 1;
+
+  private leavingSinceMs: number | undefined;
+
+  private generatedIds = 0;
+
+  constructor(options: EngineOptions = {}) {
+    const settings = engineOptionsSchema.parse(options);
+    super(settings);
+    this.settings = settings;
+    this.random = createRandom(settings.seed);
+    this.loader = new ModelLoader(settings);
+    this.scheduler = new BatchScheduler(settings);
+    this.cache = new PrefixCache(
+      {
+        capacityBlocks: settings.cacheBlocks,
+        blockChars: settings.blockChars,
+        eventLagMs: settings.cacheEventLagMs,
+        eventLoss: settings.cacheEventLoss,
+      },
+      this.random,
+    );
+    this.generator = new TokenGenerator(settings, this.faults, this.cache, (downMs) =>
+      this.startCrash(downMs),
+    );
+    this.loadReport = new LaggingReport(settings.loadLagMs, () => this.createLoadReport());
+    this.faults.setHandlers({
+      crash: ({ downMs }) => this.startCrash(downMs),
+      silence: () => this.silenceConnections(),
+      leaving: () => {
+        this.leavingSinceMs ??= Date.now();
+      },
+    });
+    this.addHooks();
+    this.addCompletionRoutes();
+    this.addReportRoutes();
+  }
+
+  protected override beforeClose(): void {
+    this.leavingSinceMs ??= Date.now();
+    this.loadReport.close();
+  }
+
+  private addHooks(): void {
+    this.app.addHook('onRequest', async (request, reply) => {
+      if (isControlRequest(request)) return;
+      if (this.faults.get('freeze')) {
+        reply.hijack();
+        return;
+      }
+      for (const name of ['x-request-id', 'x-attempt']) {
+        const value = request.headers[name];
+        if (value !== undefined) reply.header(name, value);
+      }
+      if (this.leavingSinceMs !== undefined) reply.header('x-upstream-leaving', 'true');
+    });
+  }
+
+  private addCompletionRoutes(): void {
+    this.app.post('/v1/chat/completions', (request, reply) => this.complete(request, reply));
+    this.app.post<{ Body: { requestId: string; attempt?: string } }>('/v1/cancel', (request) => {
+      const { requestId, attempt } = request.body;
+      const found = [...this.runs].filter(
+        (run) =>
+          run.request.requestId === requestId &&
+          (attempt === undefined || run.request.attempt === String(attempt)),
+      );
+      for (const run of found) run.stop('cancelled');
+      return { cancelled: found.length };
+    });
+    this.app.post('/orders', (request, reply) => {
+      const order = orderSchema.safeParse(request.body);
+      if (!order.success) return reply.code(400).send({ error: order.error.message });
+      const accepted = this.loader.apply(order.data);
+      const { highestFencing } = this.loader;
+      return reply.code(accepted ? 202 : 409).send({ accepted, highestFencing });
+    });
+  }
+
+  private addReportRoutes(): void {
+    this.faults.register(this.app);
+    this.app.get('/load', () => this.loadReport.get());
+    this.app.get<{ Querystring: { from?: string } }>('/cache-events', (request) => ({
+      incarnation: this.incarnation,
+      events: this.cache.getEventsAfter(Number(request.query.from ?? 0)),
+    }));
+    this.app.get('/state', () => ({
+      name: this.settings.name,
+      zone: this.settings.zone,
+      incarnation: this.incarnation,
+      ...this.loader.getState(),
+      leaving: this.leavingSinceMs !== undefined,
+      active: this.scheduler.active,
+      queued: this.scheduler.queued,
+      cachedBlocks: this.cache.size,
+    }));
+    this.app.get('/journal', () => ({
+      name: this.settings.name,
+      leavingSinceMs: this.leavingSinceMs,
+      requests: this.journal,
+      orders: this.loader.entries,
+    }));
+  }
+
+  private createLoadReport() {
+    return {
+      name: this.settings.name,
+      incarnation: this.incarnation,
+      slots: this.settings.slots,
+      active: this.scheduler.active,
+      queued: this.scheduler.queued,
+      leaving: this.leavingSinceMs !== undefined,
+      role: this.loader.role,
+      versions: [...this.loader.getLoaded()],
+      cacheEvents: this.cache.lastSequence,
+    };
+  }
+
+  private async complete(httpRequest: FastifyRequest, reply: FastifyReply): Promise<unknown> {
+    let request: EngineRequest;
+    try {
+      request = parseEngineRequest(
+        httpRequest.body,
+        httpRequest.headers,
+        this.settings.defaultTokens,
+        () => this.createRequestId(),
+      );
+    } catch (error) {
+      const { message } = error as Error;
+      return reply.code(400).send({ error: { type: 'invalid_request', message, ran: 'no' } });
+    }
+    const run = this.createRun(request);
+    const refusal = findRefusal(request, {
+      faults: this.faults,
+      loader: this.loader,
+      scheduler: this.scheduler,
+      random: this.random,
+      leavingSinceMs: this.leavingSinceMs,
+    });
+    if (refusal) {
+      const { status, type, message } = refusal;
+      run.finish('refused', type);
+      return reply.code(status).send({ error: { type, message, ran: 'no' } });
+    }
+    return this.runAdmitted(run, reply);
+  }
+
+  private async runAdmitted(run: EngineRun, reply: FastifyReply): Promise<unknown> {
+    this.runs.add(run);
+    const { scheduler } = this;
+    reply.raw.on('close', () => {
+      if (!reply.raw.writableFinished) run.stop('disconnected');
+    });
+    try {
+      const hasSlot = await scheduler.acquire(run.request.priority, run.signal);
+      if (!hasSlot) return this.answerStopped(run, reply);
+      try {
+        return await this.generate(run, reply);
+      } finally {
+        scheduler.release();
+      }
+    } finally {
+      this.runs.delete(run);
+    }
+  }
+
+  private async generate(run: EngineRun, reply: FastifyReply): Promise<unknown> {
+    const swap = this.faults.get('swapAnswers');
+    if (swap) {
+      const identity = await this.swapper.exchange(run.identity, swap.waitMs);
+      if (identity !== run.identity) this.faults.take('swapAnswers');
+      run.identity = identity;
+    }
+    reply
+      .header('x-request-id', run.identity.requestId)
+      .header('x-attempt', run.identity.attempt)
+      .header('x-model', run.request.model)
+      .header('x-version', run.version);
+    run.entry.startedAtMs = Date.now();
+    return run.request.stream ? this.answerStream(run, reply) : this.answerPlain(run, reply);
+  }
+
+  private async answerPlain(run: EngineRun, reply: FastifyReply): Promise<unknown> {
+    const tokens: number[] = [];
+    for await (const index of this.generator.generate(run, this.scheduler)) tokens.push(index);
+    if (run.stopCause) return this.answerStopped(run, reply);
+    run.finish('done');
+    const lost = this.faults.get('loseAnswer');
+    if (lost && this.random.next() < lost.probability) {
+      this.faults.take('loseAnswer');
+      resetConnection(reply);
+      return reply;
+    }
+    return reply.send(createPlainAnswer(run, tokens));
+  }
+
+  private async answerStream(run: EngineRun, reply: FastifyReply): Promise<unknown> {
+    const cut = this.faults.get('cutStream');
+    const isCut = cut !== undefined && this.random.next() < cut.probability;
+    if (isCut) this.faults.take('cutStream');
+    reply.hijack();
+    const { raw } = reply;
+    raw.writeHead(200, {
+      ...(reply.getHeaders() as Record<string, string>),
+      'content-type': 'text/event-stream; charset=utf-8',
+      'cache-control': 'no-cache',
+    });
+    raw.write(createRoleEvent(run));
+    let sent = 0;
+    for await (const index of this.generator.generate(run, this.scheduler)) {
+      if (isCut && sent >= cut.afterTokens) {
+        run.finish('failed', 'stream cut');
+        raw.socket?.resetAndDestroy();
+        return reply;
+      }
+      raw.write(createTokenEvent(run, index));
+      sent += 1;
+    }
+    if (run.stopCause) {
+      raw.end(createErrorEvent(run.stopCause, 'the request was stopped before its end'));
+      return reply;
+    }
+    run.finish('done');
+    raw.end(createEndEvents(run));
+    return reply;
+  }
+
+  private answerStopped(run: EngineRun, reply: FastifyReply): FastifyReply {
+    const type = run.stopCause ?? 'stopped';
+    return reply.code(499).send({ error: { type, message: 'the request was stopped' } });
+  }
+
+  private createRun(request: EngineRequest): EngineRun {
+    const version = this.loader.find(request.model, request.version)?.version;
+    const shownVersion = version ?? request.version ?? '';
+    const entry: EngineJournalEntry = {
+      requestId: request.requestId,
+      attempt: request.attempt,
+      model: request.model,
+      version: shownVersion,
+      receivedAtMs: Date.now(),
+      outcome: 'running',
+      tokens: 0,
+      resumeFrom: request.resumeFrom,
+      receivedWhileLeaving: this.leavingSinceMs !== undefined,
+    };
+    this.journal.push(entry);
+    return new EngineRun(
+      request,
+      shownVersion,
+      this.getMeanQuality(request.model, shownVersion),
+      entry,
+    );
+  }
+
+  private getMeanQuality(model: string, version: string): number {
+    const mean = this.settings.quality[`${model}@${version}`] ?? DEFAULT_MEAN_QUALITY;
+    const drop = this.faults.get('qualityDrop');
+    return drop && drop.model === model && drop.version === version ? mean - drop.drop : mean;
+  }
+
+  private createRequestId(): string {
+    this.generatedIds += 1;
+    return `${this.settings.name}-${this.incarnation}-${this.generatedIds}`;
+  }
+
+  private startCrash(downMs: number): void {
+    for (const run of this.runs) run.stop('crashed');
+    const crashed = this.crash(downMs, () => {
+      this.incarnation += 1;
+      this.leavingSinceMs = undefined;
+      this.faults.clear('leaving');
+      this.loader.reset();
+      this.cache.clear();
+      this.scheduler = new BatchScheduler(this.settings);
+    });
+    crashed.catch(() => {});
+  }
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,22 @@
-export {};
+/** Stand-ins for the systems that the router talks to, each as a class and as a process. */
+export type { QualityInput } from './answerText.js';
+export { computeQuality, createAnswerText, createToken } from './answerText.js';
+export type { EngineOptions, LoadedVersion } from './engineOptions.js';
+export { engineFaults } from './engineOptions.js';
+export type { EngineJournalEntry, RunOutcome } from './engineRun.js';
+export { EngineStandin } from './engineStandin.js';
+export type { HttpStandinOptions } from './httpStandin.js';
+export type { ListedInstance } from './instanceList.js';
+export type { OrderEntry } from './modelLoader.js';
+export type { StoredObject, StoreEvent } from './objectTable.js';
+export type { PlatformOptions } from './platformStandin.js';
+export { platformFaults, PlatformStandin } from './platformStandin.js';
+export type { CacheEvent } from './prefixCache.js';
+export { hashPrefixBlocks } from './prefixCache.js';
+export type { RaterOptions, RatingEntry } from './raterStandin.js';
+export { raterFaults, RaterStandin } from './raterStandin.js';
+export type { RoleName } from './roles.js';
+export type { ServiceJournalEntry, ServiceOptions } from './serviceStandin.js';
+export { serviceFaults, ServiceStandin } from './serviceStandin.js';
+export type { TransferEntry, WeightStoreOptions } from './weightStoreStandin.js';
+export { weightStoreFaults, WeightStoreStandin } from './weightStoreStandin.js';
--- /dev/null
+++ b/packages/standins/src/prefixCache.ts
@@ -0,0 +1,103 @@
+import type { Random } from '@cactusstair/utils';
+
+import { hashText } from './hash.js';
+
+/** One change of the prefix cache. Sequence numbers that are missing were lost. */
+export interface CacheEvent {
+  sequence: number;
+  type: 'added' | 'evicted' | 'cleared';
+  /** Hexadecimal hash of the block and of every block before it. */
+  block: string;
+}
+
+/** Options of `PrefixCache`. */
+export interface PrefixCacheOptions {
+  /** Blocks that fit. */
+  capacityBlocks: number;
+  /** Characters of prompt text per block. */
+  blockChars: number;
+  /** Delay until an event can be read, in milliseconds. */
+  eventLagMs: number;
+  /** Probability that an event is never published. */
+  eventLoss: number;
+}
+
+const KEPT_EVENTS = 10_000;
+
+/** Cuts a prompt into full blocks and returns the chained hash of each. */
+export function hashPrefixBlocks(prompt: string, blockChars: number): string[] {
+  const hashes: string[] = [];
+  let previous = '';
+  for (let end = blockChars; end <= prompt.length; end += blockChars) {
+    previous = hashText(previous + prompt.slice(end - blockChars, end))
+      .toString(16)
+      .padStart(8, '0');
+    hashes.push(previous);
+  }
+  return hashes;
+}
+
+/** Prompt prefixes in limited memory, least recently used first out, with lossy late events. */
+export class PrefixCache {
+  private readonly blocks = new Set<string>();
+
+  private events: { event: CacheEvent; visibleAtMs: number }[] = [];
+
+  private sequence = 0;
+
+  constructor(
+    private readonly options: PrefixCacheOptions,
+    private readonly random: Random,
+  ) {}
+
+  get lastSequence(): number {
+    return this.sequence;
+  }
+
+  get size(): number {
+    return this.blocks.size;
+  }
+
+  /** Looks up a prompt, stores its blocks and returns the share of blocks that were cached. */
+  use(prompt: string): number {
+    const hashes = hashPrefixBlocks(prompt, this.options.blockChars);
+    let hits = 0;
+    while (hits < hashes.length && this.blocks.has(hashes[hits] ?? '')) hits += 1;
+    for (const [index, hash] of hashes.entries()) {
+      this.blocks.delete(hash);
+      this.blocks.add(hash);
+      if (index >= hits) this.record('added', hash);
+    }
+    this.evict();
+    return hashes.length === 0 ? 0 : hits / hashes.length;
+  }
+
+  clear(): void {
+    this.blocks.clear();
+    this.record('cleared', '');
+  }
+
+  /** Events after `sequence` that are already visible. */
+  getEventsAfter(sequence: number): CacheEvent[] {
+    const nowMs = performance.now();
+    return this.events
+      .filter(({ event, visibleAtMs }) => event.sequence > sequence && visibleAtMs <= nowMs)
+      .map(({ event }) => event);
+  }
+
+  private evict(): void {
+    for (const block of this.blocks) {
+      if (this.blocks.size <= this.options.capacityBlocks) return;
+      this.blocks.delete(block);
+      this.record('evicted', block);
+    }
+  }
+
+  private record(type: CacheEvent['type'], block: string): void {
+    this.sequence += 1;
+    if (this.random.next() < this.options.eventLoss) return;
+    const visibleAtMs = performance.now() + this.options.eventLagMs;
+    this.events.push({ event: { sequence: this.sequence, type, block }, visibleAtMs });
+    if (this.events.length > 2 * KEPT_EVENTS) this.events = this.events.slice(-KEPT_EVENTS);
+  }
+}
--- /dev/null
+++ b/packages/standins/src/roles.ts
@@ -0,0 +1,80 @@
+import { z } from 'zod';
+
+import { engineOptionsSchema } from './engineOptions.js';
+import { EngineStandin } from './engineStandin.js';
+import { PlatformStandin } from './platformStandin.js';
+import { RaterStandin } from './raterStandin.js';
+import { ServiceStandin } from './serviceStandin.js';
+import { WeightStoreStandin } from './weightStoreStandin.js';
+
+/** A running stand-in, as `main.js` needs it. */
+export interface RunningRole {
+  address: string;
+  /** Further fields of the ready line. */
+  extra?: Record<string, unknown>;
+  close(): Promise<void>;
+}
+
+/** One role: how its settings are checked and how it starts. */
+export interface Role {
+  description: string;
+  schema: z.ZodType<object>;
+  start: (options: object) => Promise<RunningRole>;
+}
+
+const commonShape = {
+  listen: z.string().optional(),
+  seed: z.number().int().optional(),
+  closeGraceMs: z.number().nonnegative().optional(),
+};
+
+const durationMs = z.number().nonnegative().optional();
+
+/** Lookup table of the roles that `main.js` runs, by name. */
+export const roles = {
+  platform: {
+    description: 'Object API',
+    schema: z.strictObject({ ...commonShape, instanceLagMs: durationMs }),
+    start: (options) => new PlatformStandin(options).start(),
+  },
+  engine: {
+    description: 'Model engine',
+    schema: engineOptionsSchema,
+    start: (options) => new EngineStandin(options).start(),
+  },
+  service: {
+    description: 'Plain service',
+    schema: z.strictObject({
+      ...commonShape,
+      name: z.string().optional(),
+      zone: z.string().optional(),
+      callMs: durationMs,
+      slots: z.number().int().positive().optional(),
+      loadLagMs: durationMs,
+    }),
+    start: (options) => new ServiceStandin(options).start(),
+  },
+  weights: {
+    description: 'Weight store',
+    schema: z.strictObject({
+      ...commonShape,
+      megabytesPerSecond: z.number().positive().optional(),
+      burstMegabytes: z.number().positive().optional(),
+    }),
+    start: (options) => new WeightStoreStandin(options).start(),
+  },
+  rater: {
+    description: 'Rating service',
+    schema: z.strictObject({
+      ...commonShape,
+      noise: z.number().nonnegative().optional(),
+      delayMs: durationMs,
+      ratingsPerSecond: z.number().positive().optional(),
+      missing: z.number().min(0).max(1).optional(),
+      quality: z.record(z.string(), z.number().min(0).max(1)).optional(),
+    }),
+    start: (options) => new RaterStandin(options).start(),
+  },
+} satisfies Record<string, Role>;
+
+export type RoleName = keyof typeof roles;
--- /dev/null
+++ b/packages/standins/src/serviceStandin.ts
@@ -0,0 +1,236 @@
+import type { Random } from '@cactusstair/utils';
+import { createRandom, systemClock } from '@cactusstair/utils';
+import type { FastifyReply, FastifyRequest } from 'fastify';
+import { z } from 'zod';
+
+import { FaultTable } from './faultTable.js';
+import type { HttpStandinOptions } from './httpStandin.js';
+import { HttpStandin, isControlRequest, resetConnection } from './httpStandin.js';
+import { LaggingReport } from './laggingReport.js';
+
+/** Options of the plain service. */
+export interface ServiceOptions extends HttpStandinOptions {
+  name?: string;
+  zone?: string;
+  /** Time that each call takes, in milliseconds. Default 2. */
+  callMs?: number;
+  /** Calls that the load report states as the capacity. Default 32. */
+  slots?: number;
+  /** Age of the load report in milliseconds. Default 300. */
+  loadLagMs?: number;
+}
+
+/** Faults of the plain service, by name. */
+export const serviceFaults = {
+  /** Runs a call and then drops the connection, or leaves it without an answer. */
+  loseAnswer: {
+    probability: z.number().min(0).max(1).default(1),
+    mode: z.enum(['reset', 'silent']).default('reset'),
+  },
+  /** Adds `delayMs` to each call. */
+  slow: { delayMs: z.number().nonnegative() },
+  /** Crashes now: resets all connections and comes back after `downMs`. */
+  crash: { downMs: z.number().nonnegative().default(1000) },
+  /** Crashes before it runs a call whose body contains `marker`. */
+  crashOnMarker: {
+    marker: z.string().default('CRASH-SERVICE'),
+    downMs: z.number().nonnegative().default(1000),
+  },
+  /** Accepts calls, does not run them and never answers. */
+  freeze: {},
+  /** Makes open connections silent for ever; new ones work. */
+  silence: {},
+  /** Fails calls with `status`, before they run. */
+  errorRate: {
+    probability: z.number().min(0).max(1),
+    status: z.number().int().min(400).max(599).default(500),
+  },
+  /** Announces that the service leaves; it refuses calls after `refuseAfterMs`. */
+  leaving: { refuseAfterMs: z.number().nonnegative().default(3_600_000) },
+} satisfies Record<string, z.ZodRawShape>;
+
+/** One call that the service ran. */
+export interface ServiceJournalEntry {
+  /** Unique in this process; every run of a call has a number of its own. */
+  effect: number;
+  method: string;
+  path: string;
+  idempotencyKey: string | undefined;
+  requestId: string | undefined;
+  attempt: string | undefined;
+  /** Wall-clock milliseconds. */
+  receivedAtMs: number;
+  ranAtMs: number;
+  receivedWhileLeaving: boolean;
+}
+
+const DEFAULT_CALL_MS = 2;
+const DEFAULT_SLOTS = 32;
+const DEFAULT_LOAD_LAG_MS = 300;
+const ECHOED_HEADERS = ['x-request-id', 'x-attempt'];
+
+function readHeader(request: FastifyRequest, name: string): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+/** A plain service that echoes every call and keeps a journal of its effects. */
+export class ServiceStandin extends HttpStandin {
+  readonly faults = new FaultTable(serviceFaults);
+
+  /** Every call that ran. */
+  readonly journal: ServiceJournalEntry[] = [];
+
+  private readonly random: Random;
+
+  private readonly loadReport: LaggingReport<object>;
+
+  private active = 0;
+
+  private effects = 0;
+
+  private incarnation = 1;
+
+  private leavingSinceMs: number | undefined;
+
+  constructor(private readonly options: ServiceOptions = {}) {
+    super(options);
+    this.random = createRandom(options.seed ?? 1);
+    this.loadReport = new LaggingReport(options.loadLagMs ?? DEFAULT_LOAD_LAG_MS, () =>
+      this.createLoadReport(),
+    );
+    this.faults.setHandlers({
+      crash: ({ downMs }) => this.startCrash(downMs),
+      silence: () => this.silenceConnections(),
+      leaving: () => {
+        this.leavingSinceMs ??= Date.now();
+      },
+    });
+    this.addRoutes();
+  }
+
+  protected override beforeClose(): void {
+    this.leavingSinceMs ??= Date.now();
+    this.loadReport.close();
+  }
+
+  private addRoutes(): void {
+    this.app.addHook('onRequest', async (request, reply) => {
+      if (!isControlRequest(request) && this.faults.get('freeze')) reply.hijack();
+    });
+    this.app.addContentTypeParser('*', { parseAs: 'string' }, (_request, body, done) => {
+      done(null, body);
+    });
+    this.faults.register(this.app);
+    this.app.get('/load', () => this.loadReport.get());
+    this.app.get('/journal', () => ({
+      name: this.options.name ?? 'service',
+      leavingSinceMs: this.leavingSinceMs,
+      calls: this.journal,
+    }));
+    this.app.all('/*', (request, reply) => this.runCall(request, reply));
+  }
+
+  private createLoadReport() {
+    return {
+      name: this.options.name ?? 'service',
+      incarnation: this.incarnation,
+      slots: this.options.slots ?? DEFAULT_SLOTS,
+      active: this.active,
+      queued: 0,
+      leaving: this.leavingSinceMs !== undefined,
+      versions: [],
+    };
+  }
+
+  private async runCall(request: FastifyRequest, reply: FastifyReply): Promise<unknown> {
+    const receivedAtMs = Date.now();
+    const receivedWhileLeaving = this.leavingSinceMs !== undefined;
+    const incarnation = this.incarnation;
+    for (const name of ECHOED_HEADERS) {
+      const value = readHeader(request, name);
+      if (value !== undefined) reply.header(name, value);
+    }
+    if (receivedWhileLeaving) reply.header('x-upstream-leaving', 'true');
+    const refusal = this.findRefusal();
+    if (refusal) {
+      const { status, type } = refusal;
+      return reply.code(status).send({ error: { type, message: 'not run', ran: 'no' } });
+    }
+    this.active += 1;
+    try {
+      const callMs = this.options.callMs ?? DEFAULT_CALL_MS;
+      await systemClock.sleep(callMs + (this.faults.get('slow')?.delayMs ?? 0));
+      this.crashOnMarker(request);
+      // A call that was in flight during a crash has no effect.
+      if (incarnation !== this.incarnation || reply.raw.socket?.destroyed) return reply.hijack();
+      return this.answerCall(request, reply, { receivedAtMs, receivedWhileLeaving });
+    } finally {
+      this.active -= 1;
+    }
+  }
+
+  private answerCall(
+    request: FastifyRequest,
+    reply: FastifyReply,
+    arrival: Pick<ServiceJournalEntry, 'receivedAtMs' | 'receivedWhileLeaving'>,
+  ): FastifyReply {
+    this.effects += 1;
+    const entry: ServiceJournalEntry = {
+      effect: this.effects,
+      method: request.method,
+      path: request.url,
+      idempotencyKey: readHeader(request, 'idempotency-key'),
+      requestId: readHeader(request, 'x-request-id'),
+      attempt: readHeader(request, 'x-attempt'),
+      ranAtMs: Date.now(),
+      ...arrival,
+    };
+    this.journal.push(entry);
+    const lost = this.faults.get('loseAnswer');
+    if (lost && this.random.next() < lost.probability) {
+      this.faults.take('loseAnswer');
+      if (lost.mode === 'silent') reply.hijack();
+      else resetConnection(reply);
+      return reply;
+    }
+    const { effect, method, path, idempotencyKey, requestId } = entry;
+    const service = this.options.name ?? 'service';
+    return reply.send({
+      service,
+      effect,
+      method,
+      path,
+      idempotencyKey,
+      requestId,
+      body: request.body ?? null,
+    });
+  }
+
+  private findRefusal(): { status: number; type: string } | undefined {
+    const leaving = this.faults.get('leaving');
+    if (leaving && Date.now() - (this.leavingSinceMs ?? 0) >= leaving.refuseAfterMs) {
+      return { status: 503, type: 'leaving' };
+    }
+    const failing = this.faults.get('errorRate');
+    return failing && this.random.next() < failing.probability
+      ? { status: failing.status, type: 'injected_error' }
+      : undefined;
+  }
+
+  private crashOnMarker(request: FastifyRequest): void {
+    const fault = this.faults.get('crashOnMarker');
+    if (!fault || !JSON.stringify(request.body ?? '').includes(fault.marker)) return;
+    this.faults.take('crashOnMarker');
+    this.startCrash(fault.downMs);
+  }
+
+  private startCrash(downMs: number): void {
+    this.incarnation += 1;
+    const crashed = this.crash(downMs, () => {
+      this.leavingSinceMs = undefined;
+      this.faults.clear('leaving');
+    });
+    crashed.catch(() => {});
+  }
+}
