--- a/packages/place/src/place.ts
+++ b/packages/place/src/place.ts
@@ -8,6 +8,7 @@
 
 import type { EntryPlan } from './entryPlan.js';
 import { createEntrySettings, planEntries } from './entryPlan.js';
+import { findFreePorts } from './freePorts.js';
 import type { PlacedUpstream } from './placeConfig.js';
 import { createConfigEntries, deriveSecret, getApiKey, getServiceNames } from './placeConfig.js';
 import type { PlaceEngines, PlaceOptions, PlaceServices, PlaceZone } from './placeOptions.js';
@@ -166,7 +167,15 @@
     process.removeListener('exit', this.killAll);
   }
 
+  private get entryMainFile(): string {
+    return this.options.entryMainFile ?? defaultEntryMainFile;
+  }
+
   private async startAll(): Promise<void> {
+    const hasEntries = this.options.zones.some((zone) => zone.entries !== 0);
+    if (hasEntries && !existsSync(this.entryMainFile)) {
+      throw new Error(`${this.entryMainFile} does not exist; build it with npm run build`);
+    }
     await this.startPlatform();
     await Promise.all(this.options.zones.map((zone) => this.startUpstreams(zone)));
     this.upstreams.sort((a, b) => (a.name < b.name ? -1 : 1));
@@ -289,10 +298,6 @@
   }
 
   private async startEntry(plan: EntryPlan, plans: EntryPlan[]): Promise<void> {
-    const mainFile = this.options.entryMainFile ?? defaultEntryMainFile;
-    if (!existsSync(mainFile)) {
-      throw new Error(`${mainFile} does not exist; build the entry instance with npm run build`);
-    }
     const zone = plan.zone.name;
     const settings = createEntrySettings(plan, plans, {
       options: this.options,
@@ -300,7 +305,7 @@
       resolveAddress: (target) => this.resolveAddress(plan.name, zone, target),
     });
     const file = this.writeSettings(plan.name, settings);
-    const args = [mainFile, 'serve', '--config', file];
+    const args = [this.entryMainFile, 'serve', '--config', file];
     const ready = await this.startProcess('entry', plan.name, zone, args);
     await this.startProxiesTo(plan.name, `127.0.0.1:${plan.ports.callers}`);
     const proxy = (this.options.proxies ?? []).find((entry) => entry.to === plan.name);
@@ -314,16 +319,17 @@
     });
   }
 
-  private startStandin(role: string, name: string, zone: string, settings: object) {
+  private async startStandin(role: string, name: string, zone: string, settings: object) {
     const seed = deriveSeed(this.options.seed ?? 1, name);
-    const file = this.writeSettings(name, { seed, ...settings });
-    return this.startProcess(role, name, zone, [
-      standinsMainFile,
-      role,
-      '--config',
-      file,
-      '--stop-with-stdin',
-    ]);
+    const [port, controlPort] = await findFreePorts(2);
+    const file = this.writeSettings(name, {
+      seed,
+      listen: `127.0.0.1:${port}`,
+      ...(role === 'proxy' ? { control: `127.0.0.1:${controlPort}` } : {}),
+      ...settings,
+    });
+    const args = [standinsMainFile, role, '--config', file, '--stop-with-stdin'];
+    return this.startProcess(role, name, zone, args);
   }
 
   private writeSettings(name: string, settings: object): string {
--- /dev/null
+++ b/tests/standins/place.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
+
+import { Place } from '@cactusstair/place';
+
+const entryMainFile = fileURLToPath(new URL('entryFixture.js', import.meta.url));
+
+describe('Place', () => {
+  let place: Place;
+  const runDir = mkdtempSync(join(tmpdir(), 'cactusstair-test-'));
+
+  before(async () => {
+    place = await Place.start({
+      runDir,
+      entryMainFile,
+      zones: [
+        {
+          name: 'riga-a',
+          engines: [{ versions: ['small@1'] }],
+          services: [{ service: 'standings' }],
+        },
+      ],
+      models: [{ name: 'small', versions: [{ version: '1' }] }],
+      workspaces: [{ name: 'ladders' }],
+      cascades: [{ workspace: 'ladders', name: 'auto', rungs: ['small'] }],
+    });
+  });
+
+  after(async () => {
+    await place.close();
+    rmSync(runDir, { recursive: true });
+  });
+
+  it('writes the configuration before it starts an entry instance', async () => {
+    const [entry] = place.entries;
+    // The fixture reads the list of objects when it starts.
+    const seen = (await (await fetch(entry?.callers ?? '')).json()) as { cascades: string[] };
+    assert.deepEqual(seen.cascades, ['ladders.auto']);
+  });
+
+  it('restarts a killed process at its old address, which upstream objects still name', async () => {
+    const engine = place.getProcess('riga-a-engine-1');
+    const { address } = engine.readyLine;
+    assert.equal((await engine.kill()).signal, 'SIGKILL');
+    assert.equal((await engine.start()).address, address);
+    assert.equal((await fetch(`${place.getUrl(engine.name)}/state`)).status, 200);
+  });
+
+  it('stops every process with exit code 0, also a paused one', async () => {
+    place.getProcess('riga-a-standings-1').pause();
+    await place.close();
+    const exits = await Promise.all(place.processes.map((child) => child.exited));
+    assert.deepEqual(
+      exits.map((exit) => exit.code),
+      place.processes.map(() => 0),
+    );
+  });
+});
