--- /dev/null
+++ b/packages/coordination/src/billBatches.ts
@@ -0,0 +1,107 @@
+import type { Bill } from '@cactusstair/protocol';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+
+import type { ObjectStore, StoreFailure } from './objectStore.js';
+
+/** Kind of the objects that hold bills. */
+export const BILL_KIND = 'bill';
+/** Attempts to settle one name; each conflict or lost answer takes one. */
+const MAX_NAME_ATTEMPTS = 8;
+
+/** Identity of one run of an instance. */
+export interface InstanceRun {
+  origin: string;
+  incarnation: number;
+}
+
+/** Formats the identity of an instance run as a part of an object name. */
+export function formatRun({ origin, incarnation }: InstanceRun): string {
+  return `${origin}.${incarnation}`;
+}
+
+/** Computes the key under which a request is billed once. */
+export function computeBillKey(bill: Pick<Bill, 'workspace' | 'requestId'>): string {
+  return JSON.stringify([bill.workspace, bill.requestId]);
+}
+
+/** Reads the bills of a stored segment. */
+export function readSegment(value: unknown): Bill[] {
+  return (value as { bills?: Bill[] }).bills ?? [];
+}
+
+/** Splits bills into segments whose serialised size stays below `maxBytes`. */
+export function splitSegments(bills: readonly Bill[], maxBytes: number): Bill[][] {
+  const segments: Bill[][] = [];
+  let bytes = Infinity;
+  for (const bill of bills) {
+    const size = Buffer.byteLength(JSON.stringify(bill)) + 1;
+    if (bytes + size > maxBytes) {
+      segments.push([]);
+      bytes = 16;
+    }
+    segments.at(-1)?.push(bill);
+    bytes += size;
+  }
+  return segments;
+}
+
+/**
+ * Stores one segment under the name of its first bill. When that name is taken, only the bills
+ * that the stored object lacks are written, under a name of the writer. Storing again is
+ * harmless.
+ */
+export async function storeSegment(
+  store: ObjectStore,
+  segment: readonly Bill[],
+  writer: InstanceRun,
+): Promise<Result<void, StoreFailure>> {
+  let missing = segment;
+  let suffix = '';
+  let failure: StoreFailure = { type: 'conflict' };
+  for (let attempt = 1; attempt <= MAX_NAME_ATTEMPTS; attempt += 1) {
+    const [first] = missing;
+    if (!first) return ok(undefined);
+    const name = `${formatRun(first)}.${first.sequence}${suffix}`;
+    const created = await store.create(BILL_KIND, name, { bills: missing });
+    if (created.isOk()) return ok(undefined);
+    failure = created.error;
+    if (failure.type === 'unavailable') break;
+    const stored = await store.get(BILL_KIND, name);
+    if (stored.isOk()) {
+      const known = new Set(readSegment(stored.value.value).map(formatBillNumber));
+      missing = missing.filter((bill) => !known.has(formatBillNumber(bill)));
+      suffix = `.${formatRun(writer)}.${attempt}`;
+    } else if (stored.error.type !== 'not_found') {
+      failure = stored.error;
+      break;
+    }
+  }
+  return err(failure);
+}
+
+function formatBillNumber(bill: Bill): string {
+  return `${formatRun(bill)}.${bill.sequence}`;
+}
+
+/**
+ * Yields each billed request once: the union of the stored segments by workspace and request id,
+ * where the bill with the lowest store revision wins.
+ *
+ * @throws Error when the object API cannot be read.
+ */
+export async function* exportBills(store: ObjectStore, workspace?: string): AsyncIterable<Bill> {
+  const listed = await store.list(BILL_KIND);
+  if (listed.isErr()) {
+    throw new Error(`the bills cannot be listed: ${listed.error.type}; repeat the export later`);
+  }
+  const seen = new Set<string>();
+  for (const object of listed.value.sort((a, b) => a.revision - b.revision)) {
+    for (const bill of readSegment(object.value)) {
+      const key = computeBillKey(bill);
+      if (seen.has(key) || (workspace !== undefined && bill.workspace !== workspace)) continue;
+      seen.add(key);
+      yield bill;
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/claimJournal.ts
@@ -0,0 +1,214 @@
+import type { AwaitClaimReply, KeptAnswer } from '@cactusstair/protocol';
+import type { Clock, LifecycleManager, Random } from '@cactusstair/utils';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+
+import type { Claim, ClaimChange, ClaimDecision, ClaimOperation } from './claimOperations.js';
+import { computeEntryKey, computeShardNumber } from './claimShard.js';
+import { ClaimShardWriter } from './claimShardWriter.js';
+import { LocalClaims } from './localClaims.js';
+import type { ObjectStore, StoreFailure } from './objectStore.js';
+import { WriteRateLimiter } from './writeRateLimiter.js';
+
+/** Options of `ClaimJournal`. */
+export interface ClaimJournalOptions {
+  store: ObjectStore;
+  clock: Clock;
+  random: Random;
+  lifecycle: LifecycleManager;
+  /** Id and incarnation of this instance. */
+  owner: string;
+  incarnation: number;
+  /** Number of shard objects. Must be the same on every instance. Default 16. */
+  shards?: number;
+  /** Largest serialised size of a shard in bytes. Default 400,000; the object API takes 1 MB. */
+  maxShardBytes?: number;
+  /**
+   * Time for which claims and answers are kept, in milliseconds. Default 24 h. A repeat after
+   * this time runs again. Must exceed the longest request plus the difference between the wall
+   * clocks of two instances.
+   */
+  retentionMs?: number;
+  /** Sustained rate of this instance's writes. Default 40 a second. */
+  writesPerSecond?: number;
+  /** Time for which an outcome waits to share an update with claims. Default 100 ms. */
+  completionDelayMs?: number;
+  /** Attempts for one batch when other instances write the same shard. Default 8. */
+  maxAttempts?: number;
+  /** Operations that may wait in memory. Default 5,000; more are refused. */
+  maxWaiting?: number;
+}
+
+const defaults = {
+  shards: 16,
+  maxShardBytes: 400_000,
+  retentionMs: 24 * 3_600_000,
+  writesPerSecond: 40,
+  completionDelayMs: 100,
+  maxAttempts: 8,
+  maxWaiting: 5000,
+};
+
+/** Largest body of a kept answer. */
+const MAX_ANSWER_BYTES = 4096;
+const MAX_FINISHED_CLAIMS = 1000;
+
+/**
+ * Grants each idempotency key of a workspace to one request over all instances. Each shard of
+ * keys is one object of kind `claims`; the conditional update of that object decides.
+ */
+export class ClaimJournal {
+  private readonly options: Required<ClaimJournalOptions>;
+
+  private readonly writers = new Map<number, ClaimShardWriter>();
+
+  private readonly local: LocalClaims;
+
+  private readonly writeRate: WriteRateLimiter;
+
+  /** Results of the outcomes and releases that are not stored yet. */
+  private readonly pendingChanges = new Set<Promise<Result<unknown, StoreFailure>>>();
+
+  private waitingCount = 0;
+
+  private nextNonce = 1;
+
+  constructor(options: ClaimJournalOptions) {
+    this.options = { ...defaults, ...options };
+    const { clock, writesPerSecond, lifecycle } = this.options;
+    this.local = new LocalClaims(clock, MAX_FINISHED_CLAIMS);
+    this.writeRate = new WriteRateLimiter({ clock, writesPerSecond, burst: writesPerSecond });
+    lifecycle.own('claim journal', async () => {
+      await Promise.all([...this.writers.values()].map((writer) => writer.finish()));
+    });
+  }
+
+  /**
+   * Claims a key for a request. Only `granted` allows the request to be sent.
+   *
+   * @returns a failure when nothing was granted: `unavailable` without the store or when the
+   * shard is full, `conflict` after too many lost attempts, `unknown` when a write got no answer;
+   * the journal then removes the claim as soon as it can.
+   */
+  claim(
+    workspace: string,
+    key: string,
+    requestDigest: string,
+  ): Promise<Result<ClaimDecision, StoreFailure>> {
+    const { owner, incarnation, random } = this.options;
+    const nonce = `${this.nextNonce}-${random.nextInt(0x7fffffff).toString(36)}`;
+    this.nextNonce += 1;
+    const claim: Claim = { workspace, key, requestDigest, owner, incarnation, nonce };
+    if (this.waitingCount >= this.options.maxWaiting) {
+      const message = `${this.waitingCount} claims wait for the object API; nothing was claimed`;
+      return Promise.resolve(err({ type: 'unavailable', message }));
+    }
+    return this.enqueue<ClaimDecision>((resolve, fail) => ({
+      type: 'claim',
+      entryKey: computeEntryKey(workspace, key),
+      claim,
+      resolve,
+      fail,
+    }));
+  }
+
+  /**
+   * Stores the outcome of a granted claim; answers above 4 KiB are not kept. Repeats that wait on
+   * this instance are answered at once. After a failure the journal repeats the write itself.
+   */
+  complete(claim: Claim, answer: KeptAnswer): Promise<Result<void, StoreFailure>> {
+    const kept = answer.body.length <= MAX_ANSWER_BYTES ? answer : undefined;
+    const entryKey = computeEntryKey(claim.workspace, claim.key);
+    this.local.setState(entryKey, claim.nonce, 'done', kept);
+    return this.enqueueChange((resolve, fail) => ({
+      type: 'complete',
+      entryKey,
+      claim,
+      answer: kept,
+      resolve,
+      fail,
+    }));
+  }
+
+  /**
+   * Removes a granted claim. Allowed only while no byte of the request was sent. After a failure
+   * the journal repeats the write itself.
+   */
+  release(claim: Claim): Promise<Result<void, StoreFailure>> {
+    const entryKey = computeEntryKey(claim.workspace, claim.key);
+    this.local.setState(entryKey, claim.nonce, 'unsettled');
+    return this.enqueueChange((resolve, fail) => ({
+      type: 'release',
+      entryKey,
+      claim,
+      resolve,
+      fail,
+    }));
+  }
+
+  /** Waits up to `waitMs` for the outcome of a claim of this instance. */
+  awaitLocal(workspace: string, key: string, waitMs: number): Promise<AwaitClaimReply> {
+    return this.local.awaitOutcome(computeEntryKey(workspace, key), waitMs);
+  }
+
+  /** Tries once, without delay, to store every outcome and release that is not stored yet. */
+  async flush(): Promise<Result<void, StoreFailure>> {
+    const unsettled = [...this.writers.values()].flatMap((writer) => writer.takeUnsettled());
+    for (const operation of unsettled)
+      void this.enqueueChange((resolve, fail) => ({ ...operation, resolve, fail }));
+    const results = await Promise.all(this.pendingChanges);
+    for (const result of results) if (result.isErr()) return err(result.error);
+    return ok(undefined);
+  }
+
+  private enqueueChange(
+    create: (resolve: () => void, fail: (failure: StoreFailure) => void) => ClaimChange,
+  ): Promise<Result<void, StoreFailure>> {
+    const change = this.enqueue<void>(create);
+    this.pendingChanges.add(change);
+    void change.then(() => this.pendingChanges.delete(change));
+    return change;
+  }
+
+  private enqueue<T>(
+    create: (resolve: (value: T) => void, fail: (failure: StoreFailure) => void) => ClaimOperation,
+  ): Promise<Result<T, StoreFailure>> {
+    this.waitingCount += 1;
+    return new Promise((settle) => {
+      const finish = (result: Result<T, StoreFailure>) => {
+        this.waitingCount -= 1;
+        settle(result);
+      };
+      const operation = create(
+        (value) => finish(ok(value)),
+        (failure) => finish(err(failure)),
+      );
+      this.getWriter(operation.entryKey).enqueue(operation);
+    });
+  }
+
+  private getWriter(entryKey: string): ClaimShardWriter {
+    const { lifecycle, maxShardBytes, retentionMs, ...options } = this.options;
+    const shard = computeShardNumber(entryKey, options.shards);
+    let writer = this.writers.get(shard);
+    if (!writer) {
+      writer = new ClaimShardWriter({
+        ...options,
+        name: String(shard),
+        signal: lifecycle.signal,
+        writeRate: this.writeRate,
+        limits: { maxBytes: maxShardBytes, retentionMs },
+        onStored: (operation, granted) => this.recordStored(operation, granted),
+        onDoubtful: ({ entryKey: doubtfulKey, claim }) =>
+          this.local.setState(doubtfulKey, claim.nonce, 'unsettled'),
+      });
+      this.writers.set(shard, writer);
+    }
+    return writer;
+  }
+
+  private recordStored({ type, entryKey, claim }: ClaimOperation, granted: boolean): void {
+    if (type === 'claim' && granted) this.local.setState(entryKey, claim.nonce, 'running');
+    if (type === 'release') this.local.setState(entryKey, claim.nonce, 'released');
+  }
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -8,3 +8,10 @@
   StoreResult,
   WatchEvent,
 } from './objectStore.js';
+
+export { exportBills } from './billBatches.js';
+export type { BillCopier, BillingJournalOptions, UnnumberedBill } from './billingJournal.js';
+export { BillingJournal } from './billingJournal.js';
+export type { ClaimJournalOptions } from './claimJournal.js';
+export { ClaimJournal } from './claimJournal.js';
+export type { Claim, ClaimDecision } from './claimOperations.js';
--- /dev/null
+++ b/packages/coordination/src/localClaims.ts
@@ -0,0 +1,69 @@
+import type { AwaitClaimReply, KeptAnswer } from '@cactusstair/protocol';
+import { ClaimOutcome } from '@cactusstair/protocol';
+import type { Clock } from '@cactusstair/utils';
+
+/** `unsettled`: the claim is not in use, but it may still be stored. */
+type LocalState = 'running' | 'unsettled' | 'done' | 'released';
+
+interface LocalClaim {
+  nonce: string;
+  state: LocalState;
+  answer: KeptAnswer | undefined;
+  waiters: Set<() => void>;
+}
+
+const outcomes: Record<LocalState, ClaimOutcome> = {
+  running: ClaimOutcome.RUNNING,
+  unsettled: ClaimOutcome.RUNNING,
+  done: ClaimOutcome.DONE,
+  released: ClaimOutcome.RELEASED,
+};
+
+/** Claims of this instance, for repeats that wait here for the outcome. */
+export class LocalClaims {
+  private readonly claims = new Map<string, LocalClaim>();
+
+  /** Keys of finished claims, oldest first. */
+  private readonly finished = new Set<string>();
+
+  constructor(
+    private readonly clock: Clock,
+    /** Finished claims that are remembered. A peer may ask shortly after the outcome. */
+    private readonly maxFinished: number,
+  ) {}
+
+  /** Records a state. A state of an older claim of the same key is ignored. */
+  setState(entryKey: string, nonce: string, state: LocalState, answer?: KeptAnswer): void {
+    const known = this.claims.get(entryKey);
+    const starts = state === 'running' || state === 'unsettled';
+    if (!starts && known && known.nonce !== nonce) return;
+    const claim = { nonce, state, answer, waiters: known?.waiters ?? new Set<() => void>() };
+    this.claims.set(entryKey, claim);
+    this.finished.delete(entryKey);
+    if (starts) return;
+    for (const notify of claim.waiters) notify();
+    this.finished.add(entryKey);
+    for (const oldest of this.finished) {
+      if (this.finished.size <= this.maxFinished) break;
+      this.finished.delete(oldest);
+      this.claims.delete(oldest);
+    }
+  }
+
+  /** Waits until the claim is finished, at most `waitMs`. */
+  async awaitOutcome(entryKey: string, waitMs: number): Promise<AwaitClaimReply> {
+    const claim = this.claims.get(entryKey);
+    if (!claim) return { outcome: ClaimOutcome.UNKNOWN, answer: undefined };
+    if (!this.finished.has(entryKey)) {
+      const { waiters } = claim;
+      const wait = new AbortController();
+      const notify = () => wait.abort();
+      waiters.add(notify);
+      await this.clock.sleep(waitMs, wait.signal);
+      waiters.delete(notify);
+    }
+    const current = this.claims.get(entryKey);
+    if (!current) return { outcome: ClaimOutcome.UNKNOWN, answer: undefined };
+    return { outcome: outcomes[current.state], answer: current.answer };
+  }
+}
--- a/packages/utils/src/lifecycleManager.ts
+++ b/packages/utils/src/lifecycleManager.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 type Cleanup = () => Promise<void> | void;
 
 interface OwnedResource {
@@ -18,9 +20,10 @@
 
   private closing: Promise<void> | undefined;
 
-  constructor(
-    private readonly onTaskError: (taskName: string, error: unknown) => void = () => {},
-  ) {}
+  constructor(private readonly onTaskError: (taskName: string, error: unknown) => void = () => {}) {
+    // Every task that sleeps listens to this signal; Node.js warns above ten listeners.
+    setMaxListeners(0, this.abortController.signal);
+  }
 
   /** Aborts when `close` begins. */
   get signal(): AbortSignal {
--- a/packages/utils/src/manualClock.ts
+++ b/packages/utils/src/manualClock.ts
@@ -29,12 +29,14 @@
         resolve();
         return;
       }
-      const sleeper: Sleeper = { wakeAtMs: this.nowMs + durationMs, wake: resolve };
-      this.sleepers.add(sleeper);
-      signal?.addEventListener('abort', () => {
+      const finish = () => {
         this.sleepers.delete(sleeper);
+        signal?.removeEventListener('abort', finish);
         resolve();
-      });
+      };
+      const sleeper: Sleeper = { wakeAtMs: this.nowMs + durationMs, wake: finish };
+      this.sleepers.add(sleeper);
+      signal?.addEventListener('abort', finish, { once: true });
     });
   }
 
--- /dev/null
+++ b/tests/coordination/faultyStore.ts
@@ -0,0 +1,107 @@
+import type {
+  MemoryObjectStore,
+  ObjectStore,
+  StoreFailure,
+  StoreResult,
+} from '@cactusstair/coordination';
+import { err } from 'neverthrow';
+
+/**
+ * What happens to one call. `lost_request`: no effect and no answer; `late`: the effect comes
+ * later; `hang` and `hang_after`: the caller was killed before or after the effect.
+ */
+export type CallFate =
+  'normal' | 'unavailable' | 'lost_answer' | 'lost_request' | 'late' | 'hang' | 'hang_after';
+
+export type Operation = 'get' | 'list' | 'getRevision' | 'create' | 'update' | 'remove';
+
+/** Options of `FaultyStore`. */
+export interface FaultyStoreOptions {
+  chooseFate?: (operation: Operation) => CallFate;
+  /** Delays a call before it reaches the store. */
+  delay?: (operation: Operation) => Promise<void>;
+}
+
+/** A store that loses, delays and refuses single calls. */
+export class FaultyStore implements ObjectStore {
+  readonly calls: Record<Operation, number> = {
+    get: 0,
+    list: 0,
+    getRevision: 0,
+    create: 0,
+    update: 0,
+    remove: 0,
+  };
+
+  /** Most writes that were in progress at one time. */
+  maxConcurrentWrites = 0;
+
+  private concurrentWrites = 0;
+
+  /** Writes that were sent but have not reached the store. */
+  private readonly lateWrites: (() => Promise<unknown>)[] = [];
+
+  constructor(
+    readonly inner: MemoryObjectStore,
+    public options: FaultyStoreOptions = {},
+  ) {}
+
+  /** Lets the late writes reach the store. */
+  async deliverLateWrites(): Promise<void> {
+    for (const write of this.lateWrites.splice(0)) await write();
+  }
+
+  get(kind: string, name: string) {
+    return this.call('get', () => this.inner.get(kind, name));
+  }
+
+  list(kind: string) {
+    return this.call('list', () => this.inner.list(kind));
+  }
+
+  getRevision() {
+    return this.call('getRevision', () => this.inner.getRevision());
+  }
+
+  create(kind: string, name: string, value: unknown) {
+    const sent = structuredClone(value);
+    return this.write('create', () => this.inner.create(kind, name, sent));
+  }
+
+  update(kind: string, name: string, value: unknown, expectedVersion: number) {
+    const sent = structuredClone(value);
+    return this.write('update', () => this.inner.update(kind, name, sent, expectedVersion));
+  }
+
+  remove(kind: string, name: string, expectedVersion: number) {
+    return this.write('remove', () => this.inner.remove(kind, name, expectedVersion));
+  }
+
+  watch(kinds: readonly string[], fromRevision: number, signal: AbortSignal) {
+    return this.inner.watch(kinds, fromRevision, signal);
+  }
+
+  private async write<T>(operation: Operation, run: () => StoreResult<T>): StoreResult<T> {
+    this.concurrentWrites += 1;
+    this.maxConcurrentWrites = Math.max(this.maxConcurrentWrites, this.concurrentWrites);
+    const result = await this.call(operation, run);
+    this.concurrentWrites -= 1;
+    return result;
+  }
+
+  private async call<T>(operation: Operation, run: () => StoreResult<T>): StoreResult<T> {
+    this.calls[operation] += 1;
+    await this.options.delay?.(operation);
+    const fate = this.options.chooseFate?.(operation) ?? 'normal';
+    if (fate === 'normal') return run();
+    if (fate === 'lost_answer' || fate === 'hang_after') await run();
+    if (fate === 'hang' || fate === 'hang_after') return new Promise(() => {});
+    if (fate === 'late') this.lateWrites.push(run);
+    const isRead = operation === 'get' || operation === 'list' || operation === 'getRevision';
+    const failure: StoreFailure = {
+      type: fate === 'unavailable' || isRead ? 'unavailable' : 'unknown',
+      message: `injected fault: ${fate}`,
+    };
+    return err(failure);
+  }
+}
