--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -23,3 +23,15 @@
 export { checkVersionPermit, defaultVersionPermits } from './versionPermit.js';
 export type { EditOptions, JsonObject, SettleOptions } from './writeSettled.js';
 export { editObject, getChangeId, writeSettled } from './writeSettled.js';
+
+export { exportBills } from './billBatches.js';
+export type { BillCopier, BillingJournalOptions, UnnumberedBill } from './billingJournal.js';
+export { BillingJournal } from './billingJournal.js';
+export type { ClaimJournalOptions } from './claimJournal.js';
+export { ClaimJournal } from './claimJournal.js';
+export type { Claim, ClaimDecision } from './claimOperations.js';
+export type { MemberTimeouts } from './memberTable.js';
+export type { MembershipOptions } from './membership.js';
+export { Membership } from './membership.js';
+export type { ExchangeTransport, MembershipTaskOptions } from './membershipTask.js';
+export { MembershipTask } from './membershipTask.js';
