Add upstream choice, health, admission, limits, retry budget and quarantine

The parts are a library: each takes its clock, random numbers and options.

Tried and dropped: a latency baseline that drifts upwards (0.05% per sample). The baseline is now measured again at a lower limit.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,32 @@
-export {};
+// Load: choice of upstream, health, admission, limits, retry budget and crash quarantine.
+export type {
+  AdmissionQueueOptions,
+  AdmissionRequest,
+  Permit,
+  RequestClass,
+} from './admissionQueue.js';
+export { AdmissionQueue } from './admissionQueue.js';
+export type { ConcurrencyLimitOptions, LatencySample } from './concurrencyLimit.js';
+export { ConcurrencyLimit } from './concurrencyLimit.js';
+export type { CrashQuarantineOptions, QuarantineClass, RunOutcome } from './crashQuarantine.js';
+export { computeFingerprint, CrashQuarantine } from './crashQuarantine.js';
+export type { CacheEvent, PrefixIndexOptions } from './prefixIndex.js';
+export { PrefixIndex } from './prefixIndex.js';
+export type { RetryBudgetOptions } from './retryBudget.js';
+export { RetryBudget } from './retryBudget.js';
+export type {
+  ChoiceRequest,
+  ChooserOptions,
+  ChooserState,
+  UpstreamAvailability,
+  UpstreamView,
+} from './upstreamChooser.js';
+export { chooseUpstream, estimateWorkPerSlot } from './upstreamChooser.js';
+export type {
+  LeavingSignal,
+  UpstreamFailureKind,
+  UpstreamHealthOptions,
+} from './upstreamHealth.js';
+export { UpstreamHealth } from './upstreamHealth.js';
+export type { UpstreamHealthPoolOptions } from './upstreamHealthPool.js';
+export { UpstreamHealthPool } from './upstreamHealthPool.js';
--- /dev/null
+++ b/packages/routing/src/prefixIndex.ts
@@ -0,0 +1,220 @@
+import type { Clock } from '@cactusstair/utils';
+import { systemClock } from '@cactusstair/utils';
+
+/** A change of an engine's prefix cache. `cleared` empties the cache and names no prefix. */
+export interface CacheEvent {
+  /** Rises by 1 with each event of one engine. */
+  sequence: number;
+  type: 'stored' | 'evicted' | 'cleared';
+  prefixHash?: string;
+}
+
+/** Options of `PrefixIndex`. */
+export interface PrefixIndexOptions {
+  clock?: Clock;
+  /** Prefixes kept per upstream; the least recently confirmed ones go first. Default 4,096. */
+  maxPrefixesPerUpstream?: number;
+  /** Upstreams kept per prefix; bounds the cost of `find` for common prefixes. Default 32. */
+  maxHoldersPerPrefix?: number;
+  /** Pairs of prefix and upstream kept in total. Default 200,000. */
+  maxEntries?: number;
+  /** Lifetime of an entry that a cache event confirmed. Default 300,000. */
+  confirmedTtlMs?: number;
+  /**
+   * Lifetime of an entry that only follows from a request that was sent, and of all older entries
+   * after a gap in the events, since an eviction may have been lost. Default 60,000.
+   */
+  assumedTtlMs?: number;
+}
+
+interface Entry {
+  /** Sequence number of the newest event about the entry; 0 without an event. */
+  sequence: number;
+  /** False for an eviction, which is kept so that an older `stored` event cannot undo it. */
+  present: boolean;
+  confirmed: boolean;
+  seenAtMs: number;
+}
+
+interface UpstreamCache {
+  lastSequence: number;
+  /** Events up to this sequence number are void: the cache was cleared after them. */
+  clearedSequence: number;
+  gapAtMs: number;
+  entries: Map<string, Entry>;
+}
+
+/**
+ * Remembers which upstreams hold which prompt prefixes in their caches.
+ *
+ * Events may arrive late, twice, in another order or not at all. A wrong entry costs one cache
+ * miss, so the index is a hint: entries expire, and memory is bounded by the options.
+ */
+export class PrefixIndex {
+  private readonly caches = new Map<string, UpstreamCache>();
+
+  private readonly holders = new Map<string, Set<string>>();
+
+  private entryCount = 0;
+
+  private readonly options: Required<PrefixIndexOptions>;
+
+  constructor(options: PrefixIndexOptions = {}) {
+    this.options = {
+      clock: systemClock,
+      maxPrefixesPerUpstream: 4096,
+      maxHoldersPerPrefix: 32,
+      maxEntries: 200_000,
+      confirmedTtlMs: 300_000,
+      assumedTtlMs: 60_000,
+      ...options,
+    };
+  }
+
+  /** Pairs of prefix and upstream in memory. */
+  get size(): number {
+    return this.entryCount;
+  }
+
+  /** Highest event sequence number seen from an upstream; 0 without events. */
+  getLastSequence(upstream: string): number {
+    return this.caches.get(upstream)?.lastSequence ?? 0;
+  }
+
+  /** Applies cache events in any order; repeated events change nothing. */
+  applyEvents(upstream: string, events: readonly CacheEvent[]): void {
+    if (events.length === 0) return;
+    const cache = this.getCache(upstream);
+    for (const event of events) this.applyEvent(upstream, cache, event);
+  }
+
+  /** Notes that a request with these prefixes was sent, so its upstream will hold them soon. */
+  recordSent(upstream: string, prefixHashes: readonly string[]): void {
+    const cache = this.getCache(upstream);
+    for (const prefixHash of prefixHashes) {
+      const known = cache.entries.get(prefixHash);
+      const confirmed = known?.present === true && known.confirmed;
+      this.put(upstream, cache, prefixHash, {
+        sequence: known?.sequence ?? 0,
+        present: true,
+        confirmed,
+        seenAtMs: this.options.clock.monotonicMs(),
+      });
+    }
+  }
+
+  /**
+   * Finds the upstreams that hold a prefix of a prompt.
+   *
+   * @param prefixHashes cumulative hashes, shortest prefix first.
+   * @returns for each upstream the number of leading blocks that it holds.
+   */
+  find(prefixHashes: readonly string[]): Map<string, number> {
+    const found = new Map<string, number>();
+    const nowMs = this.options.clock.monotonicMs();
+    for (let index = prefixHashes.length - 1; index >= 0; index -= 1) {
+      const prefixHash = prefixHashes[index]!;
+      for (const upstream of this.holders.get(prefixHash) ?? []) {
+        if (!found.has(upstream) && this.isHeld(upstream, prefixHash, nowMs)) {
+          found.set(upstream, index + 1);
+        }
+      }
+    }
+    return found;
+  }
+
+  /** Forgets an upstream that restarted or left; its event numbers may begin again. */
+  removeUpstream(upstream: string): void {
+    const cache = this.caches.get(upstream);
+    if (!cache) return;
+    for (const prefixHash of [...cache.entries.keys()]) this.drop(upstream, cache, prefixHash);
+    this.caches.delete(upstream);
+  }
+
+  private isHeld(upstream: string, prefixHash: string, nowMs: number): boolean {
+    const cache = this.caches.get(upstream);
+    const entry = cache?.entries.get(prefixHash);
+    if (!cache || !entry?.present) return false;
+    const certain = entry.confirmed && entry.seenAtMs >= cache.gapAtMs;
+    const ttlMs = certain ? this.options.confirmedTtlMs : this.options.assumedTtlMs;
+    if (nowMs - entry.seenAtMs <= ttlMs) return true;
+    this.drop(upstream, cache, prefixHash);
+    return false;
+  }
+
+  private applyEvent(upstream: string, cache: UpstreamCache, event: CacheEvent): void {
+    const nowMs = this.options.clock.monotonicMs();
+    if (event.sequence > cache.lastSequence) {
+      if (cache.lastSequence > 0 && event.sequence > cache.lastSequence + 1) cache.gapAtMs = nowMs;
+      cache.lastSequence = event.sequence;
+    }
+    if (event.sequence <= cache.clearedSequence) return;
+    if (event.type === 'cleared') {
+      this.clearUpTo(upstream, cache, event.sequence);
+      return;
+    }
+    if (event.prefixHash === undefined) return;
+    const known = cache.entries.get(event.prefixHash);
+    if (known && known.sequence >= event.sequence) return;
+    this.put(upstream, cache, event.prefixHash, {
+      sequence: event.sequence,
+      present: event.type === 'stored',
+      confirmed: true,
+      seenAtMs: nowMs,
+    });
+  }
+
+  private clearUpTo(upstream: string, cache: UpstreamCache, sequence: number): void {
+    cache.clearedSequence = sequence;
+    for (const [prefixHash, entry] of [...cache.entries]) {
+      if (entry.sequence < sequence) this.drop(upstream, cache, prefixHash);
+    }
+  }
+
+  private getCache(upstream: string): UpstreamCache {
+    let cache = this.caches.get(upstream);
+    if (!cache) {
+      cache = { lastSequence: 0, clearedSequence: 0, gapAtMs: -Infinity, entries: new Map() };
+      this.caches.set(upstream, cache);
+    }
+    return cache;
+  }
+
+  private put(upstream: string, cache: UpstreamCache, prefixHash: string, entry: Entry): void {
+    // Maps iterate in insertion order, so that setting anew moves the entry to the end.
+    this.drop(upstream, cache, prefixHash);
+    cache.entries.set(prefixHash, entry);
+    this.entryCount += 1;
+    const holders = this.holders.get(prefixHash) ?? new Set<string>();
+    this.holders.delete(prefixHash);
+    this.holders.set(prefixHash, holders.add(upstream));
+    this.evict(upstream, cache, prefixHash, holders);
+  }
+
+  private evict(
+    upstream: string,
+    cache: UpstreamCache,
+    prefixHash: string,
+    holders: Set<string>,
+  ): void {
+    if (cache.entries.size > this.options.maxPrefixesPerUpstream) {
+      this.drop(upstream, cache, cache.entries.keys().next().value!);
+    }
+    if (holders.size > this.options.maxHoldersPerPrefix) {
+      const oldest = holders.values().next().value!;
+      this.drop(oldest, this.getCache(oldest), prefixHash);
+    }
+    while (this.entryCount > this.options.maxEntries) {
+      const [oldestHash, oldestHolders] = this.holders.entries().next().value!;
+      for (const holder of [...oldestHolders]) this.drop(holder, this.getCache(holder), oldestHash);
+    }
+  }
+
+  private drop(upstream: string, cache: UpstreamCache, prefixHash: string): void {
+    if (!cache.entries.delete(prefixHash)) return;
+    this.entryCount -= 1;
+    const holders = this.holders.get(prefixHash);
+    holders?.delete(upstream);
+    if (holders?.size === 0) this.holders.delete(prefixHash);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/retryBudget.ts
@@ -0,0 +1,80 @@
+import type { Clock } from '@cactusstair/utils';
+import { systemClock } from '@cactusstair/utils';
+
+/** Options of `RetryBudget`. */
+export interface RetryBudgetOptions {
+  clock?: Clock;
+  /** Extra upstream calls per recent request. Default 0.1. */
+  ratio?: number;
+  /** Extra calls allowed within one window without any requests. Default 3. */
+  minPerWindow?: number;
+  /** Length of the window. Default 10,000. */
+  windowMs?: number;
+}
+
+const BUCKETS = 10;
+
+interface Bucket {
+  index: number;
+  requests: number;
+  taken: number;
+}
+
+/**
+ * Bounds the upstream calls beyond the first one of each request. Retries, cascade steps and
+ * hedges of an instance share one budget, so that they cannot multiply each other.
+ */
+export class RetryBudget {
+  private readonly clock: Clock;
+
+  private readonly ratio: number;
+
+  private readonly minPerWindow: number;
+
+  private readonly bucketMs: number;
+
+  private readonly buckets: Bucket[] = Array.from({ length: BUCKETS }, () => ({
+    index: -Infinity,
+    requests: 0,
+    taken: 0,
+  }));
+
+  constructor(options: RetryBudgetOptions = {}) {
+    this.clock = options.clock ?? systemClock;
+    this.ratio = options.ratio ?? 0.1;
+    this.minPerWindow = options.minPerWindow ?? 3;
+    this.bucketMs = (options.windowMs ?? 10_000) / BUCKETS;
+  }
+
+  /** Counts a first attempt. */
+  recordRequest(): void {
+    this.getBucket().requests += 1;
+  }
+
+  /** Takes one extra call; false means that the failure is passed on to the caller. */
+  tryTake(): boolean {
+    const bucket = this.getBucket();
+    const { requests, taken } = this.sumWindow(bucket.index);
+    if (taken + 1 > requests * this.ratio + this.minPerWindow) return false;
+    bucket.taken += 1;
+    return true;
+  }
+
+  private getBucket(): Bucket {
+    const index = Math.floor(this.clock.monotonicMs() / this.bucketMs);
+    const bucket = this.buckets[index % BUCKETS]!;
+    if (bucket.index !== index) Object.assign(bucket, { index, requests: 0, taken: 0 });
+    return bucket;
+  }
+
+  private sumWindow(currentIndex: number): { requests: number; taken: number } {
+    let requests = 0;
+    let taken = 0;
+    for (const bucket of this.buckets) {
+      if (currentIndex - bucket.index >= BUCKETS) continue;
+      requests += bucket.requests;
+      taken += bucket.taken;
+    }
+    return { requests, taken };
+  }
+}
--- /dev/null
+++ b/packages/routing/src/upstreamHealthPool.ts
@@ -0,0 +1,77 @@
+import type { Clock } from '@cactusstair/utils';
+import { systemClock } from '@cactusstair/utils';
+
+import type { EjectionArbiter, UpstreamHealthOptions } from './upstreamHealth.js';
+import { DEFAULT_HEALTH_OPTIONS, UpstreamHealth } from './upstreamHealth.js';
+
+/** Options of `UpstreamHealthPool`. */
+export interface UpstreamHealthPoolOptions extends UpstreamHealthOptions {
+  clock?: Clock;
+  /** Largest share of the pool that failures may take out of service. Default 0.5. */
+  maxEjectedShare?: number;
+}
+
+/**
+ * Health of the upstreams of one model pool.
+ *
+ * When all upstreams fail at once, the cause is more likely the network, the request mix or this
+ * instance than all upstreams, and ejecting them would end service. At least half of the
+ * upstreams that are not leaving therefore stay in service.
+ */
+export class UpstreamHealthPool implements EjectionArbiter {
+  private readonly members = new Map<string, UpstreamHealth>();
+
+  private readonly clock: Clock;
+
+  private readonly maxEjectedShare: number;
+
+  private readonly healthOptions: Required<UpstreamHealthOptions>;
+
+  constructor(options: UpstreamHealthPoolOptions = {}) {
+    const { clock, maxEjectedShare, ...healthOptions } = options;
+    this.clock = clock ?? systemClock;
+    this.maxEjectedShare = maxEjectedShare ?? 0.5;
+    this.healthOptions = { ...DEFAULT_HEALTH_OPTIONS, ...healthOptions };
+  }
+
+  /** Replaces the members; the health of those that stay is kept. */
+  setMembers(names: Iterable<string>): void {
+    const wanted = new Set(names);
+    for (const name of [...this.members.keys()]) {
+      if (!wanted.has(name)) this.members.delete(name);
+    }
+    for (const name of wanted) {
+      if (this.members.has(name)) continue;
+      this.members.set(name, new UpstreamHealth(name, this, this.clock, this.healthOptions));
+    }
+    this.rebalance();
+  }
+
+  /** Health of a member; undefined for a name that `setMembers` did not give. */
+  get(name: string): UpstreamHealth | undefined {
+    return this.members.get(name);
+  }
+
+  tryTakeOut(name: string): boolean {
+    const others = this.listTakenOut().filter((member) => member.name !== name);
+    return others.length + 1 <= this.getMaxTakenOut();
+  }
+
+  /** Puts upstreams back when others left, those whose ejection ends first first. */
+  rebalance(): void {
+    const takenOut = this.listTakenOut().sort((a, b) => a.getOutUntilMs() - b.getOutUntilMs());
+    const excess = takenOut.length - this.getMaxTakenOut();
+    for (const member of takenOut.slice(0, Math.max(0, excess))) member.putBack();
+  }
+
+  private listTakenOut(): UpstreamHealth[] {
+    return [...this.members.values()].filter(
+      (member) => !member.isMarkedLeaving() && member.isTakenOut(),
+    );
+  }
+
+  private getMaxTakenOut(): number {
+    const staying = [...this.members.values()].filter((member) => !member.isMarkedLeaving());
+    return Math.floor(staying.length * this.maxEjectedShare);
+  }
+}
--- /dev/null
+++ b/tests/routing/concurrencyLimit.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { ConcurrencyLimit } from '@cactusstair/routing';
+import { createRandom } from '@cactusstair/utils';
+
+/** Runs calls against an upstream whose latency rises with the calls above `capacity`. */
+function drive(limit: ConcurrencyLimit, capacity: number, rounds: number, seed = 1): void {
+  const random = createRandom(seed);
+  for (let round = 0; round < rounds; round += 1) {
+    const inFlight = limit.getLimit();
+    const latencyMs = 100 * Math.max(1, inFlight / capacity) * (0.9 + 0.2 * random.next());
+    limit.recordSample({ latencyMs, inFlight, failed: false });
+  }
+}
+
+describe('ConcurrencyLimit', () => {
+  it('settles where the latency reaches the tolerance, from below and from above', () => {
+    for (const initialLimit of [2, 200]) {
+      // The baseline is known from calls at low load.
+      const limit = new ConcurrencyLimit({ initialLimit, tolerance: 2 });
+      limit.recordSample({ latencyMs: 100, inFlight: 1, failed: false });
+      drive(limit, 20, 5000);
+      const settled = limit.getLimit();
+      assert.ok(settled >= 20 && settled <= 60, `from ${initialLimit} to ${settled}`);
+    }
+  });
+
+  it('never falls below 1, so that a bad upstream can be measured again', () => {
+    const limit = new ConcurrencyLimit({ initialLimit: 16 });
+    for (let round = 0; round < 1000; round += 1) {
+      limit.recordSample({ latencyMs: 0, inFlight: 1, failed: true });
+    }
+    assert.equal(limit.getLimit(), 1);
+  });
+
+  it('recovers after a slow phase', () => {
+    const limit = new ConcurrencyLimit({ initialLimit: 16 });
+    drive(limit, 16, 500);
+    drive(limit, 1, 500);
+    const slow = limit.getLimit();
+    drive(limit, 16, 3000);
+    assert.ok(slow < 8, `slow: ${slow}`);
+    assert.ok(limit.getLimit() >= 14, `recovered: ${limit.getLimit()}`);
+  });
+
+  it('does not grow without use, which would allow a burst that was never tried', () => {
+    const limit = new ConcurrencyLimit({ initialLimit: 8 });
+    for (let round = 0; round < 5000; round += 1) {
+      limit.recordSample({ latencyMs: 100, inFlight: 1, failed: false });
+    }
+    assert.equal(limit.getLimit(), 8);
+  });
+
+  it('counts the failures of one burst once', () => {
+    const limit = new ConcurrencyLimit({ initialLimit: 50 });
+    for (let call = 0; call < 40; call += 1) {
+      limit.recordSample({ latencyMs: 0, inFlight: 50, failed: true });
+    }
+    assert.equal(limit.getLimit(), 40);
+  });
+
+  it('does not creep up in a lasting overload, and does not give capacity away', () => {
+    const limit = new ConcurrencyLimit({ initialLimit: 8 });
+    let sum = 0;
+    for (let round = 0; round < 50; round += 1) {
+      drive(limit, 20, 2000, round + 1);
+      sum += limit.getLimit();
+    }
+    assert.ok(sum / 50 >= 15 && sum / 50 <= 50, `mean limit ${sum / 50}`);
+  });
+
+  it('accepts the latency of a slower model as its new baseline', () => {
+    const limit = new ConcurrencyLimit({ initialLimit: 8 });
+    drive(limit, 20, 2000);
+    for (let round = 0; round < 6000; round += 1) {
+      const inFlight = limit.getLimit();
+      limit.recordSample({ latencyMs: 500 * Math.max(1, inFlight / 20), inFlight, failed: false });
+    }
+    assert.ok(limit.getLimit() >= 15, `limit ${limit.getLimit()}`);
+  });
+
+  it('ignores latencies that are not numbers above 0', () => {
+    const limit = new ConcurrencyLimit({ initialLimit: 8 });
+    for (const latencyMs of [Number.NaN, 0, -5, Infinity]) {
+      limit.recordSample({ latencyMs, inFlight: 8, failed: false });
+    }
+    assert.equal(limit.getLimit(), 8);
+  });
+});
