--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -35,3 +35,4 @@
 export { Membership } from './membership.js';
 export type { ExchangeTransport, MembershipTaskOptions } from './membershipTask.js';
 export { MembershipTask } from './membershipTask.js';
+export { InstanceDirectory } from './instanceDirectory.js';
--- a/packages/server/src/coordination.ts
+++ b/packages/server/src/coordination.ts
@@ -6,12 +6,14 @@
   ConfigReplica,
   HttpObjectStore,
   Membership,
+  MembershipTask,
   QuotaLease,
   SessionTokens,
 } from '@cactusstair/coordination';
-import { InstanceRecord } from '@cactusstair/protocol';
+import type { CrashQuarantine } from '@cactusstair/routing';
 import type { Clock, LifecycleManager, Logger, Random } from '@cactusstair/utils';
 
+import { AddressBook } from './peers/addressBook.js';
 import type { PeerLinks } from './peers/peerLinks.js';
 import type { EntrySettings } from './settings.js';
 
@@ -20,6 +22,7 @@
   settings: EntrySettings;
   incarnation: number;
   links: PeerLinks;
+  quarantine: CrashQuarantine;
   clock: Clock;
   random: Random;
   logger: Logger;
@@ -34,6 +37,10 @@
 
   readonly membership: Membership;
 
+  readonly membershipTask: MembershipTask;
+
+  readonly addresses: AddressBook;
+
   readonly sessions: SessionTokens;
 
   readonly claims: ClaimJournal;
@@ -43,7 +50,7 @@
   readonly quotas: QuotaLease;
 
   constructor(options: CoordinationOptions) {
-    const { settings, incarnation, links, clock, random, logger, lifecycle } = options;
+    const { settings, incarnation, links, quarantine, clock, random, logger, lifecycle } = options;
     const { id, region, zone } = settings.instance;
     this.store = new HttpObjectStore({
       baseUrl: settings.platform.objectApi,
@@ -57,14 +64,30 @@
         logger.error('configuration object is invalid', { kind, name, error: error.message }),
     });
     this.membership = new Membership({
-      self: { id, incarnation, region, zone, peersAddress: settings.listen.peers },
+      id,
+      incarnation,
+      region,
+      zone,
+      peersAddress: settings.listen.peers,
       clock,
       random,
-      getConfigState: () => ({
-        appliedRevision: this.replica.appliedRevision,
-        confirmedAgeMs: this.replica.getConfirmedAgeMs(),
-      }),
+      getAppliedRevision: () => this.replica.appliedRevision,
+      getConfirmedAgeMs: () => this.replica.getConfirmedAgeMs(),
+      exportQuarantine: () => quarantine.exportEntries(),
+      importQuarantine: (entries) => quarantine.importEntries(entries),
     });
+    this.membershipTask = new MembershipTask({
+      membership: this.membership,
+      exchange: (address, request) => links.exchange(address, request),
+      clock,
+      random,
+      lifecycle,
+      seeds: settings.peers.seeds,
+      store: this.store,
+      callersAddress: settings.listen.callers,
+      operatorsAddress: settings.listen.operators,
+    });
+    this.addresses = new AddressBook({ membership: this.membership, store: this.store, clock });
     this.sessions = new SessionTokens({ getKeys: () => this.replica.getSessionKeys(), clock });
     this.claims = new ClaimJournal({
       store: this.store,
@@ -72,7 +95,7 @@
       random,
       lifecycle,
       owner: id,
-      incarnation,
+      getIncarnation: () => this.membership.getSelf().incarnation,
     });
     this.billing = new BillingJournal({
       store: this.store,
@@ -102,19 +125,3 @@
     return Math.max(1, inZone.length) + others.reduce((sum, { alive }) => sum + alive, 0);
   }
 }
-
-/** Describes an instance for the object API. */
-export function createInstanceRecord(
-  settings: EntrySettings,
-  incarnation: number,
-  leaving: boolean,
-): InstanceRecord {
-  return InstanceRecord.create({
-    ...settings.instance,
-    incarnation,
-    callersAddress: settings.listen.callers,
-    operatorsAddress: settings.listen.operators,
-    peersAddress: settings.listen.peers,
-    leaving,
-  });
-}
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -20,7 +20,6 @@
 import { EntryMetrics } from './ops/metrics.js';
 import { OpsServer } from './ops/opsServer.js';
 import { ConfigFeed } from './peers/configFeed.js';
-import { InstanceDirectory } from './peers/instanceDirectory.js';
 import { PeerLinks } from './peers/peerLinks.js';
 import { createPeerService } from './peers/peerService.js';
 import { ChatHandler } from './requests/chatHandler.js';
@@ -48,6 +47,8 @@
 export class EntryInstance {
   private state: InstanceState = 'starting';
 
+  private refusing = false;
+
   private readonly clock = systemClock;
 
   private readonly random = createRandom(Date.now() % 2 ** 31);
@@ -75,8 +76,6 @@
 
   private readonly directory: UpstreamDirectory;
 
-  private readonly instances: InstanceDirectory;
-
   private callerServer: CallerServer | undefined;
 
   constructor(private readonly settings: EntrySettings) {
@@ -95,7 +94,8 @@
       this.logger.error('task failed', { task, error: String(error) }),
     );
     this.links = new PeerLinks({
-      view: () => this.coordination.membership,
+      zone,
+      getAddressBook: () => this.coordination.addresses,
       credentials: createChannelCredentials(settings.tls),
       random: this.random,
     });
@@ -103,6 +103,7 @@
       settings,
       incarnation: this.incarnation,
       links: this.links,
+      quarantine: this.quarantine,
       clock: this.clock,
       random: this.random,
       logger: this.logger,
@@ -117,18 +118,6 @@
       zone,
       connectMs: settings.limits.connectMs,
     });
-    this.instances = new InstanceDirectory({
-      settings,
-      incarnation: this.incarnation,
-      store: this.coordination.store,
-      membership: this.coordination.membership,
-      links: this.links,
-      quarantine: this.quarantine,
-      billing: this.coordination.billing,
-      clock: this.clock,
-      random: this.random,
-      logger: this.logger,
-    });
   }
 
   /** Starts listening on all ports. Rejects when a port is in use. */
@@ -159,15 +148,12 @@
     await this.callerServer?.close();
     await this.coordination.claims.flush();
     await this.coordination.billing.flush();
-    await this.instances.publish(true);
     await this.lifecycle.close();
     await this.directory.close();
     this.links.close();
     this.logger.info('instance has stopped');
   }
 
-  private refusing = false;
-
   private checkReadiness(): string | undefined {
     if (this.state !== 'serving') return `the instance is ${this.state}`;
     const { replica } = this.coordination;
@@ -197,14 +183,14 @@
   }
 
   private async startGrpcServers(): Promise<void> {
-    const { replica, claims, billing, membership, store } = this.coordination;
-    const { settings, clock, quarantine, counters } = this;
+    const { replica, claims, billing, membership, membershipTask, store } = this.coordination;
+    const { settings, clock, counters } = this;
     const editor = new ConfigEditor(store, clock);
     const rollouts = new RolloutEditor(editor, clock);
     const credentials = createServerCredentials(settings.tls);
     const peers = new GrpcServer(
       PeerService,
-      createPeerService({ membership, replica, claims, billing, quarantine, counters, clock }),
+      createPeerService({ membership: membershipTask, replica, claims, billing, counters, clock }),
       credentials,
     );
     const operators = new GrpcServer(
@@ -231,7 +217,7 @@
       store,
       replica,
       rollouts,
-      instances: this.instances,
+      addresses: this.coordination.addresses,
       links: this.links,
       directory: this.directory,
       counters,
@@ -242,7 +228,7 @@
   }
 
   private startTasks(): void {
-    const { replica, store, membership } = this.coordination;
+    const { replica, store, membership, membershipTask, addresses, billing } = this.coordination;
     const feed = new ConfigFeed({
       replica,
       store,
@@ -255,7 +241,14 @@
     });
     replica.onChange(() => this.metrics.configRevision.set(replica.appliedRevision));
     this.lifecycle.startTask('configuration', (signal) => feed.run(signal));
-    this.lifecycle.startTask('membership', (signal) => this.instances.run(signal));
+    membership.onLost(({ id, incarnation }) => {
+      this.logger.warn('instance is lost', { lost: id, incarnation });
+      billing.adoptLostOrigin(id, incarnation).catch((error: unknown) => {
+        this.logger.error('bills of a lost instance are not stored', { error: String(error) });
+      });
+    });
+    membershipTask.start();
+    this.lifecycle.startTask('addresses', (signal) => addresses.run(signal));
     this.lifecycle.startTask('upstreams', (signal) => this.directory.run(signal));
   }
 
--- /dev/null
+++ b/packages/server/src/peers/addressBook.ts
@@ -0,0 +1,71 @@
+import type { Membership, ObjectStore } from '@cactusstair/coordination';
+import { InstanceDirectory } from '@cactusstair/coordination';
+import { MemberStatus } from '@cactusstair/protocol';
+import type { Clock } from '@cactusstair/utils';
+
+/** Where an instance takes peer calls. */
+export interface PeerAddress {
+  id: string;
+  zone: string;
+  peersAddress: string;
+}
+
+/** Options of `AddressBook`. */
+export interface AddressBookOptions {
+  membership: Membership;
+  store: ObjectStore;
+  clock: Clock;
+}
+
+const LIST_INTERVAL_MS = 60_000;
+const RETRY_INTERVAL_MS = 3000;
+
+/**
+ * The addresses of the other instances.
+ *
+ * The membership knows all instances of the own zone and a few contacts of each other zone; the
+ * rest comes from the records in the object API, which lag.
+ */
+export class AddressBook {
+  private listed: PeerAddress[] = [];
+
+  private readonly directory: InstanceDirectory;
+
+  constructor(private readonly options: AddressBookOptions) {
+    this.directory = new InstanceDirectory(options.store);
+  }
+
+  /** Reads the records again and again until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const records = await this.directory.listInstances();
+      if (records.length > 0) this.listed = records;
+      const known = records.length > 1 ? LIST_INTERVAL_MS : RETRY_INTERVAL_MS;
+      await this.options.clock.sleep(known, signal);
+    }
+  }
+
+  /** Finds an instance by id; its address may be out of date. */
+  find(id: string): PeerAddress | undefined {
+    return (
+      this.options.membership.findMember(id) ?? this.listed.find((record) => record.id === id)
+    );
+  }
+
+  /** Lists all other instances that are not known to have gone. */
+  listOthers(): PeerAddress[] {
+    const { membership } = this.options;
+    const self = membership.getSelf();
+    const others = new Map<string, PeerAddress>();
+    for (const record of this.listed) others.set(record.id, record);
+    for (const { contacts } of membership.getZoneSummaries()) {
+      for (const contact of contacts) others.set(contact.id, contact);
+    }
+    for (const member of membership.getMembers()) {
+      if (member.status === MemberStatus.ALIVE) others.set(member.id, member);
+      else others.delete(member.id);
+    }
+    others.delete(self.id);
+    return [...others.values()];
+  }
+}
--- a/packages/server/src/peers/peerLinks.ts
+++ b/packages/server/src/peers/peerLinks.ts
@@ -7,23 +7,20 @@
   ExchangeReply,
   ExchangeRequest,
   FetchConfigRequest,
-  MemberRecord,
   VersionStatsList,
 } from '@cactusstair/protocol';
-import { MemberStatus, PeerClient } from '@cactusstair/protocol';
+import { PeerClient } from '@cactusstair/protocol';
 import type { Random } from '@cactusstair/utils';
 import type { CallOptions, ChannelCredentials, Metadata, ServiceError } from '@grpc/grpc-js';
 import { Metadata as GrpcMetadata } from '@grpc/grpc-js';
 
-/** What the links need to know about the other instances. */
-export interface PeerView {
-  getSelf(): MemberRecord;
-  getMembers(): MemberRecord[];
-}
+import type { AddressBook, PeerAddress } from './addressBook.js';
 
 /** Options of `PeerLinks`. */
 export interface PeerLinksOptions {
-  view: () => PeerView;
+  /** Zone of this instance. */
+  zone: string;
+  getAddressBook: () => AddressBook;
   credentials: ChannelCredentials;
   random: Random;
 }
@@ -61,16 +58,15 @@
     return call(client.getVersionStats.bind(client), {}, EXCHANGE_TIMEOUT_MS);
   }
 
-  /** Asks the owner of a claim for its outcome; undefined when the owner is gone or restarted. */
+  /** Asks the owner of a claim for its outcome; undefined when the owner does not answer. */
   async awaitClaim(
     owner: string,
-    incarnation: number,
     request: AwaitClaimRequest,
   ): Promise<AwaitClaimReply | undefined> {
-    const member = this.findMember(owner);
-    if (!member || member.incarnation !== incarnation) return undefined;
+    const peer = this.options.getAddressBook().find(owner);
+    if (!peer) return undefined;
     try {
-      const client = this.getClient(member.peersAddress);
+      const client = this.getClient(peer.peersAddress);
       return await call(
         client.awaitClaim.bind(client),
         request,
@@ -83,9 +79,9 @@
 
   /** Copies bills to one other instance, of another zone where possible. */
   async copy(bills: Bill[]): Promise<boolean> {
-    for (const member of this.listCopyHolders().slice(0, MAX_COPY_ATTEMPTS)) {
+    for (const peer of this.listCopyHolders().slice(0, MAX_COPY_ATTEMPTS)) {
       try {
-        const client = this.getClient(member.peersAddress);
+        const client = this.getClient(peer.peersAddress);
         const reply = await call(client.copyBills.bind(client), { bills }, COPY_TIMEOUT_MS);
         if (reply.held) return true;
       } catch {
@@ -97,8 +93,8 @@
 
   /** Tells all other instances that bills are stored. Lost messages cost memory until adoption. */
   release(origin: string, incarnation: number, upToSequence: number): void {
-    for (const member of this.listOthers()) {
-      const client = this.getClient(member.peersAddress);
+    for (const peer of this.listOthers()) {
+      const client = this.getClient(peer.peersAddress);
       const request = { origin, incarnation, upToSequence };
       call(client.releaseBills.bind(client), request, EXCHANGE_TIMEOUT_MS).catch(() => {});
     }
@@ -123,31 +119,19 @@
     return client;
   }
 
-  private findMember(id: string): MemberRecord | undefined {
-    return this.options
-      .view()
-      .getMembers()
-      .find((member) => member.id === id);
-  }
-
-  private listOthers(): MemberRecord[] {
-    const view = this.options.view();
-    const self = view.getSelf();
-    return view
-      .getMembers()
-      .filter(({ id, status }) => id !== self.id && status === MemberStatus.ALIVE);
+  private listOthers(): PeerAddress[] {
+    return this.options.getAddressBook().listOthers();
   }
 
   /** Lists other instances in random order, those of other zones first. */
-  private listCopyHolders(): MemberRecord[] {
-    const { zone } = this.options.view().getSelf();
+  private listCopyHolders(): PeerAddress[] {
     return this.listOthers()
-      .map((member) => ({
-        member,
-        rank: (member.zone === zone ? 1 : 0) + this.options.random.next(),
+      .map((peer) => ({
+        peer,
+        rank: (peer.zone === this.options.zone ? 1 : 0) + this.options.random.next(),
       }))
       .sort((a, b) => a.rank - b.rank)
-      .map(({ member }) => member);
+      .map(({ peer }) => peer);
   }
 }
 
--- a/packages/server/src/peers/peerService.ts
+++ b/packages/server/src/peers/peerService.ts
@@ -2,21 +2,20 @@
   BillingJournal,
   ClaimJournal,
   ConfigReplica,
-  Membership,
+  MembershipTask,
 } from '@cactusstair/coordination';
 import type { PeerServer } from '@cactusstair/protocol';
-import type { CrashQuarantine, VersionStatsRecorder } from '@cactusstair/routing';
+import type { VersionStatsRecorder } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 import type { handleUnaryCall } from '@grpc/grpc-js';
 import { status } from '@grpc/grpc-js';
 
 /** What the peer calls reach. */
 export interface PeerServiceOptions {
-  membership: Membership;
+  membership: MembershipTask;
   replica: ConfigReplica;
   claims: ClaimJournal;
   billing: BillingJournal;
-  quarantine: CrashQuarantine;
   counters: VersionStatsRecorder;
   clock: Clock;
 }
@@ -39,29 +38,16 @@
 
 /** Creates the handlers of the calls between instances. */
 export function createPeerService(options: PeerServiceOptions): PeerServer {
-  const { membership, replica, claims, billing, quarantine, counters, clock } = options;
+  const { membership, replica, claims, billing, counters, clock } = options;
   return {
-    exchange: handle((request) => {
-      membership.applyExchange(request);
-      quarantine.importEntries(request.quarantine);
-      const reply = membership.createExchange(request.sender?.id ?? '');
-      return {
-        responder: reply.sender,
-        members: reply.members,
-        zones: reply.zones,
-        quarantine: quarantine.exportEntries(),
-      };
-    }),
+    exchange: handle((request) => membership.handleExchange(request)),
     fetchConfig: handle(async ({ afterRevision, waitMs }) => {
       if (waitMs > 0 && replica.appliedRevision <= afterRevision) {
         await waitForRevision(replica, afterRevision, Math.min(waitMs, MAX_WAIT_MS), clock);
       }
       return replica.exportDelta(afterRevision);
     }),
-    copyBills: handle(({ bills }) => {
-      billing.holdCopies(bills);
-      return { held: true };
-    }),
+    copyBills: handle(({ bills }) => ({ held: billing.holdCopies(bills) })),
     releaseBills: handle(({ origin, incarnation, upToSequence }) => {
       billing.releaseCopies(origin, incarnation, upToSequence);
       return {};
--- a/packages/server/src/requests/serviceHandler.ts
+++ b/packages/server/src/requests/serviceHandler.ts
@@ -149,7 +149,7 @@
       case 'done':
         return createReplay(decision.value.answer);
       case 'owned':
-        return this.awaitOwner(request, key, decision.value.owner, decision.value.incarnation);
+        return this.awaitOwner(request, key, decision.value.owner);
       default:
         return err(
           createFailure('key_reused', 'the Idempotency-Key was used for another request'),
@@ -194,11 +194,10 @@
     request: ServiceRequest,
     key: string,
     owner: string,
-    incarnation: number,
   ): Promise<Result<ServiceReply, Failure>> {
     const { peers, answerMs } = this.options;
     const workspace = request.workspace.name;
-    const reply = await peers.awaitClaim(owner, incarnation, { workspace, key, waitMs: answerMs });
+    const reply = await peers.awaitClaim(owner, { workspace, key, waitMs: answerMs });
     if (reply?.outcome === ClaimOutcome.DONE) return createReplay(reply.answer);
     if (reply?.outcome === ClaimOutcome.RELEASED) {
       const message = 'the first attempt was not run; send the request again';
--- a/packages/server/src/rollouts/rolloutController.ts
+++ b/packages/server/src/rollouts/rolloutController.ts
@@ -7,7 +7,7 @@
 import type { Clock, Logger } from '@cactusstair/utils';
 import type { Result } from 'neverthrow';
 
-import type { InstanceDirectory } from '../peers/instanceDirectory.js';
+import type { AddressBook } from '../peers/addressBook.js';
 import type { PeerLinks } from '../peers/peerLinks.js';
 import type { EntrySettings } from '../settings.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
@@ -22,7 +22,7 @@
   store: ObjectStore;
   replica: ConfigReplica;
   rollouts: RolloutEditor;
-  instances: InstanceDirectory;
+  addresses: AddressBook;
   links: PeerLinks;
   directory: UpstreamDirectory;
   counters: VersionStatsRecorder;
@@ -122,13 +122,10 @@
   }
 
   private async collectStats(): Promise<void> {
-    const { instances, links, counters, settings } = this.options;
+    const { addresses, links, counters } = this.options;
     this.stats.importStats(counters.exportStats());
-    const others = instances
-      .listInstances()
-      .filter(({ id, leaving }) => id !== settings.instance.id && !leaving);
     const replies = await Promise.allSettled(
-      others.map(({ peersAddress }) => links.getVersionStats(peersAddress)),
+      addresses.listOthers().map(({ peersAddress }) => links.getVersionStats(peersAddress)),
     );
     for (const reply of replies) {
       if (reply.status === 'fulfilled') this.stats.importStats(reply.value);
