--- /dev/null
+++ b/packages/routing/src/rolloutPolicy.ts
@@ -0,0 +1,159 @@
+import { createHash } from 'node:crypto';
+
+import { RolloutPhase } from '@cactusstair/protocol';
+import type { Rollout, StepEvidence, VersionStats } from '@cactusstair/protocol';
+
+import { addTestSums, calculateEValue, createTestSums, DEFAULT_ALPHA } from './sequentialTest.js';
+import type { RolloutArm } from './sequentialTest.js';
+
+/** What the controller of a rollout does next. */
+export type RolloutDecision =
+  /** `hold` asks the controller to set `hold` in the rollout object to this value. */
+  | { type: 'wait'; hold: boolean }
+  | { type: 'advance' }
+  | { type: 'complete' }
+  | { type: 'withdraw'; reason: string };
+
+/** Options of `decideRollout`. */
+export interface RolloutPolicyOptions {
+  /** Bound on the probability that a version within all margins is ever withdrawn. */
+  alpha?: number;
+  /** Bound on the probability that a step of a version beyond a margin advances. */
+  advanceAlpha?: number;
+  /** Requests that a step may expose before the first rating of it arrives. */
+  unratedRequestsPerStep?: number;
+  /** Further requests that a step may expose for each rating that has arrived. */
+  requestsPerRating?: number;
+  /** Requests that a step may expose in all before it may advance. */
+  maxRequestsPerStep?: number;
+}
+
+const DEFAULT_UNRATED_REQUESTS_PER_STEP = 500;
+// Allows the default of one rated answer in 20, with room for ratings that are late.
+const DEFAULT_REQUESTS_PER_RATING = 40;
+const DEFAULT_MAX_REQUESTS_PER_STEP = 100_000;
+
+const RESUME_SHARE = 0.9;
+
+type Metric = 'quality' | 'errors' | 'latency';
+const METRICS: Metric[] = ['quality', 'errors', 'latency'];
+
+// Ratings are the scarcest evidence, so their test gets the largest part of alpha.
+const ALPHA_SHARES: Record<Metric, number> = { quality: 0.5, errors: 0.25, latency: 0.25 };
+
+const HASH_RANGE = 2 ** 32;
+
+function findStep(steps: StepEvidence[], stepIndex: number): StepEvidence | undefined {
+  return steps.find((step) => step.stepIndex === stepIndex);
+}
+
+/**
+ * Returns the e-value against "within the margin at every step". The test starts anew at each
+ * step, so that a version that turns bad late is found without first using up the evidence in
+ * its favour. The average over the starts is an e-value again; a start that has not come yet
+ * contributes its weight.
+ */
+function calculateWorseEValue(steps: StepEvidence[], metric: Metric, stepCount: number): number {
+  const later = Math.max(0, stepCount - 1);
+  let total = 0;
+  const suffix = createTestSums();
+  for (let start = stepCount - 1; start >= 0; start -= 1) {
+    addTestSums(suffix, findStep(steps, start)?.[metric]);
+    // Half of the weight goes to the first step, where most bad versions show.
+    const weight = start > 0 ? 0.5 / later : 1 - (later > 0 ? 0.5 : 0);
+    total += weight * calculateEValue(suffix.worseLogs);
+  }
+  return total;
+}
+
+function findWorseMetric(steps: StepEvidence[], rollout: Rollout, alpha: number) {
+  // A step index beyond the list, left by an edited rollout, still has its evidence counted.
+  const stepCount = Math.max(rollout.steps.length, rollout.stepIndex + 1, 1);
+  return METRICS.map((metric) => ({
+    metric,
+    eValue: calculateWorseEValue(steps, metric, stepCount),
+    threshold: 1 / (alpha * ALPHA_SHARES[metric]),
+  })).find(({ eValue, threshold }) => eValue >= threshold);
+}
+
+function isNotWorse(step: StepEvidence, advanceAlpha: number): boolean {
+  return METRICS.every((metric) => {
+    const sums = step[metric];
+    // Answers that are not streamed have no first token, so latency may have no evidence.
+    if (metric === 'latency' && (sums?.pairs ?? 0) === 0) return true;
+    return sums !== undefined && calculateEValue(sums.notWorseLogs) >= 1 / advanceAlpha;
+  });
+}
+
+function isLastStep(rollout: Rollout): boolean {
+  const next = rollout.steps[rollout.stepIndex + 1];
+  // A step of 100 percent has no baseline left to compare with, so the rollout completes.
+  return next === undefined || next >= 100;
+}
+
+/**
+ * Decides the next move of a rollout from the sums over all instances.
+ *
+ * `withdraw` has false positives with probability at most `alpha` over the whole rollout, at
+ * whatever times it is called. `advance` needs `not_worse` from the evidence of the current step
+ * for ratings, errors and latency, and the step's number of ratings. While a step waits, it
+ * exposes at most min(`maxRequestsPerStep`, `unratedRequestsPerStep` + `requestsPerRating` *
+ * ratings) requests before `hold` sends new sessions to the baseline; sessions that the candidate
+ * already has stay there. A rollout that is not running waits.
+ */
+export function decideRollout(
+  rollout: Rollout,
+  stats: VersionStats[],
+  options: RolloutPolicyOptions = {},
+): RolloutDecision {
+  if (rollout.phase !== RolloutPhase.RUNNING) return { type: 'wait', hold: rollout.hold ?? false };
+  const candidate = stats.find(
+    (entry) => entry.model === rollout.model && entry.version === rollout.candidateVersion,
+  );
+  const evidence = candidate?.evidence;
+  const steps = evidence?.rollout === rollout.name ? evidence.steps : [];
+  const worse = findWorseMetric(steps, rollout, options.alpha ?? DEFAULT_ALPHA);
+  if (worse) {
+    const { metric, eValue, threshold } = worse;
+    const reason = `${metric} is worse than ${rollout.baselineVersion} by more than the margin: e-value ${eValue.toPrecision(3)}, threshold ${threshold.toPrecision(3)}`;
+    return { type: 'withdraw', reason };
+  }
+  const step = findStep(steps, rollout.stepIndex);
+  if (!step) return { type: 'wait', hold: false };
+  const rated = step.ratings >= rollout.minRatingsPerStep;
+  if (rated && isNotWorse(step, options.advanceAlpha ?? DEFAULT_ALPHA)) {
+    return isLastStep(rollout) ? { type: 'complete' } : { type: 'advance' };
+  }
+  const limit = calculateExposureLimit(step, options);
+  // A held step resumes below the limit only, so that each rating does not cause two writes.
+  return { type: 'wait', hold: step.requests >= (rollout.hold ? RESUME_SHARE * limit : limit) };
+}
+
+/** Returns the number of requests that a step may expose with the ratings it has. */
+function calculateExposureLimit(step: StepEvidence, options: RolloutPolicyOptions): number {
+  const unrated = options.unratedRequestsPerStep ?? DEFAULT_UNRATED_REQUESTS_PER_STEP;
+  const perRating = options.requestsPerRating ?? DEFAULT_REQUESTS_PER_RATING;
+  const most = options.maxRequestsPerStep ?? DEFAULT_MAX_REQUESTS_PER_STEP;
+  return Math.min(most, unrated + perRating * step.ratings);
+}
+
+/** Returns the position of a session in [0, 100) that stays the same for a whole rollout. */
+function calculatePosition(rollout: Rollout, sessionId: string): number {
+  const text = JSON.stringify([rollout.name, rollout.candidateVersion, sessionId]);
+  const digest = createHash('sha256').update(text).digest();
+  return (digest.readUInt32BE(0) / HASH_RANGE) * 100;
+}
+
+/**
+ * Assigns a new session to an arm. The same rollout and session always give the same position,
+ * and a session is on the candidate while its position is below the percentage, so a rising
+ * percentage only adds sessions. A paused rollout keeps its percentage; `hold` stops new
+ * sessions. Sessions that have an arm already keep it by their token.
+ */
+export function assignArm(rollout: Rollout, sessionId: string): RolloutArm {
+  if (rollout.phase === RolloutPhase.COMPLETED) return 'candidate';
+  const serving = rollout.phase === RolloutPhase.RUNNING || rollout.phase === RolloutPhase.PAUSED;
+  if (!serving || rollout.hold) return 'baseline';
+  const percent = rollout.steps[rollout.stepIndex] ?? 0;
+  return calculatePosition(rollout, sessionId) < percent ? 'candidate' : 'baseline';
+}
