Serve the whole path as separate processes

A caller's request goes through an entry instance to an engine or a plain service and back, with a session, a bill and, for calls that must not be repeated, a claim. The operators' calls and the command line are in place. Rollouts, quotas and configuration from peers are not wired yet.

HttpObjectStore wrapped the value of a PUT in another object, so that instance records read back without fields; the body of a PUT is the value itself.

--- a/packages/cli/src/commands/loadCommand.ts
+++ b/packages/cli/src/commands/loadCommand.ts
@@ -114,7 +114,9 @@
     ]),
   );
   if (result.droppedByTool > 0) {
-    print(`${result.droppedByTool} arrivals were not sent: ${MAX_OPEN_REQUESTS} requests were open`);
+    print(
+      `${result.droppedByTool} arrivals were not sent: ${MAX_OPEN_REQUESTS} requests were open`,
+    );
   }
 }
 
--- a/packages/cli/src/commands/stateCommands.ts
+++ b/packages/cli/src/commands/stateCommands.ts
@@ -60,7 +60,7 @@
     print(
       `an instance that has not heard of it starts no work on a candidate version after ` +
         `${formatTime(status.candidateUntilMs)}, on a settled version after ` +
-        `${formatTime(status.settledUntilMs)}`,
+        formatTime(status.settledUntilMs),
     );
   }
 }
--- a/packages/cli/src/load/workload.ts
+++ b/packages/cli/src/load/workload.ts
@@ -39,10 +39,7 @@
 /** A bell around an hour of the day, 1 at its top. */
 function createPeak(peakHour: number): (hour: number) => number {
   return (hour) => {
-    const distance = Math.min(
-      Math.abs(hour - peakHour),
-      HOURS_PER_DAY - Math.abs(hour - peakHour),
-    );
+    const distance = Math.min(Math.abs(hour - peakHour), HOURS_PER_DAY - Math.abs(hour - peakHour));
     return Math.exp(-0.5 * (distance / PEAK_WIDTH_HOURS) ** 2);
   };
 }
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -65,7 +65,7 @@
   options: RawOptions,
   use: (connection: OperatorConnection) => Promise<void>,
 ): Promise<void> {
-  const server = options.server ?? process.env['CACTUSSTAIR_SERVER'];
+  const server = options.server ?? process.env.CACTUSSTAIR_SERVER;
   if (server === undefined) {
     throw new CliError(
       'no instance is named; pass --server ip:port or set CACTUSSTAIR_SERVER',
@@ -124,20 +124,24 @@
   .action(run((options: RawOptions) => checkSettings(requireConfig(options))));
 
 for (const kind of Object.keys(objectKinds) as ObjectKindName[]) {
-  program.command(`${kind} list`, `List every ${kind}`).action(
-    run((options: RawOptions) =>
-      withConnection(options, (connection) =>
-        listObjects(connection, kind, getObjectOptions(options)),
+  program
+    .command(`${kind} list`, `List every ${kind}`)
+    .action(
+      run((options: RawOptions) =>
+        withConnection(options, (connection) =>
+          listObjects(connection, kind, getObjectOptions(options)),
+        ),
       ),
-    ),
-  );
-  program.command(`${kind} get <name>`, `Show one ${kind}`).action(
-    run((name: string, options: RawOptions) =>
-      withConnection(options, (connection) =>
-        showObject(connection, kind, name, getObjectOptions(options)),
+    );
+  program
+    .command(`${kind} get <name>`, `Show one ${kind}`)
+    .action(
+      run((name: string, options: RawOptions) =>
+        withConnection(options, (connection) =>
+          showObject(connection, kind, name, getObjectOptions(options)),
+        ),
       ),
-    ),
-  );
+    );
   if ('put' in objectKinds[kind]) {
     program
       .command(`${kind} put <file>`, `Create or replace a ${kind} from a YAML file`)
@@ -169,13 +173,15 @@
     ),
   );
 
-program.command('rollout start <file>', 'Start a rollout from a YAML file').action(
-  run((file: string, options: RawOptions) =>
-    withConnection(options, (connection) =>
-      startRollout(connection, file, getObjectOptions(options)),
+program
+  .command('rollout start <file>', 'Start a rollout from a YAML file')
+  .action(
+    run((file: string, options: RawOptions) =>
+      withConnection(options, (connection) =>
+        startRollout(connection, file, getObjectOptions(options)),
+      ),
     ),
-  ),
-);
+  );
 
 for (const action of rolloutActionNames) {
   program
@@ -232,13 +238,15 @@
     ),
   );
 
-program.command('instances', 'List the instances that the called one knows').action(
-  run((options: RawOptions) =>
-    withConnection(options, (connection) =>
-      listInstances(connection, { json: options.json ?? false }),
+program
+  .command('instances', 'List the instances that the called one knows')
+  .action(
+    run((options: RawOptions) =>
+      withConnection(options, (connection) =>
+        listInstances(connection, { json: options.json ?? false }),
+      ),
     ),
-  ),
-);
+  );
 
 program
   .command('bills export', 'Print every bill once')
@@ -269,7 +277,7 @@
   .option('--json-file', 'Also write the result to this file')
   .action(
     run((options: RawOptions) => {
-      const apiKey = options['api-key'] ?? process.env['CACTUSSTAIR_API_KEY'];
+      const apiKey = options['api-key'] ?? process.env.CACTUSSTAIR_API_KEY;
       const { callers, 'short-model': shortModel, 'long-model': longModel } = options;
       if (!callers || !apiKey || !shortModel || !longModel) {
         throw new CliError(
--- a/packages/cli/src/objectFiles.ts
+++ b/packages/cli/src/objectFiles.ts
@@ -34,9 +34,7 @@
       name: z.string(),
       apiKeyDigests: z.array(z.string()).default([]),
       allowedModels: z
-        .array(
-          z.strictObject({ model: z.string(), versions: z.array(z.string()).default([]) }),
-        )
+        .array(z.strictObject({ model: z.string(), versions: z.array(z.string()).default([]) }))
         .default([]),
       allowedServices: z.array(z.string()).default([]),
       tokensPerMinute: z.number().int().nonnegative().default(0),
--- a/packages/coordination/src/httpObjectStore.ts
+++ b/packages/coordination/src/httpObjectStore.ts
@@ -147,10 +147,7 @@
   ): StoreResult<StoredObject> {
     const path = formatObjectPath(kind, name);
     const headers = { ...condition, 'content-type': 'application/json' };
-    return this.call(
-      { method: 'PUT', path, headers, body: JSON.stringify({ value }) },
-      parseObject,
-    );
+    return this.call({ method: 'PUT', path, headers, body: JSON.stringify(value) }, parseObject);
   }
 
   private async call<T>(call: Call, parse: (body: unknown) => T): StoreResult<T> {
--- a/packages/place/src/place.ts
+++ b/packages/place/src/place.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
+import { waitFor } from '@cactusstair/utils';
 import { fetch } from 'undici';
 import { stringify } from 'yaml';
 
@@ -183,6 +184,17 @@
     await this.writeConfig();
     await Promise.all(plans.map((plan) => this.startEntry(plan, plans)));
     this.entries.sort((a, b) => (a.name < b.name ? -1 : 1));
+    if (this.options.awaitReadiness ?? true) {
+      await Promise.all(this.entries.map((entry) => this.awaitReadiness(entry)));
+    }
+  }
+
+  /** Waits until an entry instance has its configuration and says that it takes requests. */
+  private async awaitReadiness({ name, metrics }: EntryAddresses): Promise<void> {
+    await waitFor(async () => (await fetch(`${metrics}/readyz`)).ok, {
+      what: `${name} to be ready`,
+      timeoutMs: this.options.readyTimeoutMs ?? DEFAULT_TIMEOUT_MS,
+    });
   }
 
   private async startPlatform(): Promise<void> {
--- a/packages/place/src/placeOptions.ts
+++ b/packages/place/src/placeOptions.ts
@@ -107,6 +107,8 @@
   entrySettings?: Record<string, unknown>;
   /** Main file of the entry instance. Default `packages/cli/dist/main.js`. */
   entryMainFile?: string;
+  /** Whether to wait until `/readyz` of every entry instance answers 200. Default true. */
+  awaitReadiness?: boolean;
   platform?: Omit<PlatformOptions, 'listen'>;
   weights?: Omit<WeightStoreOptions, 'listen'>;
   rater?: Omit<RaterOptions, 'listen' | 'quality'>;
--- a/packages/place/src/smokeMain.ts
+++ b/packages/place/src/smokeMain.ts
@@ -160,10 +160,7 @@
 async function runBilling(context: SmokeContext): Promise<SmokeRow> {
   const requestId = randomUUID();
   const answer = await context.client.chat.completions
-    .create(
-      { model: 'large', messages, max_tokens: 4 },
-      { headers: { 'x-request-id': requestId } },
-    )
+    .create({ model: 'large', messages, max_tokens: 4 }, { headers: { 'x-request-id': requestId } })
     .withResponse();
   const origin = readOrigin(answer.response.headers);
   const found = await waitFor(
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,3 +1,4 @@
+/** Routing decisions, usable without the daemon. */
 // Load: choice of upstream, health, admission, limits, retry budget and crash quarantine.
 export type {
   AdmissionQueueOptions,
@@ -30,7 +31,6 @@
 export { UpstreamHealth } from './upstreamHealth.js';
 export type { UpstreamHealthPoolOptions } from './upstreamHealthPool.js';
 export { UpstreamHealthPool } from './upstreamHealthPool.js';
-/** Routing policies, usable without the daemon. */
 
 // Cascade policy, sequential test and rollout policy.
 export type {
--- a/packages/server/src/callers/callerServer.ts
+++ b/packages/server/src/callers/callerServer.ts
@@ -1,16 +1,15 @@
 import 'reflect-metadata';
 
-import { createFailure } from '@cactusstair/protocol';
 import type { DynamicModule } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
-import type { FastifyError, FastifyInstance } from 'fastify';
+import type { FastifyInstance } from 'fastify';
 
 import type { CallerContext } from './callerContext.js';
 import { CALLER_CONTEXT } from './callerContext.js';
 import { ChatController } from './chatController.js';
-import { sendFailure } from './openRequest.js';
+import { FailureFilter } from './failureFilter.js';
 import { ServiceController } from './serviceController.js';
 
 /** Options of `CallerServer`. */
@@ -20,6 +19,8 @@
   bodyBytes: number;
   /** Largest sum of all request headers in bytes. */
   headerBytes: number;
+  /** Called for an error that no handler expected. */
+  onError: (error: unknown) => void;
 }
 
 /** A caller has to send its whole request within this time, so that slow senders hold no socket. */
@@ -36,14 +37,6 @@
   };
 }
 
-/** Failures of the HTTP layer, by the error code of the framework. */
-const FAILURE_BY_ERROR_CODE = {
-  FST_ERR_CTP_BODY_TOO_LARGE: () =>
-    createFailure('request_too_large', 'the request body is too large'),
-  FST_ERR_CTP_INVALID_CONTENT_LENGTH: () =>
-    createFailure('malformed_request', 'the body does not have the announced length'),
-} as const;
-
 /** The HTTP server for callers. */
 export class CallerServer {
   private constructor(private readonly app: NestFastifyApplication) {}
@@ -62,7 +55,8 @@
       adapter,
       { bodyParser: false, logger: false, abortOnError: false },
     );
-    configureFastify(adapter.getInstance() as unknown as FastifyInstance);
+    app.useGlobalFilters(new FailureFilter(options.onError));
+    configureFastify(adapter.getInstance<FastifyInstance>());
     return new CallerServer(app);
   }
 
@@ -84,14 +78,4 @@
   fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
     done(null, body);
   });
-  fastify.setErrorHandler((error: FastifyError, _request, reply) => {
-    const create = FAILURE_BY_ERROR_CODE[error.code as keyof typeof FAILURE_BY_ERROR_CODE];
-    if (create) sendFailure(reply, create());
-    else if (error.statusCode !== undefined && error.statusCode < 500) {
-      sendFailure(reply, createFailure('malformed_request', 'the request cannot be read'));
-    } else sendFailure(reply, createFailure('internal', 'the request failed inside the router'));
-  });
-  fastify.setNotFoundHandler((_request, reply) => {
-    sendFailure(reply, createFailure('unknown_route', 'there is no such path'));
-  });
 }
--- a/packages/server/src/callers/chatBody.ts
+++ b/packages/server/src/callers/chatBody.ts
@@ -127,7 +127,7 @@
 
 /** Estimates how many tokens the answer will have. */
 export function estimateCompletionTokens(body: ChatBody): number {
-  const hint = Number(body.metadata?.['expected_tokens']);
+  const hint = Number(body.metadata?.expected_tokens);
   if (Number.isInteger(hint) && hint > 0) return hint;
   return body.max_completion_tokens ?? body.max_tokens ?? SHORT_COMPLETION_TOKENS;
 }
--- /dev/null
+++ b/packages/server/src/callers/failureFilter.ts
@@ -0,0 +1,47 @@
+import type { Failure } from '@cactusstair/protocol';
+import { createFailure } from '@cactusstair/protocol';
+import type { ArgumentsHost, ExceptionFilter } from '@nestjs/common';
+import { Catch, HttpException } from '@nestjs/common';
+import type { FastifyReply } from 'fastify';
+
+import { sendFailure } from './openRequest.js';
+
+/** Failures of the HTTP layer, by the error code of the framework. */
+const failureByErrorCode: Record<string, () => Failure> = {
+  FST_ERR_CTP_BODY_TOO_LARGE: () =>
+    createFailure('request_too_large', 'the request body is too large'),
+  FST_ERR_CTP_INVALID_CONTENT_LENGTH: () =>
+    createFailure('malformed_request', 'the body does not have the announced length'),
+};
+
+const failureByStatus: Record<number, () => Failure> = {
+  404: () => createFailure('unknown_route', 'there is no such path'),
+  413: () => createFailure('request_too_large', 'the request body is too large'),
+};
+
+const HTTP_SERVER_ERROR = 500;
+
+function describeError(error: unknown): Failure {
+  const { code, statusCode } = error as { code?: string; statusCode?: number };
+  const status = error instanceof HttpException ? error.getStatus() : statusCode;
+  const create = failureByErrorCode[code ?? ''] ?? failureByStatus[status ?? 0];
+  if (create) return create();
+  if (status !== undefined && status < HTTP_SERVER_ERROR) {
+    return createFailure('malformed_request', 'the request cannot be read');
+  }
+  return createFailure('internal', 'the request failed inside the router');
+}
+
+/** Turns errors outside the handlers into numbered failures, without their stacks. */
+@Catch()
+export class FailureFilter implements ExceptionFilter {
+  constructor(private readonly onError: (error: unknown) => void) {}
+
+  catch(error: unknown, host: ArgumentsHost): void {
+    const reply = host.switchToHttp().getResponse<FastifyReply>();
+    const failure = describeError(error);
+    if (failure.name === 'internal') this.onError(error);
+    if (reply.raw.headersSent) reply.raw.destroy();
+    else sendFailure(reply, failure);
+  }
+}
--- a/packages/server/src/callers/serviceController.ts
+++ b/packages/server/src/callers/serviceController.ts
@@ -13,7 +13,7 @@
 export class ServiceController {
   constructor(@Inject(CALLER_CONTEXT) private readonly context: CallerContext) {}
 
-  @All(['*path'])
+  @All('*')
   async forward(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
     const opened = openRequest(this.context, request, reply);
     if (opened.isErr()) {
--- a/packages/server/src/coordination.ts
+++ b/packages/server/src/coordination.ts
@@ -7,7 +7,6 @@
   HttpObjectStore,
   Membership,
   MembershipTask,
-  QuotaLease,
   SessionTokens,
 } from '@cactusstair/coordination';
 import type { CrashQuarantine } from '@cactusstair/routing';
@@ -47,8 +46,6 @@
 
   readonly billing: BillingJournal;
 
-  readonly quotas: QuotaLease;
-
   constructor(options: CoordinationOptions) {
     const { settings, incarnation, links, quarantine, clock, random, logger, lifecycle } = options;
     const { id, region, zone } = settings.instance;
@@ -106,13 +103,6 @@
       incarnation,
       maxBufferedBills: settings.limits.unflushedBills,
     });
-    this.quotas = new QuotaLease({
-      store: this.store,
-      clock,
-      lifecycle,
-      holder: `${id}.${incarnation}`,
-      getInstanceCount: () => this.countInstances(),
-    });
   }
 
   /** Instances that are known to be alive, this one included. */
@@ -121,7 +111,10 @@
     const others = this.membership.getZoneSummaries().filter(({ zone }) => zone !== ownZone);
     const inZone = this.membership
       .getMembers()
-      .filter((member) => member.zone === ownZone && this.membership.isAlive(member.id, member.incarnation));
+      .filter(
+        (member) =>
+          member.zone === ownZone && this.membership.isAlive(member.id, member.incarnation),
+      );
     return Math.max(1, inZone.length) + others.reduce((sum, { alive }) => sum + alive, 0);
   }
 }
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -1,6 +1,12 @@
 import type { Failure } from '@cactusstair/protocol';
 import { createFailure, OperatorService, PeerService } from '@cactusstair/protocol';
-import { CascadePolicy, CrashQuarantine, RetryBudget, VersionStatsRecorder } from '@cactusstair/routing';
+import { StoreFollower } from '@cactusstair/coordination';
+import {
+  CascadePolicy,
+  CrashQuarantine,
+  RetryBudget,
+  VersionStatsRecorder,
+} from '@cactusstair/routing';
 import type { Logger } from '@cactusstair/utils';
 import {
   createLogger,
@@ -19,14 +25,13 @@
 import { createOperatorService } from './operators/operatorService.js';
 import { EntryMetrics } from './ops/metrics.js';
 import { OpsServer } from './ops/opsServer.js';
-import { ConfigFeed } from './peers/configFeed.js';
 import { PeerLinks } from './peers/peerLinks.js';
 import { createPeerService } from './peers/peerService.js';
 import { ChatHandler } from './requests/chatHandler.js';
 import { RatingClient } from './requests/ratingClient.js';
 import { RungRunner } from './requests/rungRunner.js';
 import { ServiceHandler } from './requests/serviceHandler.js';
-import { RolloutController } from './rollouts/rolloutController.js';
+import { SessionBinder } from './requests/sessionBinder.js';
 import { RolloutEditor } from './rollouts/rolloutEditor.js';
 import type { EntrySettings } from './settings.js';
 import { EngineClient } from './upstreams/engineClient.js';
@@ -154,6 +159,14 @@
     this.logger.info('instance has stopped');
   }
 
+  /** Releases everything after a failed start; nothing has been served. */
+  async abandon(): Promise<void> {
+    await this.callerServer?.close();
+    await this.lifecycle.close();
+    await this.directory.close();
+    this.links.close();
+  }
+
   private checkReadiness(): string | undefined {
     if (this.state !== 'serving') return `the instance is ${this.state}`;
     const { replica } = this.coordination;
@@ -211,34 +224,11 @@
     this.lifecycle.own('operator server', () => operators.close(CALL_GRACE_MS));
     await peers.listen(settings.listen.peers);
     await operators.listen(settings.listen.operators);
-    const controller = new RolloutController({
-      settings,
-      incarnation: this.incarnation,
-      store,
-      replica,
-      rollouts,
-      addresses: this.coordination.addresses,
-      links: this.links,
-      directory: this.directory,
-      counters,
-      clock,
-      logger: this.logger,
-    });
-    this.lifecycle.startTask('rollouts', (signal) => controller.run(signal));
   }
 
   private startTasks(): void {
     const { replica, store, membership, membershipTask, addresses, billing } = this.coordination;
-    const feed = new ConfigFeed({
-      replica,
-      store,
-      membership,
-      links: this.links,
-      seeds: this.settings.peers.seeds,
-      clock: this.clock,
-      random: this.random,
-      logger: this.logger,
-    });
+    const feed = new StoreFollower({ replica, store, clock: this.clock, random: this.random });
     replica.onChange(() => this.metrics.configRevision.set(replica.appliedRevision));
     this.lifecycle.startTask('configuration', (signal) => feed.run(signal));
     membership.onLost(({ id, incarnation }) => {
@@ -254,7 +244,7 @@
 
   private createCallerServer(): Promise<CallerServer> {
     const { settings, clock, metrics, invariants, directory, quarantine, random } = this;
-    const { replica, sessions, billing, quotas, claims } = this.coordination;
+    const { replica, sessions, billing, claims } = this.coordination;
     const { limits } = settings;
     const resolver = new VersionResolver(replica, settings.permits);
     const retryBudget = new RetryBudget({ clock });
@@ -273,9 +263,13 @@
     });
     const chat = new ChatHandler({
       resolver,
-      sessions,
+      sessions: new SessionBinder({
+        sessions,
+        resolver,
+        clock,
+        lifetimeMs: settings.sessions.lifetimeMs,
+      }),
       billing,
-      quotas,
       quarantine,
       cascades: new CascadePolicy({ clock, random, instance: settings.instance.id }),
       rungs,
@@ -286,7 +280,6 @@
       clock,
       random,
       requestMs: limits.requestMs,
-      sessionLifetimeMs: settings.sessions.lifetimeMs,
       ratingSampleShare: settings.ratings.sampleShare,
     });
     const services = new ServiceHandler({
@@ -305,6 +298,7 @@
       context: { replica, chat, services, limits, checkAdmission: () => this.checkAdmission() },
       bodyBytes: limits.bodyBytes,
       headerBytes: limits.headerBytes,
+      onError: (error) => this.logger.error('request failed', { error: String(error) }),
     });
   }
 }
--- a/packages/server/src/grpcServer.ts
+++ b/packages/server/src/grpcServer.ts
@@ -1,4 +1,8 @@
-import type { ServerCredentials, ServiceDefinition, UntypedServiceImplementation } from '@grpc/grpc-js';
+import type {
+  ServerCredentials,
+  ServiceDefinition,
+  UntypedServiceImplementation,
+} from '@grpc/grpc-js';
 import { Server } from '@grpc/grpc-js';
 
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
--- a/packages/server/src/operators/configEditor.ts
+++ b/packages/server/src/operators/configEditor.ts
@@ -59,4 +59,3 @@
     return { kind, name, version, revision, acceptedAtMs: this.clock.wallMs() };
   }
 }
-
--- a/packages/server/src/operators/operatorService.ts
+++ b/packages/server/src/operators/operatorService.ts
@@ -208,10 +208,7 @@
         }
         call.end();
       } catch (error) {
-        call.emit(
-          'error',
-          createServiceError(createFailure('store_unavailable', String(error))),
-        );
+        call.emit('error', createServiceError(createFailure('store_unavailable', String(error))));
       }
     },
   };
@@ -248,11 +245,7 @@
     const message = `model ${request.model} has no version ${request.version}`;
     return err(createFailure('not_found', message));
   }
-  const changed = await rollouts.withState(
-    request.model,
-    request.version,
-    VersionState.WITHDRAWN,
-  );
+  const changed = await rollouts.withState(request.model, request.version, VersionState.WITHDRAWN);
   if (changed.isErr()) return err(changed.error);
   return (await editor.get('model', request.model)).map((stored) => editor.createChange(stored));
 }
@@ -280,10 +273,5 @@
     signFromMs,
     retiredAtMs: 0,
   });
-  return editor.put(
-    'sessionkeys',
-    'current',
-    SessionKeys.toJSON({ keys }),
-    stored?.version ?? 0,
-  );
+  return editor.put('sessionkeys', 'current', SessionKeys.toJSON({ keys }), stored?.version ?? 0);
 }
--- a/packages/server/src/peers/addressBook.ts
+++ b/packages/server/src/peers/addressBook.ts
@@ -47,9 +47,7 @@
 
   /** Finds an instance by id; its address may be out of date. */
   find(id: string): PeerAddress | undefined {
-    return (
-      this.options.membership.findMember(id) ?? this.listed.find((record) => record.id === id)
-    );
+    return this.options.membership.findMember(id) ?? this.listed.find((record) => record.id === id);
   }
 
   /** Lists all other instances that are not known to have gone. */
--- a/packages/server/src/peers/peerLinks.ts
+++ b/packages/server/src/peers/peerLinks.ts
@@ -67,11 +67,7 @@
     if (!peer) return undefined;
     try {
       const client = this.getClient(peer.peersAddress);
-      return await call(
-        client.awaitClaim.bind(client),
-        request,
-        request.waitMs + CALL_GRACE_MS,
-      );
+      return await call(client.awaitClaim.bind(client), request, request.waitMs + CALL_GRACE_MS);
     } catch {
       return undefined;
     }
--- a/packages/server/src/requests/chatHandler.ts
+++ b/packages/server/src/requests/chatHandler.ts
@@ -1,11 +1,6 @@
-import { createHash, randomUUID } from 'node:crypto';
+import { createHash } from 'node:crypto';
 
-import type {
-  BillingJournal,
-  QuotaLease,
-  Session,
-  SessionTokens,
-} from '@cactusstair/coordination';
+import type { BillingJournal } from '@cactusstair/coordination';
 import type { BillStep, Failure, Workspace } from '@cactusstair/protocol';
 import { createFailure, getResultCode } from '@cactusstair/protocol';
 import type {
@@ -29,14 +24,14 @@
 import { computeCostMicros, sumSteps } from './pricing.js';
 import type { RatingClient } from './ratingClient.js';
 import type { ChatCall, RungAnswer, RungRunner } from './rungRunner.js';
+import type { BoundSession, SessionBinder } from './sessionBinder.js';
 import { VersionLatencies } from './versionLatencies.js';
 
 /** Options of `ChatHandler`. Times are in milliseconds. */
 export interface ChatHandlerOptions {
   resolver: VersionResolver;
-  sessions: SessionTokens;
+  sessions: SessionBinder;
   billing: BillingJournal;
-  quotas: QuotaLease;
   quarantine: CrashQuarantine;
   cascades: CascadePolicy;
   rungs: RungRunner;
@@ -47,7 +42,6 @@
   clock: Clock;
   random: Random;
   requestMs: number;
-  sessionLifetimeMs: number;
   /** Share of answers that are sent to the rating service, in 0..1. */
   ratingSampleShare: number;
 }
@@ -61,12 +55,6 @@
   signal: AbortSignal;
 }
 
-/** A session and the token that carries it. */
-interface BoundSession {
-  session: Session;
-  token: string;
-}
-
 /** A request whose target, session and rungs are settled. */
 interface PreparedChat {
   call: ChatCall;
@@ -107,13 +95,9 @@
     const prepared = await this.prepare(request);
     if (prepared.isErr()) return err(prepared.error);
     const { call } = prepared.value;
-    const { quotas, invariants } = this.options;
-    const reserved = estimateTokens(request.body);
-    const quota = quotas.tryConsume(call.workspace.name, call.workspace.tokensPerMinute, reserved);
-    if (quota.isErr()) return err(quota.error);
+    const { invariants } = this.options;
     const result = await this.climb(prepared.value, sink);
     if (result.isErr()) {
-      quotas.refund(call.workspace.name, reserved);
       invariants.check(
         'not_run_means_not_dispatched',
         getResultCode(result.error).ran !== 'no' || !call.dispatched,
@@ -125,10 +109,10 @@
 
   private async prepare(request: ChatRequest): Promise<Result<PreparedChat, Failure>> {
     const { workspace, body, headers } = request;
-    const { resolver, billing, quarantine } = this.options;
+    const { resolver, sessions, billing, quarantine } = this.options;
     const target = resolver.resolveTarget(workspace, body.model);
     if (target.isErr()) return err(target.error);
-    const bound = await this.bindSession(workspace, target.value, headers.sessionToken);
+    const bound = await sessions.bind(workspace, target.value, headers.sessionToken);
     if (bound.isErr()) return err(bound.error);
     const call = this.createCall(request);
     if (quarantine.classify(call.fingerprint) === 'guilty') {
@@ -167,40 +151,6 @@
     };
   }
 
-  /** Verifies the caller's session or begins one that pins the version of every rung. */
-  private async bindSession(
-    workspace: Workspace,
-    target: Target,
-    token: string | undefined,
-  ): Promise<Result<BoundSession, Failure>> {
-    const { sessions, resolver, clock, sessionLifetimeMs } = this.options;
-    if (token !== undefined) {
-      const verified = await sessions.verify(token, workspace.name);
-      return verified.andThen((session) => checkExplicitVersion(session, target, token));
-    }
-    const session: Session = {
-      id: randomUUID(),
-      workspace: workspace.name,
-      pins: {},
-      expiresAtMs: clock.wallMs() + sessionLifetimeMs,
-    };
-    for (const model of target.models) {
-      const chosen = resolver.chooseVersion(
-        workspace,
-        model,
-        session.id,
-        target.explicitVersion,
-      );
-      if (chosen.isErr()) {
-        if (target.models.length === 1) return err(chosen.error);
-      } else {
-        session.pins[model.name] = chosen.value.version.version;
-      }
-    }
-    const minted = await sessions.mint(session);
-    return minted.map((newToken) => ({ session, token: newToken }));
-  }
-
   /** Runs rungs from the start rung upwards until an answer is good enough, and delivers it. */
   private async climb(prepared: PreparedChat, sink: AnswerSink): Promise<Result<void, Failure>> {
     const { call, bound, rungs } = prepared;
@@ -352,7 +302,9 @@
       steps,
     });
     if (billed.isErr()) {
-      return err(createFailure('answer_incomplete', `the bill is not safe: ${billed.error.message}`));
+      return err(
+        createFailure('answer_incomplete', `the bill is not safe: ${billed.error.message}`),
+      );
     }
     metrics.costMicros.inc(
       { workspace: call.workspace.name, class: call.requestClass },
@@ -367,20 +319,6 @@
   }
 }
 
-function checkExplicitVersion(
-  session: Session,
-  target: Target,
-  token: string,
-): Result<BoundSession, Failure> {
-  const [model] = target.models;
-  const pinned = model ? session.pins[model.name] : undefined;
-  if (target.explicitVersion !== undefined && target.explicitVersion !== pinned) {
-    const message = `the session is pinned to version ${pinned ?? 'none'} of ${model?.name ?? ''}`;
-    return err(createFailure('session_invalid', message));
-  }
-  return ok({ session, token });
-}
-
 function createStep(answer: RungAnswer): BillStep {
   const { resolved, usage } = answer;
   return {
@@ -391,8 +329,3 @@
     costMicros: computeCostMicros(resolved.version, usage),
   };
 }
-
-function estimateTokens(body: ChatBody): number {
-  const promptTokens = Math.ceil(getPromptText(body).length / CHARACTERS_PER_TOKEN);
-  return promptTokens + estimateCompletionTokens(body);
-}
--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -84,10 +84,7 @@
     resolved: ResolvedVersion,
     onToken: TokenListener,
   ): Promise<Result<RungAnswer, Failure>> {
-    const pool = this.options.directory.getModelPool(
-      resolved.model.name,
-      resolved.version.version,
-    );
+    const pool = this.options.directory.getModelPool(resolved.model.name, resolved.version.version);
     const admitted = await this.admit(call, pool);
     if (admitted.isErr()) return err(admitted.error);
     try {
@@ -273,10 +270,6 @@
       const reason = lastFailure?.message ?? 'no upstream is available for another attempt';
       return createFailure('answer_incomplete', `the answer of ${fullName} broke off: ${reason}`);
     }
-    return createFailure(
-      'no_upstream',
-      `no upstream of ${fullName} is available`,
-      RETRY_AFTER_MS,
-    );
+    return createFailure('no_upstream', `no upstream of ${fullName} is available`, RETRY_AFTER_MS);
   }
 }
--- a/packages/server/src/requests/serviceHandler.ts
+++ b/packages/server/src/requests/serviceHandler.ts
@@ -151,9 +151,7 @@
       case 'owned':
         return this.awaitOwner(request, key, decision.value.owner);
       default:
-        return err(
-          createFailure('key_reused', 'the Idempotency-Key was used for another request'),
-        );
+        return err(createFailure('key_reused', 'the Idempotency-Key was used for another request'));
     }
   }
 
@@ -271,7 +269,9 @@
       steps: [],
     });
     if (billed.isErr()) {
-      return err(createFailure('answer_incomplete', `the bill is not safe: ${billed.error.message}`));
+      return err(
+        createFailure('answer_incomplete', `the bill is not safe: ${billed.error.message}`),
+      );
     }
     return ok(reply);
   }
--- a/packages/server/src/upstreams/engineClient.ts
+++ b/packages/server/src/upstreams/engineClient.ts
@@ -42,9 +42,7 @@
 
 const chunkSchema = z.looseObject({
   x_quality: z.number().optional(),
-  usage: z
-    .looseObject({ prompt_tokens: z.number(), completion_tokens: z.number() })
-    .nullish(),
+  usage: z.looseObject({ prompt_tokens: z.number(), completion_tokens: z.number() }).nullish(),
   choices: z.array(
     z.looseObject({
       delta: z.looseObject({ content: z.string().nullish() }).optional(),
@@ -125,8 +123,8 @@
     stream_options: { include_usage: true },
   };
   if (call.resumeFrom > 0) {
-    body['resume_from'] = call.resumeFrom;
-    body['resume_text'] = call.resumeText;
+    body.resume_from = call.resumeFrom;
+    body.resume_text = call.resumeText;
   }
   return body;
 }
--- a/packages/server/src/upstreams/serviceClient.ts
+++ b/packages/server/src/upstreams/serviceClient.ts
@@ -43,7 +43,7 @@
 
   private async exchange(dispatcher: Dispatcher, call: ServiceCall): Promise<ServiceAnswer> {
     const answer = await dispatcher.request({
-      method: call.method as Dispatcher.HttpMethod,
+      method: call.method,
       path: call.path,
       headers: {
         ...call.headers,
--- a/packages/server/src/upstreams/upstreamDirectory.ts
+++ b/packages/server/src/upstreams/upstreamDirectory.ts
@@ -2,7 +2,12 @@
 import type { Upstream as UpstreamConfig } from '@cactusstair/protocol';
 import { UpstreamKind } from '@cactusstair/protocol';
 import type { CrashQuarantine } from '@cactusstair/routing';
-import { AdmissionQueue, chooseUpstream, PrefixIndex, UpstreamHealthPool } from '@cactusstair/routing';
+import {
+  AdmissionQueue,
+  chooseUpstream,
+  PrefixIndex,
+  UpstreamHealthPool,
+} from '@cactusstair/routing';
 import type { Clock, Logger, Random } from '@cactusstair/utils';
 import { LifecycleManager } from '@cactusstair/utils';
 
@@ -101,15 +106,12 @@
     const upstreams = this.listServiceUpstreams(service);
     return {
       nonIdempotent: upstreams.some((upstream) => upstream.config.nonIdempotent),
-      choose: (exclude) =>
-        this.choose(upstreams, { prefixHashes: [], exclude, exclusive: false }),
+      choose: (exclude) => this.choose(upstreams, { prefixHashes: [], exclude, exclusive: false }),
     };
   }
 
   listEngines(): Upstream[] {
-    return this.listUpstreams().filter(
-      (upstream) => upstream.config.kind === UpstreamKind.ENGINE,
-    );
+    return this.listUpstreams().filter((upstream) => upstream.config.kind === UpstreamKind.ENGINE);
   }
 
   private listUpstreams(): Upstream[] {
--- a/packages/standins/src/answerText.ts
+++ b/packages/standins/src/answerText.ts
@@ -1,4 +1,4 @@
-import { hashFraction, hashText } from './hash.js';
+import { hashFraction, hashText } from '@cactusstair/utils';
 
 const WORDS =
   'ladder match season club point result court round player draw layer water sheet edge colour print paper order'.split(
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -12,7 +12,6 @@
 export type { PlatformOptions } from './platformStandin.js';
 export { platformFaults, PlatformStandin } from './platformStandin.js';
 export type { CacheEvent } from './prefixCache.js';
-export { hashPrefixBlocks } from './prefixCache.js';
 export type { RaterOptions, RatingEntry } from './raterStandin.js';
 export { raterFaults, RaterStandin } from './raterStandin.js';
 export type { RoleName } from './roles.js';
--- a/packages/standins/src/prefixCache.ts
+++ b/packages/standins/src/prefixCache.ts
@@ -1,6 +1,5 @@
 import type { Random } from '@cactusstair/utils';
-
-import { hashText } from './hash.js';
+import { hashPrefixBlocks } from '@cactusstair/utils';
 
 /** One change of the prefix cache. Sequence numbers that are missing were lost. */
 export interface CacheEvent {
@@ -24,19 +23,6 @@
 
 const KEPT_EVENTS = 10_000;
 
-/** Cuts a prompt into full blocks and returns the chained hash of each. */
-export function hashPrefixBlocks(prompt: string, blockChars: number): string[] {
-  const hashes: string[] = [];
-  let previous = '';
-  for (let end = blockChars; end <= prompt.length; end += blockChars) {
-    previous = hashText(previous + prompt.slice(end - blockChars, end))
-      .toString(16)
-      .padStart(8, '0');
-    hashes.push(previous);
-  }
-  return hashes;
-}
-
 /** Prompt prefixes in limited memory, least recently used first out, with lossy late events. */
 export class PrefixCache {
   private readonly blocks = new Set<string>();
--- /dev/null
+++ b/packages/utils/src/prefixBlocks.ts
@@ -0,0 +1,14 @@
+import { hashText } from './textHash.js';
+
+/** Cuts a prompt into full blocks and returns the chained hash of each. */
+export function hashPrefixBlocks(prompt: string, blockChars: number): string[] {
+  const hashes: string[] = [];
+  let previous = '';
+  for (let end = blockChars; end <= prompt.length; end += blockChars) {
+    previous = hashText(previous + prompt.slice(end - blockChars, end))
+      .toString(16)
+      .padStart(8, '0');
+    hashes.push(previous);
+  }
+  return hashes;
+}
--- a/tests/standins/place.test.ts
+++ b/tests/standins/place.test.ts
@@ -17,6 +17,8 @@
     place = await Place.start({
       runDir,
       entryMainFile,
+      // The fixture has no readiness check.
+      awaitReadiness: false,
       zones: [
         {
           name: 'riga-a',
