--- /dev/null
+++ b/packages/server/src/callers/callerServer.ts
@@ -0,0 +1,81 @@
+import 'reflect-metadata';
+
+import type { DynamicModule } from '@nestjs/common';
+import { NestFactory } from '@nestjs/core';
+import type { NestFastifyApplication } from '@nestjs/platform-fastify';
+import { FastifyAdapter } from '@nestjs/platform-fastify';
+import type { FastifyInstance } from 'fastify';
+
+import type { CallerContext } from './callerContext.js';
+import { CALLER_CONTEXT } from './callerContext.js';
+import { ChatController } from './chatController.js';
+import { FailureFilter } from './failureFilter.js';
+import { ServiceController } from './serviceController.js';
+
+/** Options of `CallerServer`. */
+export interface CallerServerOptions {
+  context: CallerContext;
+  /** Largest request body in bytes. */
+  bodyBytes: number;
+  /** Largest sum of all request headers in bytes. */
+  headerBytes: number;
+  /** Called for an error that no handler expected. */
+  onError: (error: unknown) => void;
+}
+
+/** A caller has to send its whole request within this time, so that slow senders hold no socket. */
+const REQUEST_RECEIVE_TIMEOUT_MS = 30_000;
+const IDLE_CONNECTION_TIMEOUT_MS = 60_000;
+
+class CallerModule {}
+
+function createModule(context: CallerContext): DynamicModule {
+  return {
+    module: CallerModule,
+    controllers: [ChatController, ServiceController],
+    providers: [{ provide: CALLER_CONTEXT, useValue: context }],
+  };
+}
+
+/** The HTTP server for callers. */
+export class CallerServer {
+  private constructor(private readonly app: NestFastifyApplication) {}
+
+  static async create(options: CallerServerOptions): Promise<CallerServer> {
+    const adapter = new FastifyAdapter({
+      bodyLimit: options.bodyBytes,
+      requestTimeout: REQUEST_RECEIVE_TIMEOUT_MS,
+      keepAliveTimeout: IDLE_CONNECTION_TIMEOUT_MS,
+      http: { maxHeaderSize: options.headerBytes },
+      forceCloseConnections: 'idle',
+      exposeHeadRoutes: false,
+    });
+    const app = await NestFactory.create<NestFastifyApplication>(
+      createModule(options.context),
+      adapter,
+      { bodyParser: false, logger: false, abortOnError: false },
+    );
+    app.useGlobalFilters(new FailureFilter(options.onError));
+    configureFastify(adapter.getInstance<FastifyInstance>());
+    return new CallerServer(app);
+  }
+
+  /** Starts listening on `address`, an IP address and a port. */
+  async listen(address: string): Promise<void> {
+    const [host, port] = address.split(':');
+    await this.app.listen(Number(port), host ?? '127.0.0.1');
+  }
+
+  /** Stops accepting connections and waits for the open requests. */
+  async close(): Promise<void> {
+    await this.app.close();
+  }
+}
+
+function configureFastify(fastify: FastifyInstance): void {
+  fastify.removeAllContentTypeParsers();
+  // Bodies stay bytes: services get them unchanged, and chat bodies are checked before use.
+  fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
+    done(null, body);
+  });
+}
--- /dev/null
+++ b/packages/server/src/coordination.ts
@@ -0,0 +1,120 @@
+import { readFileSync } from 'node:fs';
+
+import {
+  BillingJournal,
+  ClaimJournal,
+  ConfigReplica,
+  HttpObjectStore,
+  Membership,
+  MembershipTask,
+  SessionTokens,
+} from '@cactusstair/coordination';
+import type { CrashQuarantine } from '@cactusstair/routing';
+import type { Clock, LifecycleManager, Logger, Random } from '@cactusstair/utils';
+
+import { AddressBook } from './peers/addressBook.js';
+import type { PeerLinks } from './peers/peerLinks.js';
+import type { EntrySettings } from './settings.js';
+
+/** What the coordination parts of an instance are made from. */
+export interface CoordinationOptions {
+  settings: EntrySettings;
+  incarnation: number;
+  links: PeerLinks;
+  quarantine: CrashQuarantine;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  lifecycle: LifecycleManager;
+}
+
+/** The coordination parts of one instance, wired to its object API and its peers. */
+export class Coordination {
+  readonly store: HttpObjectStore;
+
+  readonly replica: ConfigReplica;
+
+  readonly membership: Membership;
+
+  readonly membershipTask: MembershipTask;
+
+  readonly addresses: AddressBook;
+
+  readonly sessions: SessionTokens;
+
+  readonly claims: ClaimJournal;
+
+  readonly billing: BillingJournal;
+
+  constructor(options: CoordinationOptions) {
+    const { settings, incarnation, links, quarantine, clock, random, logger, lifecycle } = options;
+    const { id, region, zone } = settings.instance;
+    this.store = new HttpObjectStore({
+      baseUrl: settings.platform.objectApi,
+      timeoutMs: settings.platform.requestTimeoutMs,
+    });
+    lifecycle.own('object store', () => this.store.close());
+    this.replica = new ConfigReplica({
+      clusterKey: readFileSync(settings.peers.clusterKeyFile),
+      clock,
+      onInvalidObject: ({ kind, name }, error) =>
+        logger.error('configuration object is invalid', { kind, name, error: error.message }),
+    });
+    this.membership = new Membership({
+      id,
+      incarnation,
+      region,
+      zone,
+      peersAddress: settings.listen.peers,
+      clock,
+      random,
+      getAppliedRevision: () => this.replica.appliedRevision,
+      getConfirmedAgeMs: () => this.replica.getConfirmedAgeMs(),
+      exportQuarantine: () => quarantine.exportEntries(),
+      importQuarantine: (entries) => quarantine.importEntries(entries),
+    });
+    this.membershipTask = new MembershipTask({
+      membership: this.membership,
+      exchange: (address, request) => links.exchange(address, request),
+      clock,
+      random,
+      lifecycle,
+      seeds: settings.peers.seeds,
+      store: this.store,
+      callersAddress: settings.listen.callers,
+      operatorsAddress: settings.listen.operators,
+    });
+    this.addresses = new AddressBook({ membership: this.membership, store: this.store, clock });
+    this.sessions = new SessionTokens({ getKeys: () => this.replica.getSessionKeys(), clock });
+    this.claims = new ClaimJournal({
+      store: this.store,
+      clock,
+      random,
+      lifecycle,
+      owner: id,
+      getIncarnation: () => this.membership.getSelf().incarnation,
+    });
+    this.billing = new BillingJournal({
+      store: this.store,
+      copier: links,
+      clock,
+      lifecycle,
+      origin: id,
+      incarnation,
+      maxBufferedBills: settings.limits.unflushedBills,
+    });
+  }
+
+  /** Instances that are known to be alive, this one included. */
+  countInstances(): number {
+    const ownZone = this.membership.getSelf().zone;
+    const others = this.membership.getZoneSummaries().filter(({ zone }) => zone !== ownZone);
+    const inZone = this.membership
+      .getMembers()
+      .filter(
+        (member) =>
+          member.zone === ownZone && this.membership.isAlive(member.id, member.incarnation),
+      );
+    return Math.max(1, inZone.length) + others.reduce((sum, { alive }) => sum + alive, 0);
+  }
+}
