Add the peer follower, leases and the order sender

PeerFollower follows a watcher by long polls; the call is passed in. It leaves a peer that is silent, behind or not recently confirmed. Lease uses the store-wide revision of the acquiring write as fencing number, so that the number also rises after the lease object is deleted and created again. Validity ends by the monotonic or the wall clock, whichever shows more time, because the monotonic clock of a suspended machine can stand still. OrderSender sends only with enough time left on the lease, checks again right before the first byte, and trusts only read-backs.

--- a/packages/coordination/src/configReplica.ts
+++ b/packages/coordination/src/configReplica.ts
@@ -178,6 +178,12 @@
     return name === undefined ? undefined : this.getWorkspace(name);
   }
 
+  /** Whether a delta above a revision would carry any object. */
+  hasChangesAfter(revision: number): boolean {
+    if (revision <= 0 || revision < this.floorRevision) return this.held.size > 0;
+    return [...this.held.values()].some((held) => held.object.revision > revision);
+  }
+
   /**
    * Returns the signed changes above a revision, or a signed snapshot if this replica no longer
    * knows every deletion since then.
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -6,6 +6,9 @@
 export { ConfigReplica } from './configReplica.js';
 export type { HttpObjectStoreOptions } from './httpObjectStore.js';
 export { HttpObjectStore } from './httpObjectStore.js';
+export type { HeldLease, TrackedLease } from './heldLease.js';
+export type { LeaseHeld, LeaseOptions } from './lease.js';
+export { Lease } from './lease.js';
 export type { StoreFault } from './memoryObjectStore.js';
 export { MemoryObjectStore } from './memoryObjectStore.js';
 export type {
@@ -15,6 +18,17 @@
   StoreResult,
   WatchEvent,
 } from './objectStore.js';
+export type {
+  OrderAnswer,
+  OrderFailure,
+  OrderSenderOptions,
+  OrderState,
+  OrderTransport,
+  SendContext,
+} from './orderSender.js';
+export { OrderSender } from './orderSender.js';
+export type { FetchConfigCall, PeerFollowerOptions, PeerProblem } from './peerFollower.js';
+export { answerFetchConfig, PeerFollower } from './peerFollower.js';
 export type { Session, SessionTokensOptions } from './sessionToken.js';
 export { SessionTokens } from './sessionToken.js';
 export type { StoreFollowerOptions } from './storeFollower.js';
