--- /dev/null
+++ b/tests/coordination/example.test.ts
@@ -0,0 +1,15 @@
+import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
+import { describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
+
+const exampleFile = fileURLToPath(new URL('../../../examples/leaseAndClaims.mjs', import.meta.url));
+
+describe('examples/leaseAndClaims.mjs', () => {
+  it('runs as docs/coordination.md says, so that the page does not go out of date', async () => {
+    const { stdout } = await promisify(execFile)(process.execPath, [exampleFile]);
+    assert.match(stdout, /riga-a-1 resumes and orders v1: lease_short\nthe upstream serves v2\n/);
+    assert.match(stdout, /riga-a-2 takes the released lease at once: true\n/);
+  });
+});
