--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -1,6 +1,5 @@
 import type { Failure } from '@cactusstair/protocol';
 import { createFailure, OperatorService, PeerService } from '@cactusstair/protocol';
-import { StoreFollower } from '@cactusstair/coordination';
 import {
   CascadePolicy,
   CrashQuarantine,
@@ -25,6 +24,7 @@
 import { createOperatorService } from './operators/operatorService.js';
 import { EntryMetrics } from './ops/metrics.js';
 import { OpsServer } from './ops/opsServer.js';
+import { ConfigFeed } from './peers/configFeed.js';
 import { PeerLinks } from './peers/peerLinks.js';
 import { createPeerService } from './peers/peerService.js';
 import { ChatHandler } from './requests/chatHandler.js';
@@ -32,6 +32,7 @@
 import { RungRunner } from './requests/rungRunner.js';
 import { ServiceHandler } from './requests/serviceHandler.js';
 import { SessionBinder } from './requests/sessionBinder.js';
+import { RolloutController } from './rollouts/rolloutController.js';
 import { RolloutEditor } from './rollouts/rolloutEditor.js';
 import type { EntrySettings } from './settings.js';
 import { EngineClient } from './upstreams/engineClient.js';
@@ -224,11 +225,35 @@
     this.lifecycle.own('operator server', () => operators.close(CALL_GRACE_MS));
     await peers.listen(settings.listen.peers);
     await operators.listen(settings.listen.operators);
+    const controller = new RolloutController({
+      settings,
+      incarnation: this.incarnation,
+      store,
+      replica,
+      rollouts,
+      addresses: this.coordination.addresses,
+      links: this.links,
+      directory: this.directory,
+      counters,
+      clock,
+      logger: this.logger,
+    });
+    this.lifecycle.startTask('rollouts', (signal) => controller.run(signal));
   }
 
   private startTasks(): void {
     const { replica, store, membership, membershipTask, addresses, billing } = this.coordination;
-    const feed = new StoreFollower({ replica, store, clock: this.clock, random: this.random });
+    const feed = new ConfigFeed({
+      replica,
+      store,
+      membership,
+      links: this.links,
+      addresses,
+      seeds: this.settings.peers.seeds,
+      clock: this.clock,
+      random: this.random,
+      logger: this.logger,
+    });
     replica.onChange(() => this.metrics.configRevision.set(replica.appliedRevision));
     this.lifecycle.startTask('configuration', (signal) => feed.run(signal));
     membership.onLost(({ id, incarnation }) => {
--- /dev/null
+++ b/packages/server/src/peers/configFeed.ts
@@ -0,0 +1,122 @@
+import type { ConfigReplica, Membership, ObjectStore } from '@cactusstair/coordination';
+import { PeerFollower, StoreFollower } from '@cactusstair/coordination';
+import { MemberStatus } from '@cactusstair/protocol';
+import type { Clock, Logger, Random } from '@cactusstair/utils';
+
+import type { AddressBook } from './addressBook.js';
+import type { PeerLinks } from './peerLinks.js';
+
+/** Options of `ConfigFeed`. */
+export interface ConfigFeedOptions {
+  replica: ConfigReplica;
+  store: ObjectStore;
+  membership: Membership;
+  links: PeerLinks;
+  addresses: AddressBook;
+  /** Peer addresses to ask before any peer is known. */
+  seeds: readonly string[];
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+}
+
+const REVIEW_INTERVAL_MS = 500;
+
+/** A watcher also asks its peers once it has not been confirmed for this long. */
+const PEER_FALLBACK_MS = 3000;
+
+/** Other instances read the store themselves once their peers have not helped for this long. */
+const STORE_FALLBACK_MS = 6000;
+
+type Source = 'store' | 'peers';
+
+/**
+ * Keeps the configuration replica current.
+ *
+ * Two instances per zone watch the object API, because every open watch counts as a call there;
+ * the others ask these two. Each source stands in for the other when it fails.
+ */
+export class ConfigFeed {
+  private readonly running = new Map<Source, AbortController>();
+
+  constructor(private readonly options: ConfigFeedOptions) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      for (const source of ['store', 'peers'] as const) {
+        if (this.isWanted(source)) this.start(source);
+        else this.stop(source);
+      }
+      await this.options.clock.sleep(REVIEW_INTERVAL_MS, signal);
+    }
+    this.stop('store');
+    this.stop('peers');
+  }
+
+  private isWanted(source: Source): boolean {
+    const { membership, replica } = this.options;
+    const { id, zone } = membership.getSelf();
+    const watching = membership.getWatchers(zone).includes(id);
+    const ageMs = replica.getConfirmedAgeMs();
+    return source === 'store'
+      ? watching || ageMs > STORE_FALLBACK_MS
+      : !watching || ageMs > PEER_FALLBACK_MS;
+  }
+
+  private start(source: Source): void {
+    if (this.running.has(source)) return;
+    const controller = new AbortController();
+    this.running.set(source, controller);
+    this.createFollower(source)
+      .run(controller.signal)
+      .catch((error: unknown) => {
+        this.options.logger.error('following the configuration failed', {
+          source,
+          error: String(error),
+        });
+      })
+      .finally(() => {
+        if (this.running.get(source) === controller) this.running.delete(source);
+      });
+  }
+
+  private stop(source: Source): void {
+    this.running.get(source)?.abort();
+    this.running.delete(source);
+  }
+
+  private createFollower(source: Source): StoreFollower | PeerFollower {
+    const { replica, store, links, clock, random, logger } = this.options;
+    if (source === 'peers') {
+      return new PeerFollower({
+        replica,
+        clock,
+        random,
+        getPeers: () => this.listPeers(),
+        fetchConfig: (address, request) => links.fetchConfig(address, request),
+        onProblem: (peer, problem) => logger.debug('peer does not help', { peer, problem }),
+      });
+    }
+    return new StoreFollower({
+      replica,
+      store,
+      clock,
+      random,
+      onStateChange: (state, reason) => logger.info('configuration watch', { state, reason }),
+    });
+  }
+
+  /** Addresses of the zone's watchers, else of any peers, else the seeds. */
+  private listPeers(): readonly string[] {
+    const { membership, addresses, seeds } = this.options;
+    const self = membership.getSelf();
+    const others = membership
+      .getMembers()
+      .filter(({ id, status }) => id !== self.id && status === MemberStatus.ALIVE);
+    const watchers = membership.getWatchers(self.zone);
+    const preferred = others.filter(({ id }) => watchers.includes(id));
+    // A zone without another watcher asks the instances of other zones.
+    const peers = preferred.length > 0 ? preferred : addresses.listOthers();
+    return peers.length > 0 ? peers.map((peer) => peer.peersAddress) : seeds;
+  }
+}
--- a/packages/server/src/peers/peerService.ts
+++ b/packages/server/src/peers/peerService.ts
@@ -4,6 +4,7 @@
   ConfigReplica,
   MembershipTask,
 } from '@cactusstair/coordination';
+import { answerFetchConfig } from '@cactusstair/coordination';
 import type { PeerServer } from '@cactusstair/protocol';
 import type { VersionStatsRecorder } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
@@ -41,12 +42,7 @@
   const { membership, replica, claims, billing, counters, clock } = options;
   return {
     exchange: handle((request) => membership.handleExchange(request)),
-    fetchConfig: handle(async ({ afterRevision, waitMs }) => {
-      if (waitMs > 0 && replica.appliedRevision <= afterRevision) {
-        await waitForRevision(replica, afterRevision, Math.min(waitMs, MAX_WAIT_MS), clock);
-      }
-      return replica.exportDelta(afterRevision);
-    }),
+    fetchConfig: handle((request) => answerFetchConfig(replica, request, { clock })),
     copyBills: handle(({ bills }) => ({ held: billing.holdCopies(bills) })),
     releaseBills: handle(({ origin, incarnation, upToSequence }) => {
       billing.releaseCopies(origin, incarnation, upToSequence);
@@ -58,19 +54,3 @@
     getVersionStats: handle(() => counters.exportStats()),
   };
 }
-
-/** Waits until a newer revision is applied or `waitMs` have passed. */
-async function waitForRevision(
-  replica: ConfigReplica,
-  afterRevision: number,
-  waitMs: number,
-  clock: Clock,
-): Promise<void> {
-  const changed = new AbortController();
-  const checkRevision = () => {
-    if (replica.appliedRevision > afterRevision) changed.abort();
-  };
-  replica.onChange(checkRevision);
-  await clock.sleep(waitMs, changed.signal);
-  replica.offChange(checkRevision);
-}
