--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -13,6 +13,8 @@
 export { platformFaults, PlatformStandin } from './platformStandin.js';
 export type { CacheEvent } from './prefixCache.js';
 export { hashPrefixBlocks } from './prefixCache.js';
+export type { ConnectionEntry, ProxyOptions } from './proxyStandin.js';
+export { proxyFaults, ProxyStandin } from './proxyStandin.js';
 export type { RaterOptions, RatingEntry } from './raterStandin.js';
 export { raterFaults, RaterStandin } from './raterStandin.js';
 export type { RoleName } from './roles.js';
--- /dev/null
+++ b/packages/standins/src/proxyPipe.ts
@@ -0,0 +1,104 @@
+import type { Socket } from 'node:net';
+
+import { systemClock } from '@cactusstair/utils';
+
+/** Direction of bytes through the proxy. */
+export type PipeDirection = 'toTarget' | 'toClient';
+
+/** What a pipe asks before it passes bytes on. */
+export interface PipeRules {
+  isHeld(direction: PipeDirection): boolean;
+  getDelayMs(): number;
+  /** Undefined without a limit. */
+  getBytesPerSecond(): number | undefined;
+  /** Counts passed bytes; returns false if the connection has to be reset instead. */
+  countBytes(length: number): boolean;
+}
+
+const HOLD_CHECK_MS = 10;
+const QUEUE_LIMIT_BYTES = 256 * 1024;
+const THROTTLE_CHUNK_BYTES = 4096;
+
+interface QueuedChunk {
+  bytes: Buffer;
+  dueAtMs: number;
+}
+
+/**
+ * One direction of one proxied connection. Held bytes stay queued and the source is paused when
+ * the queue is full, so a hold looks like packet loss to both ends and ends without a gap.
+ */
+export class ProxyPipe {
+  private readonly queue: QueuedChunk[] = [];
+
+  private queuedBytes = 0;
+
+  private ended = false;
+
+  private wake: () => void = () => {};
+
+  constructor(
+    private readonly source: Socket,
+    private readonly sink: Socket,
+    private readonly direction: PipeDirection,
+    private readonly rules: PipeRules,
+  ) {}
+
+  /** Passes bytes on until the source ends or either side closes. */
+  async run(signal: AbortSignal): Promise<void> {
+    this.source.on('data', (bytes: Buffer) => {
+      this.queue.push({ bytes, dueAtMs: performance.now() + this.rules.getDelayMs() });
+      this.queuedBytes += bytes.length;
+      if (this.queuedBytes > QUEUE_LIMIT_BYTES) this.source.pause();
+      this.wake();
+    });
+    this.source.on('end', () => {
+      this.ended = true;
+      this.wake();
+    });
+    signal.addEventListener('abort', () => this.wake(), { once: true });
+    while (!signal.aborted) {
+      const chunk = this.queue.shift();
+      if (chunk) await this.pass(chunk, signal);
+      else if (this.ended) break;
+      else await this.waitForChunk();
+    }
+    await this.waitWhileHeld(signal);
+    if (!signal.aborted) this.sink.end();
+  }
+
+  private waitForChunk(): Promise<void> {
+    return new Promise((resolve) => {
+      this.wake = resolve;
+    });
+  }
+
+  private async waitWhileHeld(signal: AbortSignal): Promise<void> {
+    while (this.rules.isHeld(this.direction) && !signal.aborted) {
+      await systemClock.sleep(HOLD_CHECK_MS, signal);
+    }
+  }
+
+  private async pass(chunk: QueuedChunk, signal: AbortSignal): Promise<void> {
+    const waitMs = chunk.dueAtMs - performance.now();
+    if (waitMs > 0) await systemClock.sleep(waitMs, signal);
+    const rate = this.rules.getBytesPerSecond();
+    const step = rate === undefined ? chunk.bytes.length : THROTTLE_CHUNK_BYTES;
+    for (let start = 0; start < chunk.bytes.length; start += step) {
+      await this.waitWhileHeld(signal);
+      const part = chunk.bytes.subarray(start, start + step);
+      if (signal.aborted || !this.rules.countBytes(part.length)) return;
+      if (!this.sink.write(part)) await this.waitForDrain(signal);
+      if (rate !== undefined) await systemClock.sleep((part.length / rate) * 1000, signal);
+    }
+    this.queuedBytes -= chunk.bytes.length;
+    if (this.queuedBytes <= QUEUE_LIMIT_BYTES) this.source.resume();
+  }
+
+  private waitForDrain(signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      this.sink.once('drain', resolve);
+      signal.addEventListener('abort', () => resolve(), { once: true });
+    });
+  }
+}
--- a/packages/standins/src/roles.ts
+++ b/packages/standins/src/roles.ts
@@ -3,6 +3,8 @@
 import { engineOptionsSchema } from './engineOptions.js';
 import { EngineStandin } from './engineStandin.js';
 import { PlatformStandin } from './platformStandin.js';
+import type { ProxyOptions } from './proxyStandin.js';
+import { ProxyStandin } from './proxyStandin.js';
 import { RaterStandin } from './raterStandin.js';
 import { ServiceStandin } from './serviceStandin.js';
 import { WeightStoreStandin } from './weightStoreStandin.js';
@@ -75,6 +77,16 @@
     }),
     start: (options) => new RaterStandin(options).start(),
   },
+  proxy: {
+    description: 'Fault-injecting TCP proxy',
+    schema: z.strictObject({
+      listen: z.string().optional(),
+      seed: z.number().int().optional(),
+      target: z.string(),
+      control: z.string().optional(),
+    }),
+    start: (options) => new ProxyStandin(options as ProxyOptions).start(),
+  },
 } satisfies Record<string, Role>;
 
 export type RoleName = keyof typeof roles;
