--- a/packages/place/src/main.ts
+++ b/packages/place/src/main.ts
@@ -30,7 +30,7 @@
 const stopped = waitForSignal();
 try {
   const place = await Place.start(defaultPlaceOptions);
-  process.stderr.write(`settings and logs are in ${place.runDir}\n`);
+  process.stderr.write(`logs are in ${place.runDir}\n`);
   process.stdout.write(`${JSON.stringify(describePlace(place))}\n`);
   await stopped;
   await place.close();
--- a/packages/place/src/place.ts
+++ b/packages/place/src/place.ts
@@ -1,4 +1,4 @@
-import { existsSync, mkdirSync, mkdtempSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -54,9 +54,12 @@
 
   readonly entries: EntryAddresses[] = [];
 
-  /** Directory of the settings files (`*.yaml`) and the logs (`*.log`). */
+  /** Directory of the logs, `{process name}.log`. It stays after `close`. */
   readonly runDir: string;
 
+  /** Temporary directory of the settings files, `{process name}.yaml`. `close` removes it. */
+  readonly settingsDir: string;
+
   private readonly clusterKeyFile: string;
 
   private readonly proxies = new Map<string, { address: string; control: string }>();
@@ -70,13 +73,11 @@
   };
 
   private constructor(private readonly options: PlaceOptions) {
-    if (options.runDir !== undefined) {
-      this.runDir = options.runDir;
-      mkdirSync(options.runDir, { recursive: true });
-    } else {
-      this.runDir = mkdtempSync(join(tmpdir(), 'cactusstair-place-'));
-    }
-    this.clusterKeyFile = join(this.runDir, 'cluster.key');
+    this.runDir =
+      options.runDir ?? join(repositoryDir, 'runs', `place-${Date.now()}-${process.pid}`);
+    mkdirSync(this.runDir, { recursive: true });
+    this.settingsDir = mkdtempSync(join(tmpdir(), 'cactusstair-place-'));
+    this.clusterKeyFile = join(this.settingsDir, 'cluster.key');
     writeFileSync(this.clusterKeyFile, `${deriveSecret(options.seed ?? 1, 'cluster-key')}\n`);
     process.once('exit', this.killAll);
   }
@@ -153,6 +154,12 @@
     if (!response.ok) throw new Error(`the platform did not list ${name}: ${response.status}`);
   }
 
+  /** Lets an upstream announce that it leaves, itself and in the platform's lagging list. */
+  async startLeaving(name: string): Promise<void> {
+    await this.injectFault(name, { fault: 'leaving' });
+    await this.listInstance(name, 'leaving');
+  }
+
   /** Stops every process in order: entry instances, upstreams, then the platform. */
   close(): Promise<void> {
     this.closing ??= this.stopAll();
@@ -165,6 +172,7 @@
       await Promise.all(members.map((child) => child.stop()));
     }
     process.removeListener('exit', this.killAll);
+    rmSync(this.settingsDir, { recursive: true, force: true });
   }
 
   private get entryMainFile(): string {
@@ -333,7 +341,7 @@
   }
 
   private writeSettings(name: string, settings: object): string {
-    const file = join(this.runDir, `${name}.yaml`);
+    const file = join(this.settingsDir, `${name}.yaml`);
     writeFileSync(file, stringify(settings));
     return file;
   }
--- a/packages/place/src/placeOptions.ts
+++ b/packages/place/src/placeOptions.ts
@@ -101,7 +101,7 @@
   region?: string;
   /** Seed of every process; each derives its own from it and its name. Default 1. */
   seed?: number;
-  /** Directory for logs and settings files. Default: a new directory below the system's. */
+  /** Directory for the logs. Default: a new directory below `runs/`. */
   runDir?: string;
   /** Further settings of each entry instance, merged into its file, for example `permits`. */
   entrySettings?: Record<string, unknown>;
--- a/packages/standins/src/engineAdmission.ts
+++ b/packages/standins/src/engineAdmission.ts
@@ -28,7 +28,7 @@
 export function findRefusal(request: EngineRequest, state: AdmissionState): Refusal | undefined {
   const { model, version } = request;
   const leaving = state.faults.get('leaving');
-  if (leaving && Date.now() - (state.leavingSinceMs ?? 0) >= leaving.refuseAfterMs) {
+  if (leaving && Date.now() - (state.leavingSinceMs ?? Date.now()) >= leaving.refuseAfterMs) {
     return { status: 503, type: 'leaving', message: 'the engine is leaving' };
   }
   const loaded = state.loader.find(model, version);
--- a/packages/standins/src/engineStandin.ts
+++ b/packages/standins/src/engineStandin.ts
@@ -23,6 +23,7 @@
 import { FaultTable } from './faultTable.js';
 import { HttpStandin, isControlRequest, resetConnection } from './httpStandin.js';
 import { LaggingReport } from './laggingReport.js';
+import { LeavingState } from './leavingState.js';
 import { ModelLoader, orderSchema } from './modelLoader.js';
 import { PrefixCache } from './prefixCache.js';
 
@@ -55,7 +56,7 @@
 
   private incarnation = 1;
 
-  private leavingSinceMs: number | undefined;
+  private readonly leaving = new LeavingState(() => this.faults.get('leaving') !== undefined);
 
   private generatedIds = 0;
 
@@ -82,9 +83,7 @@
     this.faults.setHandlers({
       crash: ({ downMs }) => this.startCrash(downMs),
       silence: () => this.silenceConnections(),
-      leaving: () => {
-        this.leavingSinceMs ??= Date.now();
-      },
+      leaving: () => this.leaving.start(),
     });
     this.addHooks();
     this.addCompletionRoutes();
@@ -92,7 +91,7 @@
   }
 
   protected override beforeClose(): void {
-    this.leavingSinceMs ??= Date.now();
+    this.leaving.startClosing();
     this.loadReport.close();
   }
 
@@ -107,7 +106,7 @@
         const value = request.headers[name];
         if (value !== undefined) reply.header(name, value);
       }
-      if (this.leavingSinceMs !== undefined) reply.header('x-upstream-leaving', 'true');
+      if (this.leaving.sinceMs !== undefined) reply.header('x-upstream-leaving', 'true');
     });
   }
 
@@ -144,14 +143,14 @@
       zone: this.settings.zone,
       incarnation: this.incarnation,
       ...this.loader.getState(),
-      leaving: this.leavingSinceMs !== undefined,
+      leaving: this.leaving.sinceMs !== undefined,
       active: this.scheduler.active,
       queued: this.scheduler.queued,
       cachedBlocks: this.cache.size,
     }));
     this.app.get('/journal', () => ({
       name: this.settings.name,
-      leavingSinceMs: this.leavingSinceMs,
+      leavingSinceMs: this.leaving.sinceMs,
       requests: this.journal,
       orders: this.loader.entries,
     }));
@@ -164,7 +163,7 @@
       slots: this.settings.slots,
       active: this.scheduler.active,
       queued: this.scheduler.queued,
-      leaving: this.leavingSinceMs !== undefined,
+      leaving: this.leaving.sinceMs !== undefined,
       role: this.loader.role,
       versions: [...this.loader.getLoaded()],
       cacheEvents: this.cache.lastSequence,
@@ -190,7 +189,7 @@
       loader: this.loader,
       scheduler: this.scheduler,
       random: this.random,
-      leavingSinceMs: this.leavingSinceMs,
+      leavingSinceMs: this.leaving.sinceMs,
     });
     if (refusal) {
       const { status, type, message } = refusal;
@@ -297,7 +296,7 @@
       outcome: 'running',
       tokens: 0,
       resumeFrom: request.resumeFrom,
-      receivedWhileLeaving: this.leavingSinceMs !== undefined,
+      receivedWhileLeaving: this.leaving.sinceMs !== undefined,
     };
     this.journal.push(entry);
     return new EngineRun(
@@ -323,7 +322,6 @@
     for (const run of this.runs) run.stop('crashed');
     const crashed = this.crash(downMs, () => {
       this.incarnation += 1;
-      this.leavingSinceMs = undefined;
       this.faults.clear('leaving');
       this.loader.reset();
       this.cache.clear();
--- a/packages/standins/src/objectTable.ts
+++ b/packages/standins/src/objectTable.ts
@@ -33,9 +33,12 @@
   return event.type === 'put' ? event.object.kind : event.kind;
 }
 
-interface TimedEvent {
+/** An event of the history with its wall-clock time. */
+export interface TimedEvent {
   event: StoreEvent;
   atMs: number;
+  /** Set when the value of a replaced object is no longer kept. */
+  valueDropped?: true;
 }
 
 /** Objects with versions, a store-wide revision and the full history of writes. */
@@ -46,6 +49,9 @@
 
   private currentRevision = 0;
 
+  /** @param keptValues newest events that keep their value also after it was replaced. */
+  constructor(private readonly keptValues = Infinity) {}
+
   get revision(): number {
     return this.currentRevision;
   }
@@ -80,6 +86,7 @@
     const objects = this.kinds.get(kind) ?? new Map<string, StoredObject>();
     this.kinds.set(kind, objects.set(name, object));
     this.record({ type: 'put', object });
+    if (current) this.dropOldValue(current.revision);
     return { type: current ? 'updated' : 'created', object };
   }
 
@@ -90,12 +97,19 @@
     this.currentRevision += 1;
     this.kinds.get(kind)?.delete(name);
     this.record({ type: 'delete', kind, name, revision: this.currentRevision });
+    this.dropOldValue(current.revision);
     return { type: 'deleted', revision: this.currentRevision };
   }
 
-  /** Every event after `revision`, oldest first. Revisions are dense, so the index is known. */
+  /**
+   * Every event after `revision`, oldest first. Revisions are dense, so the index is known. An
+   * event without its value is left out, as a later event of the same object follows it.
+   */
   getEventsAfter(revision: number): StoreEvent[] {
-    return this.events.slice(Math.max(0, revision)).map(({ event }) => event);
+    return this.events
+      .slice(Math.max(0, revision))
+      .filter((timed) => !timed.valueDropped)
+      .map(({ event }) => event);
   }
 
   /** The history with wall-clock times. */
@@ -122,5 +136,17 @@
 
   private record(event: StoreEvent): void {
     this.events.push({ event, atMs: Date.now() });
+    this.dropOldValue(this.events.length - this.keptValues);
+  }
+
+  /** Bounds the memory of long runs: large values that are written often fill it otherwise. */
+  private dropOldValue(revision: number): void {
+    const timed = this.events[revision - 1];
+    if (!timed || timed.event.type !== 'put' || timed.valueDropped) return;
+    const { object } = timed.event;
+    const isOld = revision <= this.events.length - this.keptValues;
+    if (!isOld || this.get(object.kind, object.name) === object) return;
+    timed.valueDropped = true;
+    timed.event = { type: 'put', object: { ...object, value: null } };
   }
 }
--- a/packages/standins/src/platformStandin.ts
+++ b/packages/standins/src/platformStandin.ts
@@ -17,11 +17,13 @@
 export interface PlatformOptions extends HttpStandinOptions {
   /** Age of the list of instances in milliseconds. Default 5,000. */
   instanceLagMs?: number;
+  /** Newest history events that keep the values of replaced objects. Default 10,000. */
+  historyValues?: number;
 }
 
 /** Faults of the object API, by name. */
 export const platformFaults = {
-  /** Answers 503, or leaves every connection without an answer. */
+  /** Answers 503 and ends the watches, or leaves every connection without an answer. */
   outage: { mode: z.enum(['refuse', 'silent']).default('refuse') },
   /** Delays each call by `delayMs` plus up to `jitterMs`. */
   slow: { delayMs: z.number().nonnegative(), jitterMs: z.number().nonnegative().default(0) },
@@ -52,6 +54,7 @@
 
 const VALUE_LIMIT_BYTES = 1_000_000;
 const DEFAULT_INSTANCE_LAG_MS = 5000;
+const DEFAULT_HISTORY_VALUES = 10_000;
 const DEFAULT_PAGE = 500;
 const LARGEST_PAGE = 1000;
 
@@ -98,7 +101,7 @@
 export class PlatformStandin extends HttpStandin {
   readonly faults = new FaultTable(platformFaults);
 
-  private readonly table = new ObjectTable();
+  private readonly table: ObjectTable;
 
   private readonly instances: InstanceList;
 
@@ -113,9 +116,15 @@
   constructor(options: PlatformOptions = {}) {
     super(options, VALUE_LIMIT_BYTES);
     this.random = createRandom(options.seed ?? 1);
+    this.table = new ObjectTable(options.historyValues ?? DEFAULT_HISTORY_VALUES);
     this.instances = new InstanceList(options.instanceLagMs ?? DEFAULT_INSTANCE_LAG_MS);
     this.hub = new WatchHub(this.table, this.random, () => this.faults.get('watch'));
     this.faults.setHandlers({
+      // An outage also ends or silences the open watches.
+      outage: ({ mode }) => {
+        if (mode === 'silent') this.silenceConnections();
+        else this.hub.endAll();
+      },
       endWatches: () => this.hub.endAll(),
       silence: () => this.silenceConnections(),
     });
--- a/packages/standins/src/roles.ts
+++ b/packages/standins/src/roles.ts
@@ -36,7 +36,11 @@
 export const roles = {
   platform: {
     description: 'Object API',
-    schema: z.strictObject({ ...commonShape, instanceLagMs: durationMs }),
+    schema: z.strictObject({
+      ...commonShape,
+      instanceLagMs: durationMs,
+      historyValues: z.number().int().positive().optional(),
+    }),
     start: (options) => new PlatformStandin(options).start(),
   },
   engine: {
--- a/packages/standins/src/serviceStandin.ts
+++ b/packages/standins/src/serviceStandin.ts
@@ -7,6 +7,7 @@
 import type { HttpStandinOptions } from './httpStandin.js';
 import { HttpStandin, isControlRequest, resetConnection } from './httpStandin.js';
 import { LaggingReport } from './laggingReport.js';
+import { LeavingState } from './leavingState.js';
 
 /** Options of the plain service. */
 export interface ServiceOptions extends HttpStandinOptions {
@@ -91,7 +92,7 @@
 
   private incarnation = 1;
 
-  private leavingSinceMs: number | undefined;
+  private readonly leaving = new LeavingState(() => this.faults.get('leaving') !== undefined);
 
   constructor(private readonly options: ServiceOptions = {}) {
     super(options);
@@ -102,15 +103,13 @@
     this.faults.setHandlers({
       crash: ({ downMs }) => this.startCrash(downMs),
       silence: () => this.silenceConnections(),
-      leaving: () => {
-        this.leavingSinceMs ??= Date.now();
-      },
+      leaving: () => this.leaving.start(),
     });
     this.addRoutes();
   }
 
   protected override beforeClose(): void {
-    this.leavingSinceMs ??= Date.now();
+    this.leaving.startClosing();
     this.loadReport.close();
   }
 
@@ -125,7 +124,7 @@
     this.app.get('/load', () => this.loadReport.get());
     this.app.get('/journal', () => ({
       name: this.options.name ?? 'service',
-      leavingSinceMs: this.leavingSinceMs,
+      leavingSinceMs: this.leaving.sinceMs,
       calls: this.journal,
     }));
     this.app.all('/*', (request, reply) => this.runCall(request, reply));
@@ -138,14 +137,14 @@
       slots: this.options.slots ?? DEFAULT_SLOTS,
       active: this.active,
       queued: 0,
-      leaving: this.leavingSinceMs !== undefined,
+      leaving: this.leaving.sinceMs !== undefined,
       versions: [],
     };
   }
 
   private async runCall(request: FastifyRequest, reply: FastifyReply): Promise<unknown> {
     const receivedAtMs = Date.now();
-    const receivedWhileLeaving = this.leavingSinceMs !== undefined;
+    const receivedWhileLeaving = this.leaving.sinceMs !== undefined;
     const incarnation = this.incarnation;
     for (const name of ECHOED_HEADERS) {
       const value = readHeader(request, name);
@@ -209,7 +208,7 @@
 
   private findRefusal(): { status: number; type: string } | undefined {
     const leaving = this.faults.get('leaving');
-    if (leaving && Date.now() - (this.leavingSinceMs ?? 0) >= leaving.refuseAfterMs) {
+    if (leaving && Date.now() - (this.leaving.sinceMs ?? Date.now()) >= leaving.refuseAfterMs) {
       return { status: 503, type: 'leaving' };
     }
     const failing = this.faults.get('errorRate');
@@ -228,7 +227,6 @@
   private startCrash(downMs: number): void {
     this.incarnation += 1;
     const crashed = this.crash(downMs, () => {
-      this.leavingSinceMs = undefined;
       this.faults.clear('leaving');
     });
     crashed.catch(() => {});
--- a/packages/standins/src/weightStoreStandin.ts
+++ b/packages/standins/src/weightStoreStandin.ts
@@ -1,5 +1,5 @@
 import { createRandom, systemClock } from '@cactusstair/utils';
-import type { Random } from '@cactusstair/utils';
+import type { Clock, Random } from '@cactusstair/utils';
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { z } from 'zod';
 
@@ -13,6 +13,8 @@
   megabytesPerSecond?: number;
   /** Size of the token bucket. Default 100. */
   burstMegabytes?: number;
+  /** Clock of the token bucket. Default: the system's. */
+  clock?: Clock;
 }
 
 /** Faults of the weight store, by name. */
@@ -62,11 +64,15 @@
 
   private tokens: number;
 
-  private refilledAtMs = performance.now();
+  private readonly clock: Clock;
+
+  private refilledAtMs: number;
 
   constructor(private readonly options: WeightStoreOptions = {}) {
     super(options);
     this.random = createRandom(options.seed ?? 1);
+    this.clock = options.clock ?? systemClock;
+    this.refilledAtMs = this.clock.monotonicMs();
     this.tokens = options.burstMegabytes ?? DEFAULT_BURST;
     this.faults.register(this.app);
     this.app.addHook('onRequest', async (request, reply) => {
@@ -104,11 +110,11 @@
     const rate =
       (this.options.megabytesPerSecond ?? DEFAULT_RATE) / (this.faults.get('slow')?.factor ?? 1);
     const burst = this.options.burstMegabytes ?? DEFAULT_BURST;
-    const elapsedMs = performance.now() - this.refilledAtMs;
+    const elapsedMs = this.clock.monotonicMs() - this.refilledAtMs;
     this.tokens = Math.min(burst, this.tokens + (elapsedMs / 1000) * rate);
-    this.refilledAtMs = performance.now();
+    this.refilledAtMs = this.clock.monotonicMs();
     this.tokens -= megabytes;
     if (this.tokens >= 0) return;
-    await systemClock.sleep((-this.tokens / rate) * 1000, this.abortController.signal);
+    await this.clock.sleep((-this.tokens / rate) * 1000, this.abortController.signal);
   }
 }
--- a/tests/standins/place.test.ts
+++ b/tests/standins/place.test.ts
@@ -26,6 +26,7 @@
       ],
       models: [{ name: 'small', versions: [{ version: '1' }] }],
       workspaces: [{ name: 'ladders' }],
+      proxies: [{ name: 'link-1', from: '*', to: 'riga-a-engine-1' }],
       cascades: [{ workspace: 'ladders', name: 'auto', rungs: ['small'] }],
     });
   });
@@ -42,6 +43,16 @@
     assert.deepEqual(seen.cascades, ['ladders.auto']);
   });
 
+  it('puts a proxy before an upstream, which a fault cuts off while the upstream runs on', async () => {
+    const object = await fetch(`${place.platformUrl}/v1/objects/upstream/riga-a-engine-1`);
+    const { value } = (await object.json()) as { value: { url: string } };
+    assert.equal((await fetch(`${value.url}/state`)).status, 200);
+    await place.injectFault('link-1', { fault: 'cut' });
+    await assert.rejects(fetch(`${value.url}/state`));
+    assert.equal((await fetch(`${place.getUrl('riga-a-engine-1')}/state`)).status, 200);
+    await place.injectFault('link-1', { fault: 'clear' });
+  });
+
   it('restarts a killed process at its old address, which upstream objects still name', async () => {
     const engine = place.getProcess('riga-a-engine-1');
     const { address } = engine.readyLine;
--- a/tests/standins/platform.test.ts
+++ b/tests/standins/platform.test.ts
@@ -100,6 +100,18 @@
     );
   });
 
+  it('sends a late watch the newest value of each object when old values are dropped', async () => {
+    await platform.close();
+    platform = await new PlatformStandin({ historyValues: 2 }).start();
+    await create('model/a', { n: 1 });
+    await put('model/a', { n: 2 }, { 'if-match': '"1"' });
+    await create('model/b', {});
+    await create('model/c', {});
+    const lines = await readBacklog('model', 0);
+    const values = lines.flatMap((line) => (line.type === 'put' ? [line.object.value] : []));
+    assert.deepEqual(values, [{ n: 2 }, {}, {}]);
+  });
+
   describe('faults', () => {
     it('lose the answer of a write that has taken effect', async () => {
       platform.faults.inject({ fault: 'loseAnswer', count: 1 });
