--- a/packages/coordination/src/memberTable.ts
+++ b/packages/coordination/src/memberTable.ts
@@ -38,7 +38,7 @@
   record: MemberRecord;
   /** Local monotonic time at which the incarnation or the heartbeat last rose. */
   advancedAtMs: number;
-  /** Local monotonic time at which the record last changed. */
+  /** Local monotonic time at which the incarnation or the status last changed. */
   changedAtMs: number;
   /** Local monotonic time at which the record arrived. */
   receivedAtMs: number;
@@ -92,7 +92,10 @@
       received.incarnation > known.record.incarnation ||
       received.heartbeat > known.record.heartbeat;
     const advancedAtMs = isAdvance ? nowMs : known.advancedAtMs;
-    const entry = { record, advancedAtMs, changedAtMs: nowMs, receivedAtMs: nowMs };
+    const isChange =
+      known?.record.incarnation !== record.incarnation || known.record.status !== record.status;
+    const changedAtMs = isChange ? nowMs : known.changedAtMs;
+    const entry = { record, advancedAtMs, changedAtMs, receivedAtMs: nowMs };
     this.entries.set(record.id, entry);
     if (known && known.record.incarnation < record.incarnation && !isGone(known.record)) {
       this.options.onLost(known.record);
--- a/packages/coordination/src/membershipTask.ts
+++ b/packages/coordination/src/membershipTask.ts
@@ -79,8 +79,8 @@
     lifecycle.startTask('membership', async (signal) => {
       await this.listInstances();
       while (!signal.aborted) {
-        await this.runRound();
-        await clock.sleep(intervalMs, signal);
+        // Exchanges that time out must not delay the next heartbeat.
+        await Promise.all([this.runRound(), clock.sleep(intervalMs, signal)]);
       }
     });
   }
@@ -118,16 +118,19 @@
     const { membership, seeds } = this.options;
     const self = membership.getSelf();
     const lost = this.choose(membership.listLostPeers());
-    const isKnown = new Set(membership.listZonePeers().map((peer) => peer.peersAddress));
+    const zonePeers = membership.listZonePeers();
+    const isKnown = new Set(zonePeers.map((peer) => peer.peersAddress));
     const addresses = [...new Set([...seeds, ...this.listedAddresses])].filter(
       (address) => address !== self.peersAddress && !isKnown.has(address),
     );
-    const seed = this.choose(addresses);
+    // On average one member of each zone tries a seed; more would overload the few seeds.
+    const isChosen = this.options.random.nextInt(zonePeers.length + 1) === 0;
+    const seed = isChosen ? this.choose(addresses) : undefined;
     await Promise.all([
       lost && this.runExchange(lost),
       seed === undefined ? undefined : this.runExchange({ id: '', peersAddress: seed }),
     ]);
-    if (membership.listZonePeers().length === 0) await this.listInstances();
+    if (zonePeers.length === 0) await this.listInstances();
   }
 
   private async runExchange(peer: Pick<MemberRecord, 'id' | 'peersAddress'>): Promise<void> {
@@ -135,7 +138,7 @@
     const timeout = new AbortController();
     const finished = new AbortController();
     const expired = clock.sleep(timeoutMs, finished.signal).then(() => {
-      timeout.abort();
+      if (!finished.signal.aborted) timeout.abort();
       return undefined;
     });
     try {
@@ -146,7 +149,8 @@
     } catch {
       membership.recordExchangeFailure(peer.id);
     } finally {
-      finished.abort();
+      // A reason avoids the cost of an error with a stack in each exchange.
+      finished.abort('finished');
     }
   }
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -12,6 +12,8 @@
 export type { PlatformOptions } from './platformStandin.js';
 export { platformFaults, PlatformStandin } from './platformStandin.js';
 export type { CacheEvent } from './prefixCache.js';
+export type { ConnectionEntry, ProxyOptions } from './proxyStandin.js';
+export { proxyFaults, ProxyStandin } from './proxyStandin.js';
 export type { RaterOptions, RatingEntry } from './raterStandin.js';
 export { raterFaults, RaterStandin } from './raterStandin.js';
 export type { RoleName } from './roles.js';
