Add quota leases

An instance leases chunks of a workspace's window by conditional update and serves from them in memory. The chunk follows the measured rate; unused tokens return to the object. Without the object API each instance serves its static share, computed from the highest number of instances of the last minutes, because a split makes the others look lost.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -20,3 +20,5 @@
 export { Membership } from './membership.js';
 export type { ExchangeTransport, MembershipTaskOptions } from './membershipTask.js';
 export { MembershipTask } from './membershipTask.js';
+export type { QuotaLeaseOptions } from './quotaLease.js';
+export { QuotaLease } from './quotaLease.js';
