--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -50,3 +50,5 @@
 export type { ExchangeTransport, MembershipTaskOptions } from './membershipTask.js';
 export { MembershipTask } from './membershipTask.js';
 export { InstanceDirectory } from './instanceDirectory.js';
+export type { QuotaLeaseOptions } from './quotaLease.js';
+export { QuotaLease } from './quotaLease.js';
--- a/packages/server/src/coordination.ts
+++ b/packages/server/src/coordination.ts
@@ -7,6 +7,7 @@
   HttpObjectStore,
   Membership,
   MembershipTask,
+  QuotaLease,
   SessionTokens,
 } from '@cactusstair/coordination';
 import type { CrashQuarantine } from '@cactusstair/routing';
@@ -46,6 +47,8 @@
 
   readonly billing: BillingJournal;
 
+  readonly quotas: QuotaLease;
+
   constructor(options: CoordinationOptions) {
     const { settings, incarnation, links, quarantine, clock, random, logger, lifecycle } = options;
     const { id, region, zone } = settings.instance;
@@ -103,6 +106,15 @@
       incarnation,
       maxBufferedBills: settings.limits.unflushedBills,
     });
+    this.quotas = new QuotaLease({
+      store: this.store,
+      clock,
+      random,
+      lifecycle,
+      instance: id,
+      incarnation,
+      getInstanceCount: () => this.countInstances(),
+    });
   }
 
   /** Instances that are known to be alive, this one included. */
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -269,7 +269,7 @@
 
   private createCallerServer(): Promise<CallerServer> {
     const { settings, clock, metrics, invariants, directory, quarantine, random } = this;
-    const { replica, sessions, billing, claims } = this.coordination;
+    const { replica, sessions, billing, quotas, claims } = this.coordination;
     const { limits } = settings;
     const resolver = new VersionResolver(replica, settings.permits);
     const retryBudget = new RetryBudget({ clock });
@@ -295,6 +295,7 @@
         lifetimeMs: settings.sessions.lifetimeMs,
       }),
       billing,
+      quotas,
       quarantine,
       cascades: new CascadePolicy({ clock, random, instance: settings.instance.id }),
       rungs,
--- a/packages/server/src/requests/chatHandler.ts
+++ b/packages/server/src/requests/chatHandler.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 
-import type { BillingJournal } from '@cactusstair/coordination';
+import type { BillingJournal, QuotaLease } from '@cactusstair/coordination';
 import type { BillStep, Failure, Workspace } from '@cactusstair/protocol';
 import { createFailure, getResultCode } from '@cactusstair/protocol';
 import type {
@@ -32,6 +32,7 @@
   resolver: VersionResolver;
   sessions: SessionBinder;
   billing: BillingJournal;
+  quotas: QuotaLease;
   quarantine: CrashQuarantine;
   cascades: CascadePolicy;
   rungs: RungRunner;
@@ -95,8 +96,14 @@
     const prepared = await this.prepare(request);
     if (prepared.isErr()) return err(prepared.error);
     const { call } = prepared.value;
-    const { invariants } = this.options;
+    const { quotas, invariants } = this.options;
+    const { name, tokensPerMinute } = call.workspace;
+    const reserved = estimateTokens(call);
+    const quota = quotas.tryConsume(name, tokensPerMinute, reserved);
+    if (quota.isErr()) return err(quota.error);
     const result = await this.climb(prepared.value, sink);
+    const used = result.isOk() ? result.value : 0;
+    quotas.refund(name, Math.max(0, reserved - used));
     if (result.isErr()) {
       invariants.check(
         'not_run_means_not_dispatched',
@@ -104,7 +111,7 @@
         () => `request ${call.requestId} was dispatched and answered ${result.error.name}`,
       );
     }
-    return result;
+    return result.map(() => undefined);
   }
 
   private async prepare(request: ChatRequest): Promise<Result<PreparedChat, Failure>> {
@@ -141,6 +148,7 @@
       workspace,
       body,
       requestClass: classifyRequest(body),
+      promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
       expectedTokens: estimateCompletionTokens(body),
       prefixHashes: computePrefixHashes(prompt),
       fingerprint: createHash('sha256').update(`${workspace.name}\n${prompt}`).digest('hex'),
@@ -151,8 +159,12 @@
     };
   }
 
-  /** Runs rungs from the start rung upwards until an answer is good enough, and delivers it. */
-  private async climb(prepared: PreparedChat, sink: AnswerSink): Promise<Result<void, Failure>> {
+  /**
+   * Runs rungs from the start rung upwards until an answer is good enough, and delivers it.
+   *
+   * @returns the tokens of all rungs that ran.
+   */
+  private async climb(prepared: PreparedChat, sink: AnswerSink): Promise<Result<number, Failure>> {
     const { call, bound, rungs } = prepared;
     const steps: BillStep[] = [];
     let rung = this.chooseStart(prepared, sink.streaming);
@@ -254,7 +266,7 @@
 
   private createRungInfo(call: ChatCall, { model, version }: ResolvedVersion): RungInfo {
     const usage = {
-      promptTokens: Math.ceil(getPromptText(call.body).length / CHARACTERS_PER_TOKEN),
+      promptTokens: call.promptTokens,
       completionTokens: call.expectedTokens,
     };
     return {
@@ -289,7 +301,7 @@
     answer: RungAnswer,
     steps: BillStep[],
     sink: AnswerSink,
-  ): Promise<Result<void, Failure>> {
+  ): Promise<Result<number, Failure>> {
     const { billing, metrics, clock } = this.options;
     const sum = sumSteps(steps);
     const billed = await billing.record({
@@ -315,7 +327,7 @@
       usage: answer.usage,
       costMicros: sum.costMicros,
     });
-    return ok(undefined);
+    return ok(sum.promptTokens + sum.completionTokens);
   }
 }
 
@@ -329,3 +341,8 @@
     costMicros: computeCostMicros(resolved.version, usage),
   };
 }
+
+/** Tokens that are reserved before the answer is known. */
+function estimateTokens({ promptTokens, expectedTokens }: ChatCall): number {
+  return promptTokens + expectedTokens;
+}
--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -19,6 +19,8 @@
   workspace: Workspace;
   body: ChatBody;
   requestClass: RequestClass;
+  /** Estimated tokens of the prompt and of the answer. */
+  promptTokens: number;
   expectedTokens: number;
   /** Cumulative hashes of the prompt's blocks, for prefix-cache affinity. */
   prefixHashes: string[];
