--- a/packages/standins/src/httpStandin.ts
+++ b/packages/standins/src/httpStandin.ts
@@ -69,6 +69,18 @@
         return createServer();
       },
     });
+    // Some clients name a content type on calls without a body, for example on DELETE.
+    this.app.addContentTypeParser(
+      'application/json',
+      { parseAs: 'string' },
+      (_request, body, done) => {
+        try {
+          done(null, body === '' ? undefined : JSON.parse(String(body)));
+        } catch (error) {
+          done(Object.assign(error as Error, { statusCode: 400 }));
+        }
+      },
+    );
     this.app.addHook('onRequest', async (request, reply) => {
       // A client that kept this connection would later control a stand-in through a connection
       // that a fault has silenced.
