--- a/packages/place/src/place.ts
+++ b/packages/place/src/place.ts
@@ -11,9 +11,11 @@
 import { findFreePorts } from './freePorts.js';
 import type { PlacedUpstream } from './placeConfig.js';
 import { createConfigEntries, deriveSecret, getApiKey, getServiceNames } from './placeConfig.js';
-import type { PlaceEngines, PlaceOptions, PlaceServices, PlaceZone } from './placeOptions.js';
+import type { PlaceOptions } from './placeOptions.js';
 import { PlaceProcess } from './placeProcess.js';
 import { deriveSeed } from './seed.js';
+import type { UpstreamPlan } from './upstreamPlan.js';
+import { checkProxies, createQualityTable, planUpstreams } from './upstreamPlan.js';
 
 /** Published addresses of one entry instance. */
 export interface EntryAddresses {
@@ -180,12 +182,16 @@
   }
 
   private async startAll(): Promise<void> {
+    checkProxies(this.options);
     const hasEntries = this.options.zones.some((zone) => zone.entries !== 0);
     if (hasEntries && !existsSync(this.entryMainFile)) {
       throw new Error(`${this.entryMainFile} does not exist; build it with npm run build`);
     }
     await this.startPlatform();
-    await Promise.all(this.options.zones.map((zone) => this.startUpstreams(zone)));
+    const upstreamPlans = this.options.zones.flatMap((zone) =>
+      planUpstreams(zone, this.options.models),
+    );
+    await Promise.all(upstreamPlans.map((plan) => this.startUpstream(plan)));
     this.upstreams.sort((a, b) => (a.name < b.name ? -1 : 1));
     const plans = await planEntries(this.options.zones);
     await this.writeConfig();
@@ -194,13 +200,7 @@
   }
 
   private async startPlatform(): Promise<void> {
-    const quality = Object.fromEntries(
-      this.options.models.flatMap((model) =>
-        model.versions
-          .filter((version) => version.quality !== undefined)
-          .map((version) => [`${model.name}@${version.version}`, version.quality]),
-      ),
-    );
+    const quality = createQualityTable(this.options.models);
     await Promise.all([
       this.startStandin('platform', 'platform', '', { ...this.options.platform }),
       this.startStandin('weights', 'weights', '', { ...this.options.weights }),
@@ -209,66 +209,15 @@
     for (const name of ['platform', 'weights', 'rater']) await this.startProxiesTo(name);
   }
 
-  private async startUpstreams(zone: PlaceZone): Promise<void> {
-    let number = 0;
-    const starts: Promise<void>[] = [];
-    for (const engines of zone.engines ?? []) {
-      for (let copy = 0; copy < (engines.count ?? 1); copy += 1) {
-        number += 1;
-        starts.push(this.startEngine(zone.name, `${zone.name}-engine-${number}`, engines));
-      }
-    }
-    for (const services of zone.services ?? []) {
-      for (let copy = 1; copy <= (services.count ?? 1); copy += 1) {
-        starts.push(
-          this.startService(zone.name, `${zone.name}-${services.service}-${copy}`, services),
-        );
-      }
-    }
-    await Promise.all(starts);
-  }
-
-  private async startEngine(zone: string, name: string, engines: PlaceEngines): Promise<void> {
-    const versions = engines.versions.map((text) => {
-      const [model = '', version = ''] = text.split('@');
-      return { model, version };
-    });
-    const quality = Object.fromEntries(
-      this.options.models.flatMap((model) =>
-        model.versions.map((entry) => [`${model.name}@${entry.version}`, entry.quality ?? 0.8]),
-      ),
-    );
+  private async startUpstream({ upstream, settings }: UpstreamPlan): Promise<void> {
+    const { name, kind, zone } = upstream;
     const weightStore = `http://${this.resolveAddress(name, zone, 'weights')}`;
-    const checksFencing = engines.options?.checksFencing ?? true;
-    const settings = { quality, ...engines.options, name, zone, versions, weightStore };
-    await this.startStandin('engine', name, zone, { ...settings, checksFencing });
-    await this.addUpstream({
-      name,
-      kind: 'engine',
-      zone,
-      service: '',
-      checksFencing,
-      nonIdempotent: false,
-    });
-  }
-
-  private async startService(zone: string, name: string, services: PlaceServices): Promise<void> {
-    await this.startStandin('service', name, zone, { ...services.options, name, zone });
-    await this.addUpstream({
-      name,
-      kind: 'service',
-      zone,
-      service: services.service,
-      checksFencing: false,
-      nonIdempotent: services.nonIdempotent ?? true,
-    });
-  }
-
-  private async addUpstream(upstream: Omit<PlacedUpstream, 'url'>): Promise<void> {
-    await this.startProxiesTo(upstream.name);
-    const url = `http://${this.resolveAddress('*', '*', upstream.name)}`;
+    const platformSettings = kind === 'engine' ? { weightStore } : {};
+    await this.startStandin(kind, name, zone, { ...settings, ...platformSettings });
+    await this.startProxiesTo(name);
+    const url = `http://${this.resolveAddress('*', '*', name)}`;
     this.upstreams.push({ ...upstream, url });
-    await this.listInstance(upstream.name, 'live');
+    await this.listInstance(name, 'live');
   }
 
   private async startProxiesTo(target: string, address?: string): Promise<void> {
--- a/packages/place/src/placeOptions.ts
+++ b/packages/place/src/placeOptions.ts
@@ -56,7 +56,7 @@
   options?: Omit<EngineOptions, 'listen' | 'name' | 'zone' | 'versions' | 'weightStore'>;
 }
 
-/** Servers of a plain service in one zone, named `{zone}-{service}-{number}`. */
+/** Servers of a plain service in one zone, named `{zone}-{service}-{number}`; one per service. */
 export interface PlaceServices {
   service: string;
   /** Default 1. */
--- a/packages/standins/src/engineStandin.ts
+++ b/packages/standins/src/engineStandin.ts
@@ -7,21 +7,15 @@
 import { findRefusal } from './engineAdmission.js';
 import { TokenGenerator } from './tokenGenerator.js';
 import { BatchScheduler } from './batchScheduler.js';
-import {
-  createEndEvents,
-  createErrorEvent,
-  createPlainAnswer,
-  createRoleEvent,
-  createTokenEvent,
-} from './engineAnswer.js';
 import type { EngineOptions, EngineSettings } from './engineOptions.js';
 import { engineFaults, engineOptionsSchema } from './engineOptions.js';
 import type { EngineRequest } from './engineRequest.js';
 import { parseEngineRequest } from './engineRequest.js';
+import { EngineResponder } from './engineResponder.js';
 import type { EngineJournalEntry } from './engineRun.js';
 import { EngineRun } from './engineRun.js';
 import { FaultTable } from './faultTable.js';
-import { HttpStandin, isControlRequest, resetConnection } from './httpStandin.js';
+import { HttpStandin, isControlRequest } from './httpStandin.js';
 import { LaggingReport } from './laggingReport.js';
 import { LeavingState } from './leavingState.js';
 import { ModelLoader, orderSchema } from './modelLoader.js';
@@ -44,7 +38,7 @@
 
   private readonly cache: PrefixCache;
 
-  private readonly generator: TokenGenerator;
+  private readonly responder: EngineResponder;
 
   private readonly swapper = new AnswerSwapper();
 
@@ -76,9 +70,10 @@
       },
       this.random,
     );
-    this.generator = new TokenGenerator(settings, this.faults, this.cache, (downMs) =>
+    const generator = new TokenGenerator(settings, this.faults, this.cache, (downMs) =>
       this.startCrash(downMs),
     );
+    this.responder = new EngineResponder(generator, this.faults, this.random);
     this.loadReport = new LaggingReport(settings.loadLagMs, () => this.createLoadReport());
     this.faults.setHandlers({
       crash: ({ downMs }) => this.startCrash(downMs),
@@ -207,9 +202,9 @@
     });
     try {
       const hasSlot = await scheduler.acquire(run.request.priority, run.signal);
-      if (!hasSlot) return this.answerStopped(run, reply);
+      if (!hasSlot) return this.responder.answerStopped(run, reply);
       try {
-        return await this.generate(run, reply);
+        return await this.generate(run, reply, scheduler);
       } finally {
         scheduler.release();
       }
@@ -218,7 +213,11 @@
     }
   }
 
-  private async generate(run: EngineRun, reply: FastifyReply): Promise<unknown> {
+  private async generate(
+    run: EngineRun,
+    reply: FastifyReply,
+    scheduler: BatchScheduler,
+  ): Promise<unknown> {
     const swap = this.faults.get('swapAnswers');
     if (swap) {
       const identity = await this.swapper.exchange(run.identity, swap.waitMs);
@@ -231,57 +230,9 @@
       .header('x-model', run.request.model)
       .header('x-version', run.version);
     run.entry.startedAtMs = Date.now();
-    return run.request.stream ? this.answerStream(run, reply) : this.answerPlain(run, reply);
-  }
-
-  private async answerPlain(run: EngineRun, reply: FastifyReply): Promise<unknown> {
-    const tokens: number[] = [];
-    for await (const index of this.generator.generate(run, this.scheduler)) tokens.push(index);
-    if (run.stopCause) return this.answerStopped(run, reply);
-    run.finish('done');
-    const lost = this.faults.get('loseAnswer');
-    if (lost && this.random.next() < lost.probability) {
-      this.faults.take('loseAnswer');
-      resetConnection(reply);
-      return reply;
-    }
-    return reply.send(createPlainAnswer(run, tokens));
-  }
-
-  private async answerStream(run: EngineRun, reply: FastifyReply): Promise<unknown> {
-    const cut = this.faults.get('cutStream');
-    const isCut = cut !== undefined && this.random.next() < cut.probability;
-    if (isCut) this.faults.take('cutStream');
-    reply.hijack();
-    const { raw } = reply;
-    raw.writeHead(200, {
-      ...(reply.getHeaders() as Record<string, string>),
-      'content-type': 'text/event-stream; charset=utf-8',
-      'cache-control': 'no-cache',
-    });
-    raw.write(createRoleEvent(run));
-    let sent = 0;
-    for await (const index of this.generator.generate(run, this.scheduler)) {
-      if (isCut && sent >= cut.afterTokens) {
-        run.finish('failed', 'stream cut');
-        raw.socket?.resetAndDestroy();
-        return reply;
-      }
-      raw.write(createTokenEvent(run, index));
-      sent += 1;
-    }
-    if (run.stopCause) {
-      raw.end(createErrorEvent(run.stopCause, 'the request was stopped before its end'));
-      return reply;
-    }
-    run.finish('done');
-    raw.end(createEndEvents(run));
-    return reply;
-  }
-
-  private answerStopped(run: EngineRun, reply: FastifyReply): FastifyReply {
-    const type = run.stopCause ?? 'stopped';
-    return reply.code(499).send({ error: { type, message: 'the request was stopped' } });
+    return run.request.stream
+      ? this.responder.answerStream(run, reply, scheduler)
+      : this.responder.answerPlain(run, reply, scheduler);
   }
 
   private createRun(request: EngineRequest): EngineRun {
