--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -25,6 +25,7 @@
 import { EntryMetrics } from './ops/metrics.js';
 import { OpsServer } from './ops/opsServer.js';
 import { ConfigFeed } from './peers/configFeed.js';
+import { EvidenceSharing } from './peers/evidenceSharing.js';
 import { PeerLinks } from './peers/peerLinks.js';
 import { createPeerService } from './peers/peerService.js';
 import { ChatHandler } from './requests/chatHandler.js';
@@ -78,6 +79,8 @@
 
   private readonly counters: VersionStatsRecorder;
 
+  private readonly cascades: CascadePolicy;
+
   private readonly quarantine = new CrashQuarantine({ clock: this.clock });
 
   private readonly directory: UpstreamDirectory;
@@ -91,6 +94,12 @@
       fields: { instance: id, zone },
     });
     this.counters = new VersionStatsRecorder({ instance: id, incarnation: this.incarnation });
+    this.cascades = new CascadePolicy({
+      clock: this.clock,
+      random: this.random,
+      instance: id,
+      incarnation: this.incarnation,
+    });
     this.invariants = new Invariants(
       this.registry,
       settings.invariants.fatal,
@@ -198,13 +207,21 @@
 
   private async startGrpcServers(): Promise<void> {
     const { replica, claims, billing, membership, membershipTask, store } = this.coordination;
-    const { settings, clock, counters } = this;
+    const { settings, clock, counters, cascades } = this;
     const editor = new ConfigEditor(store, clock);
     const rollouts = new RolloutEditor(editor, clock);
     const credentials = createServerCredentials(settings.tls);
     const peers = new GrpcServer(
       PeerService,
-      createPeerService({ membership: membershipTask, replica, claims, billing, counters, clock }),
+      createPeerService({
+        membership: membershipTask,
+        replica,
+        claims,
+        billing,
+        counters,
+        cascades,
+        clock,
+      }),
       credentials,
     );
     const operators = new GrpcServer(
@@ -263,7 +280,9 @@
       });
     });
     membershipTask.start();
+    const sharing = new EvidenceSharing(this.cascades, addresses, this.links, this.clock);
     this.lifecycle.startTask('addresses', (signal) => addresses.run(signal));
+    this.lifecycle.startTask('cascade evidence', (signal) => sharing.run(signal));
     this.lifecycle.startTask('upstreams', (signal) => this.directory.run(signal));
   }
 
@@ -297,7 +316,7 @@
       billing,
       quotas,
       quarantine,
-      cascades: new CascadePolicy({ clock, random, instance: settings.instance.id }),
+      cascades: this.cascades,
       rungs,
       ratings: new RatingClient(settings.platform.rating),
       counters: this.counters,
--- a/packages/server/src/peers/peerLinks.ts
+++ b/packages/server/src/peers/peerLinks.ts
@@ -3,6 +3,7 @@
   AwaitClaimReply,
   AwaitClaimRequest,
   Bill,
+  CascadeEvidence,
   ConfigDelta,
   ExchangeReply,
   ExchangeRequest,
@@ -58,6 +59,11 @@
     return call(client.getVersionStats.bind(client), {}, EXCHANGE_TIMEOUT_MS);
   }
 
+  getCascadeEvidence(address: string): Promise<CascadeEvidence> {
+    const client = this.getClient(address);
+    return call(client.getCascadeEvidence.bind(client), {}, EXCHANGE_TIMEOUT_MS);
+  }
+
   /** Asks the owner of a claim for its outcome; undefined when the owner does not answer. */
   async awaitClaim(
     owner: string,
--- a/packages/server/src/peers/peerService.ts
+++ b/packages/server/src/peers/peerService.ts
@@ -6,7 +6,7 @@
 } from '@cactusstair/coordination';
 import { answerFetchConfig } from '@cactusstair/coordination';
 import type { PeerServer } from '@cactusstair/protocol';
-import type { VersionStatsRecorder } from '@cactusstair/routing';
+import type { CascadePolicy, VersionStatsRecorder } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 import type { handleUnaryCall } from '@grpc/grpc-js';
 import { status } from '@grpc/grpc-js';
@@ -18,6 +18,7 @@
   claims: ClaimJournal;
   billing: BillingJournal;
   counters: VersionStatsRecorder;
+  cascades: CascadePolicy;
   clock: Clock;
 }
 
@@ -39,7 +40,7 @@
 
 /** Creates the handlers of the calls between instances. */
 export function createPeerService(options: PeerServiceOptions): PeerServer {
-  const { membership, replica, claims, billing, counters, clock } = options;
+  const { membership, replica, claims, billing, counters, cascades, clock } = options;
   return {
     exchange: handle((request) => membership.handleExchange(request)),
     fetchConfig: handle((request) => answerFetchConfig(replica, request, { clock })),
@@ -52,5 +53,6 @@
       claims.awaitLocal(workspace, key, Math.min(waitMs, MAX_WAIT_MS)),
     ),
     getVersionStats: handle(() => counters.exportStats()),
+    getCascadeEvidence: handle(() => cascades.exportEvidence()),
   };
 }
--- a/packages/server/src/requests/chatHandler.ts
+++ b/packages/server/src/requests/chatHandler.ts
@@ -180,7 +180,11 @@
       const answer = await this.runRung(call, resolved, sink);
       if (answer.isErr()) return err(answer.error);
       steps.push(createStep(answer.value));
-      const next = await this.findNextRung(prepared, rung, answer.value, sink.streaming);
+      const escalated = steps.length > 1;
+      const next = await this.findNextRung(prepared, rung, answer.value, {
+        escalated,
+        streaming: sink.streaming,
+      });
       if (next === undefined) return this.deliver(call, answer.value, steps, sink);
       this.options.metrics.escalations.inc({
         workspace: call.workspace.name,
@@ -225,18 +229,18 @@
     prepared: PreparedChat,
     rung: number,
     answer: RungAnswer,
-    streaming: boolean,
+    { escalated, streaming }: { escalated: boolean; streaming: boolean },
   ): Promise<number | undefined> {
     const { call, rungs } = prepared;
     const request = this.createCascadeRequest(prepared, streaming);
     if (!request || streaming || rung + 1 >= rungs.length) {
       if (this.options.random.next() < this.options.ratingSampleShare) {
         // The caller does not wait for a rating that cannot change its answer.
-        this.rateAnswer(call, answer).catch(() => {});
+        this.rateAnswer(call, answer, escalated).catch(() => {});
       }
       return undefined;
     }
-    const rating = await this.rateAnswer(call, answer);
+    const rating = await this.rateAnswer(call, answer, escalated);
     const remainingMs = call.deadlineMs - this.options.clock.monotonicMs();
     const escalate = this.options.cascades.shouldEscalate({
       ...request,
@@ -277,7 +281,11 @@
     };
   }
 
-  private async rateAnswer(call: ChatCall, answer: RungAnswer): Promise<number | undefined> {
+  private async rateAnswer(
+    call: ChatCall,
+    answer: RungAnswer,
+    escalated: boolean,
+  ): Promise<number | undefined> {
     const { ratings, counters, cascades } = this.options;
     const model = answer.resolved.model.name;
     const version = answer.resolved.version.version;
@@ -291,6 +299,7 @@
       model,
       version,
       rating,
+      escalated,
     });
     return rating;
   }
