--- a/packages/coordination/src/claimJournal.ts
+++ b/packages/coordination/src/claimJournal.ts
@@ -20,19 +20,26 @@
   owner: string;
   /** Returns the current incarnation of this instance; it rises when peers hold it for lost. */
   getIncarnation: () => number;
-  /** Number of shard objects. Must be the same on every instance. Default 16. */
+  /**
+   * Number of shard objects. Must be the same on every instance. Default 32. More shards hold more
+   * claims; under load a claim waits up to `shards / writesPerSecond` seconds.
+   */
   shards?: number;
   /** Largest serialised size of a shard in bytes. Default 400,000; the object API takes 1 MB. */
   maxShardBytes?: number;
   /**
-   * Time for which claims and answers are kept, in milliseconds. Default 24 h. A repeat after
+   * Time for which claims and answers are kept, in milliseconds. Default 1 h. A repeat after
    * this time runs again. Must exceed the longest request plus the difference between the wall
    * clocks of two instances.
    */
   retentionMs?: number;
   /** Sustained rate of this instance's writes. Default 40 a second. */
   writesPerSecond?: number;
-  /** Time for which an outcome waits to share an update with claims. Default 100 ms. */
+  /**
+   * Time for which an outcome waits to share an update with claims, in milliseconds. Default 500;
+   * with 100, outcomes used up the write rate at 200 claims a second and delayed the claims. The
+   * caller's answer need not wait for it: local waiters are answered at once.
+   */
   completionDelayMs?: number;
   /** Attempts for one batch when other instances write the same shard. Default 8. */
   maxAttempts?: number;
@@ -41,11 +48,11 @@
 }
 
 const defaults = {
-  shards: 16,
+  shards: 32,
   maxShardBytes: 400_000,
-  retentionMs: 24 * 3_600_000,
+  retentionMs: 3_600_000,
   writesPerSecond: 40,
-  completionDelayMs: 100,
+  completionDelayMs: 500,
   maxAttempts: 8,
   maxWaiting: 5000,
 };
--- a/packages/coordination/src/claimOperations.ts
+++ b/packages/coordination/src/claimOperations.ts
@@ -1,7 +1,7 @@
 import type { KeptAnswer } from '@cactusstair/protocol';
 
 import type { ClaimEntry, ClaimShard } from './claimShard.js';
-import { decodeAnswer, encodeAnswer } from './claimShard.js';
+import { computeHash, decodeAnswer, encodeAnswer } from './claimShard.js';
 import type { StoreFailure } from './objectStore.js';
 
 /** A granted claim; only its holder may send the request. */
@@ -66,13 +66,14 @@
 }
 
 function createEntry(claim: Claim, state: ClaimEntry['state'], nowMs: number): ClaimEntry {
-  const { owner, incarnation, nonce, requestDigest } = claim;
+  const { owner, incarnation, nonce } = claim;
+  const requestDigest = computeHash(claim.requestDigest);
   return { owner, incarnation, nonce, requestDigest, state, changedAtMs: nowMs };
 }
 
 function decideExisting(entry: ClaimEntry, claim: Claim): ClaimDecision {
   if (isSameClaim(entry, claim)) return { type: 'granted', claim };
-  if (entry.requestDigest !== claim.requestDigest) return { type: 'key_reused' };
+  if (entry.requestDigest !== computeHash(claim.requestDigest)) return { type: 'key_reused' };
   if (entry.state === 'done') return { type: 'done', answer: decodeAnswer(entry.answer) };
   return { type: 'owned', owner: entry.owner, incarnation: entry.incarnation };
 }
--- a/packages/coordination/src/claimShard.ts
+++ b/packages/coordination/src/claimShard.ts
@@ -8,6 +8,7 @@
   incarnation: number;
   /** Distinguishes the claims of one owner; a lost answer is settled by finding it again. */
   nonce: string;
+  /** Hash of the caller's digest. */
   requestDigest: string;
   state: 'claimed' | 'done';
   /** Wall-clock time of the claim or of its completion. */
@@ -27,10 +28,17 @@
 /** Fraction of the limit down to which old answers are dropped, so that this runs rarely. */
 const ANSWER_DROP_TARGET = 0.9;
 
-/** Computes the key of a claim in its shard. Its length does not depend on the caller's key. */
+/** Characters kept of a hash: 132 bits, of which collisions are not expected. */
+const HASH_LENGTH = 22;
+
+/** Computes a short text that stands for `text` in a shard, whatever its length. */
+export function computeHash(text: string): string {
+  return createHash('sha256').update(text).digest('base64url').slice(0, HASH_LENGTH);
+}
+
+/** Computes the key of a claim in its shard. */
 export function computeEntryKey(workspace: string, key: string): string {
-  const hash = createHash('sha256').update(`${workspace.length}:${workspace}${key}`);
-  return hash.digest('base64url');
+  return computeHash(`${workspace.length}:${workspace}${key}`);
 }
 
 /** Computes the shard number of an entry key. */
--- a/packages/coordination/src/claimShardWriter.ts
+++ b/packages/coordination/src/claimShardWriter.ts
@@ -93,7 +93,8 @@
     for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
       if (attempt > 0) {
         await clock.sleep(this.computeBackoffMs(attempt), signal);
-        await writeRate.acquire(signal);
+        // Waiting behind the other shards again would add their whole round to each conflict.
+        writeRate.charge();
       }
       const current = await this.readShard();
       // Operations that arrived during the read share the update.
--- a/packages/coordination/src/writeRateLimiter.ts
+++ b/packages/coordination/src/writeRateLimiter.ts
@@ -17,11 +17,17 @@
 
   /** Resolves when the next write may start, or when `signal` aborts. */
   async acquire(signal: AbortSignal): Promise<void> {
+    const { clock } = this.options;
+    this.charge();
+    const delayMs = this.nextAtMs - clock.monotonicMs();
+    if (delayMs > 0) await clock.sleep(delayMs, signal);
+  }
+
+  /** Counts a write that starts now, such as a retry; later writes wait for it instead. */
+  charge(): void {
     const { clock, writesPerSecond, burst } = this.options;
     const intervalMs = 1000 / writesPerSecond;
-    const nowMs = clock.monotonicMs();
-    this.nextAtMs = Math.max(this.nextAtMs, nowMs - burst * intervalMs) + intervalMs;
-    const delayMs = this.nextAtMs - nowMs;
-    if (delayMs > 0) await clock.sleep(delayMs, signal);
+    const earliestMs = clock.monotonicMs() - burst * intervalMs;
+    this.nextAtMs = Math.max(this.nextAtMs, earliestMs) + intervalMs;
   }
 }
