Add the bench with the scenarios upstream-choice and overload

A discrete-event model of engines (slots, continuous batching, prefix cache, lagging reports, late and lost cache events) drives the routing package in model time.

The bench led to these changes of the policies: - The chooser counts what other instances probably sent since a report, gives a report no pull below the mean, and ages it by residence times.

A longer half-life of reports alone (5 to 30 s) made the morning mix worse.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,20 @@
-export {};
+/** Scenarios that compare the policies with baselines on a model of the engines. */
+export { choicePolicies, createChooser } from './model/choicePolicies.js';
+export type { ChoiceContender, ChoicePolicy } from './model/choicePolicies.js';
+export { EventLoop } from './model/eventLoop.js';
+export type { EngineCall, FakeEngineOptions } from './model/fakeEngine.js';
+export { FakeEngine } from './model/fakeEngine.js';
+export type { ViewOptions } from './model/instanceView.js';
+export { InstanceView } from './model/instanceView.js';
+export type { Percentiles } from './model/latencies.js';
+export { Latencies } from './model/latencies.js';
+export { formatHtmlReport } from './report/htmlReport.js';
+export { formatTextTable } from './report/textTable.js';
+export type {
+  ResultPlot,
+  ResultTable,
+  Scenario,
+  ScenarioOptions,
+  ScenarioResult,
+} from './scenario.js';
+export { scenarios } from './scenarios.js';
--- /dev/null
+++ b/packages/bench/src/model/workload.ts
@@ -0,0 +1,121 @@
+import type { RequestClass } from '@cactusstair/routing';
+import type { Random } from '@cactusstair/utils';
+
+/** A request of the model. */
+export interface ModelRequest {
+  workspace: string;
+  requestClass: RequestClass;
+  prefixHashes: string[];
+  promptTokens: number;
+  outputTokens: number;
+}
+
+/** Shape of the traffic. */
+export interface WorkloadOptions {
+  /** Share of requests of class `long`. */
+  longShare: number;
+  workspaces: number;
+  /** Prompt templates per workspace; they are the shared prefixes. */
+  templatesPerWorkspace: number;
+  blockTokens: number;
+}
+
+interface Session {
+  workspace: number;
+  template: number;
+  id: number;
+  /** Blocks of the conversation after the template. */
+  blocks: number;
+  turnsLeft: number;
+}
+
+interface ClassShape {
+  templateBlocks: number;
+  /** Own prompt tokens of a turn: from, to. */
+  turnTokens: [number, number];
+  outputTokens: [number, number];
+  /** Largest number of turns of a conversation. */
+  maxTurns: number;
+}
+
+const SHAPES: Record<RequestClass, ClassShape> = {
+  short: { templateBlocks: 6, turnTokens: [40, 200], outputTokens: [20, 80], maxTurns: 3 },
+  long: { templateBlocks: 16, turnTokens: [200, 1200], outputTokens: [200, 600], maxTurns: 4 },
+};
+/** Conversations that are open at a time; the next turn comes from a random one of them. */
+const OPEN_SESSIONS = 150;
+
+/** Draws requests: conversations that begin with a template of their workspace. */
+export class Workload {
+  private readonly sessions: Record<RequestClass, Session[]> = { short: [], long: [] };
+
+  private nextSession = 0;
+
+  constructor(
+    private readonly random: Random,
+    private readonly options: WorkloadOptions,
+  ) {}
+
+  next(): ModelRequest {
+    const requestClass = this.random.next() < this.options.longShare ? 'long' : 'short';
+    const shape = SHAPES[requestClass];
+    const session = this.pickSession(requestClass);
+    const turnTokens = this.draw(shape.turnTokens);
+    const outputTokens = this.draw(shape.outputTokens);
+    const { blockTokens } = this.options;
+    const turnBlocks = Math.max(1, Math.round(turnTokens / blockTokens));
+    const prefixHashes = this.listHashes(requestClass, session, session.blocks + turnBlocks);
+    session.blocks += turnBlocks + Math.round(outputTokens / blockTokens);
+    session.turnsLeft -= 1;
+    return {
+      workspace: `w${session.workspace}`,
+      requestClass,
+      prefixHashes,
+      promptTokens: (prefixHashes.length - turnBlocks) * blockTokens + turnTokens,
+      outputTokens,
+    };
+  }
+
+  private draw([from, to]: [number, number]): number {
+    return from + this.random.nextInt(to - from + 1);
+  }
+
+  /** Low numbers are more frequent: a few workspaces and templates make most of the traffic. */
+  private drawSkewed(count: number): number {
+    return Math.floor(count * this.random.next() ** 2);
+  }
+
+  private pickSession(requestClass: RequestClass): Session {
+    const open = this.sessions[requestClass];
+    const index = this.random.nextInt(OPEN_SESSIONS);
+    const existing = open[index];
+    if (existing && existing.turnsLeft > 0) return existing;
+    const session: Session = {
+      workspace: this.drawSkewed(this.options.workspaces),
+      template: this.drawSkewed(this.options.templatesPerWorkspace),
+      id: this.nextSession,
+      blocks: 0,
+      turnsLeft: 1 + this.random.nextInt(SHAPES[requestClass].maxTurns),
+    };
+    this.nextSession += 1;
+    open[index] = session;
+    return session;
+  }
+
+  private listHashes(requestClass: RequestClass, session: Session, ownBlocks: number): string[] {
+    const template = `${requestClass}/${session.workspace}/${session.template}`;
+    const hashes: string[] = [];
+    for (let block = 0; block < SHAPES[requestClass].templateBlocks; block += 1) {
+      hashes.push(`${template}/${block}`);
+    }
+    for (let block = 0; block < ownBlocks; block += 1) {
+      hashes.push(`${template}/s${session.id}/${block}`);
+    }
+    return hashes;
+  }
+}
+
+/** Time to the next arrival of a Poisson process. */
+export function drawArrivalGapMs(random: Random, ratePerSecond: number): number {
+  return (-Math.log(1 - random.next()) * 1000) / ratePerSecond;
+}
--- a/packages/routing/src/concurrencyLimit.ts
+++ b/packages/routing/src/concurrencyLimit.ts
@@ -1,3 +1,5 @@
+import type { RequestClass } from './admissionQueue.js';
+
 /** Options of `ConcurrencyLimit`. */
 export interface ConcurrencyLimitOptions {
   /** Limit before the first samples. Default 8. */
@@ -6,10 +8,11 @@
   maxLimit?: number;
   /** Latency up to this factor of the baseline does not lower the limit. Default 2. */
   tolerance?: number;
+  /** Latency up to this value does not lower the limit whatever the baseline is, because it is far
+   * below what callers notice. Default 200. */
+  harmlessLatencyMs?: number;
   /** Weight of one sample in the recent latency, in (0, 1]. Default 0.1. */
   smoothing?: number;
-  /** Samples between two measurements of the baseline at a lower limit. Default 1,000. */
-  probeIntervalSamples?: number;
   /** Factor on a failed sample. Default 0.8. */
   failureFactor?: number;
 }
@@ -25,38 +28,42 @@
   inFlight: number;
   /** True for a time-out or a refusal by the upstream, not for an error of the request. */
   failed: boolean;
+  /** Classes have baselines of their own, since long prompts take longer. Default `short`. */
+  requestClass?: RequestClass;
+}
+
+interface ClassLatency {
+  /** Lowest recent latency. */
+  baselineMs: number;
+  recentMs: number;
+  /** Samples in a row that were taken at the lowest limit. */
+  floorSamples: number;
 }
 
 // One round of slow calls at most halves the limit.
 const MIN_GRADIENT = 0.5;
-const MIN_PROBE_SAMPLES = 5;
-
-interface BaselineProbe {
-  limit: number;
-  /** Samples of calls that may have been sent before the probe. */
-  skip: number;
-  latenciesMs: number[];
-}
+const FLOOR_LIMIT = 1;
+/** Samples at the lowest limit after which the baseline is raised to the recent latency. */
+const FLOOR_SAMPLES = 5;
 
 /**
  * Adapts the number of concurrent calls to one upstream to its latency: while recent latency is
  * close to the baseline the limit grows, and it shrinks in proportion when latency rises.
  *
- * The baseline is measured again at times with a lower limit. Letting it drift towards the recent
- * latency instead would raise the limit without end under a lasting overload.
+ * The baseline rises only at the lowest limit, where the concurrency of this instance cannot be
+ * the cause of the latency. A baseline that drifts towards the recent latency, or that is measured
+ * again at a somewhat lower limit while other instances keep theirs, raises the limit without end
+ * under a lasting overload.
  */
 export class ConcurrencyLimit {
   private limit: number;
 
-  private baselineMs: number | undefined;
-
-  private recentMs: number | undefined;
+  private readonly latencies = new Map<RequestClass, ClassLatency>();
 
-  private samplesSinceDecrease = Infinity;
+  private samplesSinceDecrease = 0;
 
-  private samplesSinceProbe = 0;
-
-  private probe: BaselineProbe | undefined;
+  /** Calls that were in flight at the last decrease. */
+  private roundSamples = 0;
 
   private readonly options: Required<ConcurrencyLimitOptions>;
 
@@ -65,8 +72,8 @@
       initialLimit: 8,
       maxLimit: 1024,
       tolerance: 2,
+      harmlessLatencyMs: 200,
       smoothing: 0.1,
-      probeIntervalSamples: 1000,
       failureFactor: 0.8,
       ...options,
     };
@@ -75,7 +82,7 @@
 
   /** Calls that may be in flight; at least 1, so that the upstream can be measured again. */
   getLimit(): number {
-    return Math.floor(this.probe ? this.probe.limit : this.limit);
+    return Math.floor(this.limit);
   }
 
   /** Takes the latency or failure of one call into account. */
@@ -86,56 +93,46 @@
       return;
     }
     if (!Number.isFinite(sample.latencyMs) || sample.latencyMs <= 0) return;
-    if (this.measureBaseline(sample.latencyMs)) return;
-    this.recordLatency(sample.latencyMs);
-    const gradient = (this.options.tolerance * this.baselineMs!) / this.recentMs!;
+    const latency = this.recordLatency(sample.requestClass ?? 'short', sample.latencyMs);
+    const { tolerance, harmlessLatencyMs } = this.options;
+    const gradient = Math.max(tolerance * latency.baselineMs, harmlessLatencyMs) / latency.recentMs;
     if (gradient < 1) {
-      this.decrease(Math.max(MIN_GRADIENT, gradient));
+      // The recent latency is lowered with the limit. Otherwise it would still contain the cause of
+      // this decrease after the next round and lower the limit for it again.
+      if (this.decrease(Math.max(MIN_GRADIENT, gradient))) latency.recentMs *= gradient;
       return;
     }
     // An upstream that is not used up to its limit gives no evidence that it could take more.
     if (sample.inFlight * 2 >= this.limit) this.limit = this.clamp(this.limit + 1 / this.limit);
   }
 
-  /** Returns true while the baseline is measured; the limit then stays as it is. */
-  private measureBaseline(latencyMs: number): boolean {
-    this.samplesSinceProbe += 1;
-    if (!this.probe && this.samplesSinceProbe < this.options.probeIntervalSamples) return false;
-    this.probe ??= {
-      limit: Math.max(1, this.limit / this.options.tolerance),
-      skip: Math.ceil(this.limit),
-      latenciesMs: [],
+  private recordLatency(requestClass: RequestClass, latencyMs: number): ClassLatency {
+    const latency = this.latencies.get(requestClass) ?? {
+      baselineMs: latencyMs,
+      recentMs: latencyMs,
+      floorSamples: 0,
     };
-    if (this.probe.skip > 0) {
-      this.probe.skip -= 1;
-      return true;
-    }
-    const { latenciesMs, limit } = this.probe;
-    latenciesMs.push(latencyMs);
-    if (latenciesMs.length < Math.max(MIN_PROBE_SAMPLES, limit)) return true;
-    this.baselineMs = latenciesMs.reduce((sum, value) => sum + value, 0) / latenciesMs.length;
-    this.recentMs = this.baselineMs;
-    this.probe = undefined;
-    this.samplesSinceProbe = 0;
-    return true;
-  }
-
-  private recordLatency(latencyMs: number): void {
-    this.recentMs =
-      this.recentMs === undefined
-        ? latencyMs
-        : this.recentMs + this.options.smoothing * (latencyMs - this.recentMs);
-    this.baselineMs = Math.min(this.baselineMs ?? Infinity, this.recentMs);
+    this.latencies.set(requestClass, latency);
+    latency.recentMs += this.options.smoothing * (latencyMs - latency.recentMs);
+    latency.floorSamples = this.getLimit() === FLOOR_LIMIT ? latency.floorSamples + 1 : 0;
+    const measuredAtFloor = latency.floorSamples >= FLOOR_SAMPLES;
+    if (measuredAtFloor) latency.floorSamples = 0;
+    latency.baselineMs = measuredAtFloor
+      ? latency.recentMs
+      : Math.min(latency.baselineMs, latency.recentMs);
+    return latency;
   }
 
   /** Lowers the limit once per round of calls: samples of one burst tell the same fact. */
-  private decrease(factor: number): void {
-    if (this.samplesSinceDecrease < this.limit) return;
+  private decrease(factor: number): boolean {
+    if (this.samplesSinceDecrease < this.roundSamples) return false;
     this.samplesSinceDecrease = 0;
+    this.roundSamples = Math.ceil(this.limit);
     this.limit = this.clamp(this.limit * factor);
+    return true;
   }
 
   private clamp(limit: number): number {
-    return Math.min(this.options.maxLimit, Math.max(1, limit));
+    return Math.min(this.options.maxLimit, Math.max(FLOOR_LIMIT, limit));
   }
 }
--- a/packages/routing/src/prefixIndex.ts
+++ b/packages/routing/src/prefixIndex.ts
@@ -182,34 +182,43 @@
 
   private put(upstream: string, cache: UpstreamCache, prefixHash: string, entry: Entry): void {
     // Maps iterate in insertion order, so that setting anew moves the entry to the end.
-    this.drop(upstream, cache, prefixHash);
+    const isKnown = cache.entries.delete(prefixHash);
     cache.entries.set(prefixHash, entry);
+    if (isKnown) return;
     this.entryCount += 1;
-    const holders = this.holders.get(prefixHash) ?? new Set<string>();
-    this.holders.delete(prefixHash);
-    this.holders.set(prefixHash, holders.add(upstream));
-    this.evict(upstream, cache, prefixHash, holders);
+    const holders = this.holders.get(prefixHash);
+    if (!holders) {
+      this.holders.set(prefixHash, new Set([upstream]));
+    } else {
+      holders.add(upstream);
+      if (holders.size > this.options.maxHoldersPerPrefix) {
+        const first = holders.values().next().value!;
+        this.drop(first, this.getCache(first), prefixHash);
+      }
+    }
+    this.evict(upstream, cache);
   }
 
-  private evict(
-    upstream: string,
-    cache: UpstreamCache,
-    prefixHash: string,
-    holders: Set<string>,
-  ): void {
-    if (cache.entries.size > this.options.maxPrefixesPerUpstream) {
-      this.drop(upstream, cache, cache.entries.keys().next().value!);
-    }
-    if (holders.size > this.options.maxHoldersPerPrefix) {
-      const oldest = holders.values().next().value!;
-      this.drop(oldest, this.getCache(oldest), prefixHash);
+  private evict(upstream: string, cache: UpstreamCache): void {
+    const { maxPrefixesPerUpstream, maxEntries } = this.options;
+    if (cache.entries.size > maxPrefixesPerUpstream) this.dropOldest(upstream, cache);
+    if (this.entryCount <= maxEntries) return;
+    // The upstream that adds entries gives one up, as long as it has others.
+    if (cache.entries.size > 1) {
+      this.dropOldest(upstream, cache);
+      return;
     }
-    while (this.entryCount > this.options.maxEntries) {
-      const [oldestHash, oldestHolders] = this.holders.entries().next().value!;
-      for (const holder of [...oldestHolders]) this.drop(holder, this.getCache(holder), oldestHash);
+    for (const [name, other] of this.caches) {
+      if (name === upstream || other.entries.size === 0) continue;
+      this.dropOldest(name, other);
+      return;
     }
   }
 
+  private dropOldest(upstream: string, cache: UpstreamCache): void {
+    this.drop(upstream, cache, cache.entries.keys().next().value!);
+  }
+
   private drop(upstream: string, cache: UpstreamCache, prefixHash: string): void {
     if (!cache.entries.delete(prefixHash)) return;
     this.entryCount -= 1;
--- a/packages/routing/src/upstreamChooser.ts
+++ b/packages/routing/src/upstreamChooser.ts
@@ -36,13 +36,16 @@
 
 /** Options of `chooseUpstream`. */
 export interface ChooserOptions {
-  /** Age at which a load report has lost half of its weight. Default 2,000. */
+  /** Age at which a load report has lost half of its weight. Default 5,000. */
   reportHalfLifeMs?: number;
-  /** Work per slot of the own zone above which other zones are considered. Default 1. */
+  /** Work per slot of the own zone above which other zones are considered. Default 0.5. */
   spillWorkPerSlot?: number;
-  /** A prefix holder is preferred up to this factor of the mean work per slot. Default 1.25. */
+  /** Work per slot by which the holder of the whole prompt may be busier than the alternative; a
+   * holder of a part gets a part of it. Default 0.6. */
+  affinityWorkPerSlot?: number;
+  /** No prefix holder is preferred above this factor of the mean work per slot. Default 1.5. */
   affinityLoadFactor?: number;
-  /** A prefix holder is preferred below this work per slot whatever the mean is. Default 0.5. */
+  /** Below this work per slot a prefix holder is within bounds whatever the mean is. Default 0.5. */
   affinityFreeWorkPerSlot?: number;
   /** Time over which the weight of an upstream in slow start grows to 1. Default 30,000. */
   slowStartMs?: number;
@@ -61,9 +64,10 @@
 }
 
 const DEFAULT_OPTIONS: Required<ChooserOptions> = {
-  reportHalfLifeMs: 2000,
-  spillWorkPerSlot: 1,
-  affinityLoadFactor: 1.25,
+  reportHalfLifeMs: 5000,
+  spillWorkPerSlot: 0.5,
+  affinityWorkPerSlot: 0.6,
+  affinityLoadFactor: 1.5,
   affinityFreeWorkPerSlot: 0.5,
   slowStartMs: 30_000,
   slowStartMinWeight: 0.1,
@@ -91,33 +95,69 @@
   return Math.max(0, view.reported.active + view.reported.queued - ownInReport);
 }
 
+interface OwnTotals {
+  outstanding: number;
+  sentSinceReport: number;
+}
+
+function sumOwn(views: readonly UpstreamView[]): OwnTotals {
+  const totals = { outstanding: 0, sentSinceReport: 0 };
+  for (const view of views) {
+    totals.outstanding += view.outstanding;
+    totals.sentSinceReport += view.sentSinceReport;
+  }
+  return totals;
+}
+
 /**
- * Estimates the work of each view.
+ * Weight of a report in [0, 1]. Besides its age in milliseconds, its age in residence times counts:
+ * by Little's law that is what was sent since the report over what is outstanding. A report that is
+ * older than the requests it counted says little.
+ */
+function computeTrust(view: UpstreamView, own: OwnTotals, halfLifeMs: number): number {
+  if (!view.reported) return 0;
+  const residenceTimes = own.outstanding > 0 ? own.sentSinceReport / own.outstanding : 0;
+  return 2 ** (-Math.max(0, view.reported.ageMs) / halfLifeMs) * Math.exp(-residenceTimes);
+}
+
+/**
+ * Estimates the work of each view: own requests, those of other instances according to the report,
+ * and those that the other instances probably sent after it.
  *
- * A report loses weight with age. What it loses is replaced by the pool's mean and not by zero:
- * an upstream that stops reporting would otherwise look idle and draw the traffic of every
- * instance.
+ * - Other instances read the same reports and decide alike, so each own request sent since the
+ *   report stands for as many of theirs as their share of the load is larger. Without this, all
+ *   instances send to the upstream with the lowest report until the next one.
+ * - What a report loses in weight is replaced by the pool's mean and not by zero: an upstream that
+ *   stops reporting would otherwise look idle.
+ * - A report below the mean counts as the mean. A busy upstream is avoided on the word of its
+ *   report, but no one is drawn to an upstream by a report that all others have read too.
  */
 function estimateCandidates(
   views: readonly UpstreamView[],
   options: Required<ChooserOptions>,
 ): Candidate[] {
+  const own = sumOwn(views);
   const reports = views.map((view) => ({
-    trust: view.reported ? 2 ** (-Math.max(0, view.reported.ageMs) / options.reportHalfLifeMs) : 0,
+    trust: computeTrust(view, own, options.reportHalfLifeMs),
     others: estimateReportedOthers(view),
     slots: Math.max(1, view.slots),
   }));
+  let slotsTotal = 0;
   let trustedSlots = 0;
   let trustedOthers = 0;
   for (const report of reports) {
+    slotsTotal += report.slots;
     trustedSlots += report.trust * report.slots;
     trustedOthers += report.trust * report.others;
   }
   const meanOthersPerSlot = trustedSlots > 0 ? trustedOthers / trustedSlots : 0;
+  const othersPerOwn = (meanOthersPerSlot * slotsTotal) / Math.max(1, own.outstanding);
   return views.map((view, index) => {
     const { trust, others, slots } = reports[index]!;
-    const expectedOthers = trust * others + (1 - trust) * meanOthersPerSlot * slots;
-    const work = view.outstanding + expectedOthers;
+    const meanOthers = meanOthersPerSlot * slots;
+    const reportedOthers = meanOthers + trust * Math.max(0, others - meanOthers);
+    const sentByOthers = othersPerOwn * Math.min(view.sentSinceReport, view.outstanding);
+    const work = view.outstanding + reportedOthers + sentByOthers;
     return { view, slots, weight: computeWeight(view, options), work };
   });
 }
@@ -141,7 +181,7 @@
   return (candidate.work / candidate.weight + 1) / candidate.slots;
 }
 
-/** Limits the choice to the own zone unless that zone is full and another one is less loaded. */
+/** Limits the choice to the own zone unless that zone is above the threshold and another is less loaded. */
 function selectZone(
   candidates: Candidate[],
   zone: string,
@@ -179,28 +219,36 @@
   return computeCost(second) < computeCost(first) ? second : first;
 }
 
-/** Returns the holder of the longest cached prefix whose load is within bounds. */
-function findPrefixHolder(
+/**
+ * Returns a holder of the prompt's prefix instead of `alternative` if the prompt tokens that it
+ * saves outweigh the work that it has more, within the load bound.
+ */
+function preferPrefixHolder(
+  alternative: Candidate,
   candidates: readonly Candidate[],
   request: ChoiceRequest,
   state: ChooserState,
   options: Required<ChooserOptions>,
-): Candidate | undefined {
-  if (!state.prefixIndex || request.prefixHashes.length === 0) return undefined;
+): Candidate {
+  if (!state.prefixIndex || request.prefixHashes.length === 0) return alternative;
   const matches = state.prefixIndex.find(request.prefixHashes);
-  if (matches.size === 0) return undefined;
+  if (matches.size === 0) return alternative;
   const bound = Math.max(
     options.affinityFreeWorkPerSlot,
     options.affinityLoadFactor * computeMeanWorkPerSlot(candidates),
   );
-  let best: Candidate | undefined;
-  let bestMatch = 0;
+  const computeScore = (candidate: Candidate) => {
+    const matched = (matches.get(candidate.view.name) ?? 0) / request.prefixHashes.length;
+    return computeCost(candidate) - options.affinityWorkPerSlot * matched;
+  };
+  let best = alternative;
+  let bestScore = computeScore(alternative);
   for (const candidate of candidates) {
-    const match = matches.get(candidate.view.name) ?? 0;
-    if (match === 0 || match < bestMatch || computeCost(candidate) > bound) continue;
-    if (!best || match > bestMatch || computeCost(candidate) < computeCost(best)) {
+    if (!matches.has(candidate.view.name) || computeCost(candidate) > bound) continue;
+    const score = computeScore(candidate);
+    if (score < bestScore) {
       best = candidate;
-      bestMatch = match;
+      bestScore = score;
     }
   }
   return best;
@@ -231,9 +279,9 @@
  * Chooses the upstream for one request.
  *
  * Order of the rules: upstreams that are excluded, ejected or leaving are skipped; a suspect gets
- * the upstream with the fewest requests and no other suspect; the own zone is used until it is
- * full; a holder of the prompt's prefix is used while its load is bounded; otherwise the less
- * loaded of two random upstreams is used.
+ * the upstream with the fewest requests and no other suspect; the own zone is used until its work
+ * per slot passes a threshold; of two random upstreams the less loaded one is compared with the
+ * holders of the prompt's prefix whose load is bounded.
  *
  * @returns undefined when no upstream may be used.
  */
@@ -256,6 +304,6 @@
   const usable = withoutSuspects.length > 0 ? withoutSuspects : eligible;
   if (usable.length === 0) return undefined;
   const candidates = selectZone(estimateCandidates(usable, options), request.zone, options);
-  const holder = findPrefixHolder(candidates, request, state, options);
-  return (holder ?? pickOfTwo(candidates, state.random)).view;
+  const alternative = pickOfTwo(candidates, state.random);
+  return preferPrefixHolder(alternative, candidates, request, state, options).view;
 }
