Answer a claimed call before its outcome is stored

Cause: the caller waited for the update that stores the outcome, which is shared and up to 500 ms away. A repeat in that time is answered from the memory of the instance; if the instance is lost before the update, the repeat gets 3101, which is the answer for an unknown outcome.

--- a/packages/server/src/requests/serviceHandler.ts
+++ b/packages/server/src/requests/serviceHandler.ts
@@ -167,11 +167,8 @@
     }
     try {
       const reply = await this.send(request, upstream, 1, true);
-      await this.options.claims.complete(claim, {
-        status: reply.status,
-        contentType: reply.contentType,
-        body: reply.body,
-      });
+      const { status, contentType, body } = reply;
+      this.keepAnswer(claim, { status, contentType, body });
       return await this.bill(request, reply);
     } catch (error) {
       const failure = error as LinkFailure;
@@ -183,11 +180,19 @@
         'outcome_unknown',
         `${request.service} did not answer and the call is not repeated: ${failure.message}`,
       );
-      await this.options.claims.complete(claim, createKeptFailure(unknown));
+      this.keepAnswer(claim, createKeptFailure(unknown));
       return err(unknown);
     }
   }
 
+  /**
+   * Stores the outcome of a claim. The caller does not wait: outcomes share an update that may be
+   * up to 500 ms away, and until then a repeat is answered from this instance's memory.
+   */
+  private keepAnswer(claim: Claim, answer: KeptAnswer): void {
+    this.options.claims.complete(claim, answer).catch(() => {});
+  }
+
   private async awaitOwner(
     request: ServiceRequest,
     key: string,
