--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -26,8 +26,8 @@
   process.exitCode = 2;
 }
 
-async function runBench(name: string, flags: Flags): Promise<void> {
-  const selected = selectScenarios(name);
+async function runBench(name: string | undefined, flags: Flags): Promise<void> {
+  const selected = selectScenarios(name ?? ALL);
   if (selected.length === 0) {
     const known = [...Object.keys(scenarios), ALL].join(', ');
     stopWithUsageError(`unknown scenario "${name}"; use one of: ${known}`);
@@ -50,7 +50,7 @@
 
 const summaries = Object.entries(scenarios).map(([name, { summary }]) => `${name}: ${summary}`);
 
-sade('bench <scenario>', true)
+sade('bench [scenario]', true)
   .describe(['Runs a scenario and prints its tables.', ...summaries, `${ALL}: every scenario`])
   .option('--seed', 'Seed of all random numbers; the same seed gives the same numbers', 1)
   .option('--quick', 'Shorter model time', false)
--- /dev/null
+++ b/packages/bench/src/processes/controlCost.ts
@@ -0,0 +1,99 @@
+import type { PlaceOptions } from '@cactusstair/place';
+import { Place } from '@cactusstair/place';
+import { systemClock } from '@cactusstair/utils';
+
+import type { ResultTable } from '../scenario.js';
+import type { ControlCost } from './placeSampler.js';
+import { computeControlCost, samplePlace } from './placeSampler.js';
+
+/** Sizes of one place whose cost of control is measured. */
+interface PlaceSize {
+  entries: number;
+  engines: number;
+  workspaces: number;
+  models: number;
+}
+
+const ZONES = ['riga-a', 'riga-b', 'jelgava'];
+/** A started process has most of its one-time work behind it after this time. */
+const WARM_UP_MS = 8000;
+const MEASURE_MS = 10_000;
+const QUICK_MEASURE_MS = 4000;
+const CPU_DIGITS = 4;
+
+/** One size differs from the base size in one dimension, so that each slope can be read off. */
+const SIZES: PlaceSize[] = [
+  { entries: 3, engines: 3, workspaces: 10, models: 3 },
+  { entries: 6, engines: 3, workspaces: 10, models: 3 },
+  { entries: 12, engines: 3, workspaces: 10, models: 3 },
+  { entries: 3, engines: 12, workspaces: 10, models: 3 },
+  { entries: 3, engines: 24, workspaces: 10, models: 3 },
+  { entries: 3, engines: 3, workspaces: 400, models: 3 },
+  { entries: 3, engines: 3, workspaces: 10, models: 33 },
+];
+
+function createPlaceOptions(size: PlaceSize, seed: number): PlaceOptions {
+  const models = Array.from({ length: size.models }, (_, index) => ({
+    name: `model-${index}`,
+    versions: [{ version: '1' }],
+  }));
+  return {
+    seed,
+    zones: ZONES.map((name) => ({
+      name,
+      entries: Math.round(size.entries / ZONES.length),
+      engines: [{ versions: ['model-0@1'], count: Math.round(size.engines / ZONES.length) }],
+    })),
+    models,
+    workspaces: Array.from({ length: size.workspaces }, (_, index) => ({
+      name: `workspace-${index}`,
+    })),
+  };
+}
+
+/** Measures an idle place: nothing but control runs. */
+async function measureIdle(size: PlaceSize, seed: number, measureMs: number): Promise<ControlCost> {
+  const place = await Place.start(createPlaceOptions(size, seed));
+  try {
+    await systemClock.sleep(WARM_UP_MS);
+    const before = await samplePlace(place);
+    await systemClock.sleep(measureMs);
+    return computeControlCost(before, await samplePlace(place), size.entries);
+  } finally {
+    await place.close();
+  }
+}
+
+/** Measures the cost of control of idle places of several sizes, with real processes. */
+export async function measureControlCost(seed: number, quick: boolean): Promise<ResultTable> {
+  const rows: (string | number)[][] = [];
+  for (const size of quick ? SIZES.slice(0, 2) : SIZES) {
+    const cost = await measureIdle(size, seed, quick ? QUICK_MEASURE_MS : MEASURE_MS);
+    rows.push([
+      size.entries,
+      size.engines,
+      size.workspaces,
+      size.models,
+      cost.cpuPerEntry.toFixed(CPU_DIGITS),
+      Math.round(cost.largestEntryMegabytes),
+      cost.storeReadsPerSecond.toFixed(2),
+      cost.storeWritesPerSecond.toFixed(2),
+      cost.openWatches,
+    ]);
+  }
+  return {
+    title: 'Cost of control of an idle place',
+    columns: [
+      'entries',
+      'engines',
+      'workspaces',
+      'models',
+      'cores/entry',
+      'MB/entry',
+      'store reads/s',
+      'store writes/s',
+      'watches',
+    ],
+    rows,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/processes/entryOverhead.ts
@@ -0,0 +1,133 @@
+import { Place } from '@cactusstair/place';
+import type { Histogram } from 'hdr-histogram-js';
+import { build } from 'hdr-histogram-js';
+import { Agent } from 'undici';
+
+import type { ResultTable } from '../scenario.js';
+import { computeControlCost, samplePlace } from './placeSampler.js';
+
+const ROUNDS = 600;
+const QUICK_ROUNDS = 100;
+const CONCURRENT_CALLS = 8;
+const TOKENS = 16;
+/** Histograms hold microseconds, so that short answers keep their resolution. */
+const MICROS_PER_MS = 1000;
+const MAX_MICROS = 60_000_000;
+const MODEL = 'small';
+
+/** One way of reaching the engine. */
+interface Route {
+  origin: string;
+  headers: Record<string, string>;
+  model: string;
+  latency: Histogram;
+}
+
+async function callOnce(agent: Agent, route: Route, count: number): Promise<void> {
+  const startedAtMs = performance.now();
+  const answer = await agent.request({
+    origin: route.origin,
+    method: 'POST',
+    path: '/v1/chat/completions',
+    headers: {
+      ...route.headers,
+      'content-type': 'application/json',
+      'x-request-id': `overhead-${count}-${route.model}`,
+    },
+    body: JSON.stringify({
+      model: route.model,
+      messages: [{ role: 'user', content: `question ${count}` }],
+      max_tokens: TOKENS,
+    }),
+  });
+  await answer.body.dump({ limit: MAX_MICROS });
+  if (answer.statusCode !== 200) throw new Error(`${route.origin} answered ${answer.statusCode}`);
+  route.latency.recordValue(Math.round((performance.now() - startedAtMs) * MICROS_PER_MS));
+}
+
+/** Calls both routes in turn, so that noise of the machine falls on both alike. */
+async function callInTurn(routes: readonly Route[], rounds: number): Promise<void> {
+  const agent = new Agent();
+  let next = 0;
+  const worker = async () => {
+    while (next < rounds) {
+      next += 1;
+      const count = next;
+      for (const route of routes) await callOnce(agent, route, count);
+    }
+  };
+  await Promise.all(Array.from({ length: CONCURRENT_CALLS }, worker));
+  await agent.close();
+}
+
+function createRoute(origin: string, model: string, apiKey?: string): Route {
+  return {
+    origin,
+    model,
+    headers: apiKey === undefined ? {} : { authorization: `Bearer ${apiKey}` },
+    latency: build({ highestTrackableValue: MAX_MICROS, numberOfSignificantValueDigits: 3 }),
+  };
+}
+
+function formatMs(route: Route, percentile: number): string {
+  return (route.latency.getValueAtPercentile(percentile) / MICROS_PER_MS).toFixed(1);
+}
+
+function formatRatio(through: Route, direct: Route, percentile: number): string {
+  const ratio =
+    through.latency.getValueAtPercentile(percentile) /
+    direct.latency.getValueAtPercentile(percentile);
+  return ratio.toFixed(2);
+}
+
+/** Measures an answer through an entry instance against the direct call on the same engine. */
+export async function measureEntryOverhead(seed: number, quick: boolean): Promise<ResultTable> {
+  const place = await Place.start({
+    seed,
+    // The second zone holds the copies of the bills, as in a real place.
+    zones: [
+      { name: 'riga-a', engines: [{ versions: [`${MODEL}@1`] }] },
+      { name: 'riga-b', engines: [] },
+    ],
+    models: [{ name: MODEL, versions: [{ version: '1' }] }],
+    workspaces: [{ name: 'ladders', apiKey: 'ladders-key' }],
+  });
+  try {
+    const entry = place.entries[0];
+    if (!entry) throw new Error('the place has no entry instance');
+    const idle = await samplePlace(place);
+    const direct = createRoute(place.getUrl('riga-a-engine-1'), `${MODEL}@1`);
+    const through = createRoute(entry.callers, MODEL, 'ladders-key');
+    await callInTurn([direct, through], quick ? QUICK_ROUNDS : ROUNDS);
+    const loaded = await samplePlace(place);
+    const cost = computeControlCost(idle, loaded, place.entries.length);
+    const idleMegabytes = Math.round(idle.largestEntryBytes / MICROS_PER_MS / 1000);
+    return {
+      title: `Answers of ${TOKENS} tokens, ${CONCURRENT_CALLS} at a time`,
+      columns: ['route', 'p50 ms', 'p95 ms', 'MB idle', 'MB loaded', 'reads/s', 'writes/s'],
+      rows: [
+        ['direct', formatMs(direct, 50), formatMs(direct, 95), '', '', '', ''],
+        [
+          'through an entry instance',
+          formatMs(through, 50),
+          formatMs(through, 95),
+          idleMegabytes,
+          Math.round(cost.largestEntryMegabytes),
+          cost.storeReadsPerSecond.toFixed(2),
+          cost.storeWritesPerSecond.toFixed(2),
+        ],
+        [
+          'ratio',
+          formatRatio(through, direct, 50),
+          formatRatio(through, direct, 95),
+          '',
+          '',
+          '',
+          '',
+        ],
+      ],
+    };
+  } finally {
+    await place.close();
+  }
+}
--- /dev/null
+++ b/packages/bench/src/processesMain.ts
@@ -0,0 +1,17 @@
+import { formatTextTable } from './report/textTable.js';
+import { measureControlCost } from './processes/controlCost.js';
+import { measureEntryOverhead } from './processes/entryOverhead.js';
+
+/**
+ * Measures real processes: the added latency of an entry instance and the cost of control. The
+ * times depend on the machine; only ratios and slopes are meant to be used.
+ *
+ * Usage: node packages/bench/dist/processesMain.js [--quick] [--seed N]
+ */
+const quick = process.argv.includes('--quick');
+const seedIndex = process.argv.indexOf('--seed');
+const seed = seedIndex < 0 ? 1 : Number(process.argv[seedIndex + 1]);
+
+process.stdout.write(`${formatTextTable(await measureEntryOverhead(seed, quick))}\n`);
+process.stdout.write(`${formatTextTable(await measureControlCost(seed, quick))}\n`);
+process.exit(0);
