--- a/packages/bench/src/model/instanceView.ts
+++ b/packages/bench/src/model/instanceView.ts
@@ -66,6 +66,11 @@
     return this.states.get(name)!.outstanding;
   }
 
+  /** Queue length of the last report; undefined without a report. */
+  getReportedQueued(name: string): number | undefined {
+    return this.states.get(name)!.report?.queued;
+  }
+
   listViews(
     getHealth?: (name: string) => { availability: UpstreamAvailability; readyForMs: number },
   ): UpstreamView[] {
--- a/packages/bench/src/model/routers.ts
+++ b/packages/bench/src/model/routers.ts
@@ -244,7 +244,8 @@
       name,
       (latencyMs) => {
         health.recordSuccess();
-        limit.recordSample({ latencyMs, inFlight, failed: false, requestClass });
+        const upstreamQueued = this.options.view.getReportedQueued(name);
+        limit.recordSample({ latencyMs, inFlight, failed: false, requestClass, upstreamQueued });
         this.updateCapacity();
       },
       (reason) => {
--- a/packages/bench/src/scenarios/overload.ts
+++ b/packages/bench/src/scenarios/overload.ts
@@ -216,7 +216,7 @@
     round(result.goodTokens / result.measuredSeconds, 0),
     result.good.short,
     result.good.long,
-    round(result.shortFirstToken.p95, 0),
+    result.shortFirstToken.count > 0 ? round(result.shortFirstToken.p95, 0) : '-',
     round((100 * result.refused) / result.requests),
     round(result.upstreamCalls / Math.max(1, result.sent), 2),
   ];
@@ -258,7 +258,9 @@
           const good = (result.good.short + result.good.long) / result.measuredSeconds;
           rows.push(describeRun(name, factor, result));
           goodput.at(-1)!.points.push({ x: factor, y: good });
-          latency.at(-1)!.points.push({ x: factor, y: result.shortFirstToken.p95 });
+          if (result.shortFirstToken.count > 0) {
+            latency.at(-1)!.points.push({ x: factor, y: result.shortFirstToken.p95 });
+          }
         }
       }
       rows.sort((a, b) => Number(a[0]) - Number(b[0]));
--- a/packages/routing/src/concurrencyLimit.ts
+++ b/packages/routing/src/concurrencyLimit.ts
@@ -28,6 +28,8 @@
   inFlight: number;
   /** True for a time-out or a refusal by the upstream, not for an error of the request. */
   failed: boolean;
+  /** Requests that wait at the upstream according to its last load report, if there is one. */
+  upstreamQueued?: number;
   /** Classes have baselines of their own, since long prompts take longer. Default `short`. */
   requestClass?: RequestClass;
 }
@@ -50,8 +52,8 @@
  * Adapts the number of concurrent calls to one upstream to its latency: while recent latency is
  * close to the baseline the limit grows, and it shrinks in proportion when latency rises.
  *
- * The baseline rises only at the lowest limit, where the concurrency of this instance cannot be
- * the cause of the latency. A baseline that drifts towards the recent latency, or that is measured
+ * The baseline rises only at the lowest limit and with no queue at the upstream, where neither this
+ * instance nor the others can be the cause of the latency. A baseline that drifts towards the recent latency, or that is measured
  * again at a somewhat lower limit while other instances keep theirs, raises the limit without end
  * under a lasting overload.
  */
@@ -93,9 +95,8 @@
       return;
     }
     if (!Number.isFinite(sample.latencyMs) || sample.latencyMs <= 0) return;
-    const latency = this.recordLatency(sample.requestClass ?? 'short', sample.latencyMs);
-    const { tolerance, harmlessLatencyMs } = this.options;
-    const gradient = Math.max(tolerance * latency.baselineMs, harmlessLatencyMs) / latency.recentMs;
+    const latency = this.recordLatency(sample);
+    const gradient = this.computeAcceptedMs(latency) / latency.recentMs;
     if (gradient < 1) {
       // The recent latency is lowered with the limit. Otherwise it would still contain the cause of
       // this decrease after the next round and lower the limit for it again.
@@ -106,7 +107,17 @@
     if (sample.inFlight * 2 >= this.limit) this.limit = this.clamp(this.limit + 1 / this.limit);
   }
 
-  private recordLatency(requestClass: RequestClass, latencyMs: number): ClassLatency {
+  /**
+   * Latency up to which the limit may grow. A lower limit accepts more: with one threshold for all,
+   * the instance with the highest baseline pushes those of the others down to the floor.
+   */
+  private computeAcceptedMs({ baselineMs }: ClassLatency): number {
+    const { tolerance, harmlessLatencyMs } = this.options;
+    return Math.max(tolerance * baselineMs, harmlessLatencyMs) * (1 + 1 / Math.sqrt(this.limit));
+  }
+
+  private recordLatency(sample: LatencySample): ClassLatency {
+    const { requestClass = 'short', latencyMs, upstreamQueued = 0 } = sample;
     const latency = this.latencies.get(requestClass) ?? {
       baselineMs: latencyMs,
       recentMs: latencyMs,
@@ -114,7 +125,8 @@
     };
     this.latencies.set(requestClass, latency);
     latency.recentMs += this.options.smoothing * (latencyMs - latency.recentMs);
-    latency.floorSamples = this.getLimit() === FLOOR_LIMIT ? latency.floorSamples + 1 : 0;
+    const isUnloaded = this.getLimit() === FLOOR_LIMIT && upstreamQueued === 0;
+    latency.floorSamples = isUnloaded ? latency.floorSamples + 1 : 0;
     const measuredAtFloor = latency.floorSamples >= FLOOR_SAMPLES;
     if (measuredAtFloor) latency.floorSamples = 0;
     latency.baselineMs = measuredAtFloor
--- a/tests/routing/concurrencyLimit.test.ts
+++ b/tests/routing/concurrencyLimit.test.ts
@@ -73,6 +73,30 @@
     assert.ok(sum / 50 >= 15 && sum / 50 <= 50, `mean limit ${sum / 50}`);
   });
 
+  it('shares an upstream with the limits of other instances, in a lasting overload too', () => {
+    const random = createRandom(9);
+    const limits = [2, 8, 20].map((initialLimit) => new ConcurrencyLimit({ initialLimit }));
+    const sums = [0, 0, 0];
+    const rounds = 3000;
+    for (let round = 0; round < rounds; round += 1) {
+      const total = limits.reduce((sum, limit) => sum + limit.getLimit(), 0);
+      for (const [index, limit] of limits.entries()) {
+        const inFlight = limit.getLimit();
+        // All calls in flight end once per round, so that a larger limit gets more samples.
+        for (let call = 0; call < inFlight; call += 1) {
+          const latencyMs = 100 * Math.max(1, total / 30) * (0.8 + 0.4 * random.next());
+          const upstreamQueued = Math.max(0, total - 30);
+          limit.recordSample({ latencyMs, inFlight, failed: false, upstreamQueued });
+        }
+        if (round >= rounds / 2) sums[index]! += inFlight;
+      }
+    }
+    const means = sums.map((sum) => sum / (rounds / 2));
+    const total = means.reduce((sum, mean) => sum + mean, 0);
+    assert.ok(total >= 25 && total <= 90, `total ${total}`);
+    assert.ok(Math.max(...means) < 4 * Math.min(...means), `means ${means.join(', ')}`);
+  });
+
   it('accepts the latency of a slower model as its new baseline', () => {
     const limit = new ConcurrencyLimit({ initialLimit: 8, harmlessLatencyMs: 0 });
     drive(limit, 20, 2000);
