Pass queue deadlines as durations and judge upstreams by their first token

Causes: AdmissionQueue takes the longest wait from now and got a point on the monotonic clock, so a full pool queued requests without end; the concurrency limit got the time to the whole answer, which depends on its length; a suspect that completed was never cleared. Polls keep their connection and run once a second; a failed one is repeated over a new connection.

--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -69,6 +69,8 @@
   text: string;
   startedAtMs: number;
   firstTokenAtMs: number | undefined;
+  /** Time from the start of the current attempt to its first token. */
+  attemptFirstTokenMs: number | undefined;
 }
 
 const MAX_ATTEMPTS_PER_RUNG = 4;
@@ -103,7 +105,7 @@
       weight: call.workspace.weight || 1,
       requestClass: call.requestClass,
       cost: call.expectedTokens,
-      deadlineMs: Math.min(clock.monotonicMs() + queueMs[call.requestClass], call.deadlineMs),
+      deadlineMs: Math.min(queueMs[call.requestClass], call.deadlineMs - clock.monotonicMs()),
       signal: call.signal,
     });
   }
@@ -119,6 +121,7 @@
       text: '',
       startedAtMs: this.options.clock.monotonicMs(),
       firstTokenAtMs: undefined,
+      attemptFirstTokenMs: undefined,
     };
     const exclude = new Set<string>();
     let lastFailure: LinkFailure | undefined;
@@ -183,10 +186,10 @@
     const attempt = call.attempts;
     const release = upstream.startCall(quarantine.classify(call.fingerprint) === 'suspect');
     const endSuspicion = quarantine.recordStart(upstream.name, call.fingerprint);
-    const startedAtMs = this.options.clock.monotonicMs();
     try {
       const answer = await this.readAnswer(call, resolved, upstream, progress, attempt, onToken);
-      upstream.recordSuccess(this.options.clock.monotonicMs() - startedAtMs);
+      endSuspicion('completed');
+      upstream.recordSuccess(progress.attemptFirstTokenMs ?? 0, call.requestClass);
       metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: 'success' });
       return answer;
     } catch (error) {
@@ -211,7 +214,9 @@
   ): Promise<RungAnswer> {
     const { clock, engines, metrics, firstTokenMs, interTokenMs } = this.options;
     const labels = { workspace: call.workspace.name, class: call.requestClass };
-    let lastTokenAtMs = clock.monotonicMs();
+    const startedAtMs = clock.monotonicMs();
+    let lastTokenAtMs = startedAtMs;
+    progress.attemptFirstTokenMs = undefined;
     const events = engines.streamChat(upstream.link, {
       requestId: call.requestId,
       attempt,
@@ -243,6 +248,7 @@
         };
       }
       const nowMs = clock.monotonicMs();
+      progress.attemptFirstTokenMs ??= nowMs - startedAtMs;
       if (progress.firstTokenAtMs === undefined) progress.firstTokenAtMs = nowMs;
       else metrics.tokenGapSeconds.observe(labels, (nowMs - lastTokenAtMs) / MS_PER_SECOND);
       lastTokenAtMs = nowMs;
--- a/packages/server/src/upstreams/loadReport.ts
+++ b/packages/server/src/upstreams/loadReport.ts
@@ -1,4 +1,4 @@
-import { request } from 'undici';
+import { Client, request } from 'undici';
 import { z } from 'zod';
 
 const loadReportSchema = z.looseObject({
@@ -28,30 +28,40 @@
 /** An event of an engine's prefix cache. */
 export type EngineCacheEvent = z.output<typeof cacheEventsSchema>['events'][number];
 
-async function fetchJson(url: string, timeoutMs: number): Promise<unknown> {
-  const answer = await request(url, {
-    // A probe on an old connection would not tell whether new ones work.
-    reset: true,
-    signal: AbortSignal.timeout(timeoutMs),
-  });
-  if (answer.statusCode !== 200) {
+/** How a report is read. */
+export interface ReportCall {
+  baseUrl: string;
+  timeoutMs: number;
+  /** Opens a new connection. A kept one may have gone silent while new ones work. */
+  newConnection: boolean;
+}
+
+async function fetchJson(path: string, call: ReportCall): Promise<unknown> {
+  const url = `${call.baseUrl}${path}`;
+  const client = call.newConnection ? new Client(call.baseUrl) : undefined;
+  try {
+    const answer = await request(url, {
+      signal: AbortSignal.timeout(call.timeoutMs),
+      ...(client && { dispatcher: client }),
+    });
+    if (answer.statusCode === 200) return await answer.body.json();
     await answer.body.dump();
     throw new Error(`${url} answered with status ${answer.statusCode}`);
+  } finally {
+    await client?.destroy();
   }
-  return answer.body.json();
 }
 
-/** Reads the load report of an upstream over a new connection. */
-export async function fetchLoadReport(baseUrl: string, timeoutMs: number): Promise<LoadReport> {
-  return loadReportSchema.parse(await fetchJson(`${baseUrl}/load`, timeoutMs));
+/** Reads the load report of an upstream. */
+export async function fetchLoadReport(call: ReportCall): Promise<LoadReport> {
+  return loadReportSchema.parse(await fetchJson('/load', call));
 }
 
 /** Reads the cache events of an engine above a sequence number. */
 export async function fetchCacheEvents(
-  baseUrl: string,
+  call: ReportCall,
   fromSequence: number,
-  timeoutMs: number,
 ): Promise<EngineCacheEvent[]> {
-  const url = `${baseUrl}/cache-events?from=${fromSequence}`;
-  return cacheEventsSchema.parse(await fetchJson(url, timeoutMs)).events;
+  const path = `/cache-events?from=${fromSequence}`;
+  return cacheEventsSchema.parse(await fetchJson(path, call)).events;
 }
--- a/packages/server/src/upstreams/upstream.ts
+++ b/packages/server/src/upstreams/upstream.ts
@@ -3,6 +3,7 @@
 import type {
   CrashQuarantine,
   PrefixIndex,
+  RequestClass,
   UpstreamHealth,
   UpstreamView,
 } from '@cactusstair/routing';
@@ -11,7 +12,7 @@
 
 import { Link } from './link.js';
 import type { LinkFailure } from './linkFailure.js';
-import type { LoadReport } from './loadReport.js';
+import type { LoadReport, ReportCall } from './loadReport.js';
 import { fetchCacheEvents, fetchLoadReport } from './loadReport.js';
 
 /** What an upstream shares with the others. */
@@ -23,8 +24,9 @@
   connectMs: number;
 }
 
-const POLL_INTERVAL_MS = 500;
-const PROBE_TIMEOUT_MS = 800;
+/** Two failed probes in a row take an upstream out of service, which may take 3 s at most. */
+const POLL_INTERVAL_MS = 1000;
+const PROBE_TIMEOUT_MS = 500;
 const DEFAULT_SLOTS = 16;
 
 /** One upstream as this instance sees it: its link, its load and its health. */
@@ -106,9 +108,15 @@
   }
 
   /** @param latencyMs time to the first token, or to the answer of a plain service. */
-  recordSuccess(latencyMs: number): void {
+  recordSuccess(latencyMs: number, requestClass: RequestClass = 'short'): void {
     this.health.recordSuccess();
-    this.limit.recordSample({ latencyMs, inFlight: this.outstanding, failed: false });
+    this.limit.recordSample({
+      requestClass,
+      latencyMs,
+      inFlight: this.outstanding,
+      failed: false,
+      upstreamQueued: this.report?.queued ?? 0,
+    });
   }
 
   /**
@@ -121,7 +129,7 @@
       this.limit.recordSample({ latencyMs: 0, inFlight: this.outstanding, failed: true });
     }
     const before = this.report?.incarnation;
-    const probed = failure.kind === 'status' ? this.report : await this.probe();
+    const probed = failure.kind === 'status' ? this.report : await this.probe(true);
     const restarted = probed !== undefined && probed.incarnation !== before;
     if (failure.kind === 'crash' && (probed === undefined || restarted)) {
       this.context.quarantine.recordCrash(this.name);
@@ -139,7 +147,7 @@
   /** Polls the load report until `signal` aborts. */
   async pollLoad(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const report = await this.probe();
+      const report = (await this.probe(false)) ?? (await this.probe(true));
       if (signal.aborted) return;
       this.recordProbe(report);
       if (report && this.config.kind === UpstreamKind.ENGINE) await this.pollCacheEvents(report);
@@ -147,14 +155,18 @@
     }
   }
 
-  private async probe(): Promise<LoadReport | undefined> {
+  private async probe(newConnection: boolean): Promise<LoadReport | undefined> {
     try {
-      return await fetchLoadReport(this.config.url, PROBE_TIMEOUT_MS);
+      return await fetchLoadReport(this.createReportCall(newConnection));
     } catch {
       return undefined;
     }
   }
 
+  private createReportCall(newConnection: boolean): ReportCall {
+    return { baseUrl: this.config.url, timeoutMs: PROBE_TIMEOUT_MS, newConnection };
+  }
+
   private recordProbe(report: LoadReport | undefined): void {
     const before = this.health.getAvailability();
     this.health.recordProbe(report !== undefined);
@@ -183,7 +195,7 @@
     const lastSequence = prefixIndex.getLastSequence(this.name);
     if ((report.cacheEvents ?? 0) <= lastSequence) return;
     try {
-      const events = await fetchCacheEvents(this.config.url, lastSequence, PROBE_TIMEOUT_MS);
+      const events = await fetchCacheEvents(this.createReportCall(false), lastSequence);
       prefixIndex.applyEvents(
         this.name,
         events.map(({ sequence, type, block }) => ({
