Add the randomised run with its checker

npm run soak starts a place behind proxies, drives a mixed load under faults that are computed from the seed, and checks journals, bills, answers and configuration. Place can put a proxy before a peer port; the instance then advertises the proxy's address through the new setting advertise.peers.

--- /dev/null
+++ b/packages/bench/src/soak/answerChecks.ts
@@ -0,0 +1,211 @@
+import { createAnswerText } from '@cactusstair/standins';
+
+import type { CallRecord, PropertyResult, Recording, Violation } from './recording.js';
+import { groupCalls, listEngineWork } from './versionChecks.js';
+
+const FAILURE_STATUS = 400;
+const MAX_SHOWN_CHARACTERS = 60;
+
+function isService(call: CallRecord): boolean {
+  return call.model.startsWith('service:');
+}
+
+/** Whether the caller received an answer that is whole and no failure. */
+export function isAnswered(call: CallRecord): boolean {
+  return call.complete && (call.status ?? FAILURE_STATUS) < FAILURE_STATUS;
+}
+
+/** Each answered request has exactly one bill, of the cost that the answer stated. */
+export function checkBills(recording: Recording): PropertyResult {
+  const violations: Violation[] = [];
+  const bills = new Map<string, number[]>();
+  for (const { workspace, requestId, costMicros } of recording.bills) {
+    const key = `${workspace}/${requestId}`;
+    bills.set(key, [...(bills.get(key) ?? []), costMicros]);
+  }
+  for (const [key, costs] of bills) {
+    if (costs.length === 1) continue;
+    const requestId = key.slice(key.indexOf('/') + 1);
+    violations.push({ requestId, detail: `${costs.length} bills for ${key}` });
+  }
+  const answers = recording.calls.filter((call) => isAnswered(call) && !call.replayed);
+  for (const { workspace, requestId, costMicros = 0 } of answers) {
+    const costs = bills.get(`${workspace}/${requestId}`);
+    if (!costs) violations.push({ requestId, detail: 'answered without a bill' });
+    else if (!costs.includes(costMicros)) {
+      const detail = `the answer states ${costMicros} micros, the bill ${costs.join(', ')}`;
+      violations.push({ requestId, detail });
+    }
+  }
+  violations.push(...findUnbilledKeys(recording, bills));
+  return { property: 'one bill for each answered request', tested: answers.length, violations };
+}
+
+/** A call that only repeats got the answer of is billed under the id of its first sending. */
+function findUnbilledKeys(recording: Recording, bills: Map<string, number[]>): Violation[] {
+  const byKey = new Map<string, CallRecord[]>();
+  for (const call of recording.calls) {
+    if (call.idempotencyKey === undefined) continue;
+    const key = `${call.workspace}/${call.idempotencyKey}`;
+    byKey.set(key, [...(byKey.get(key) ?? []), call]);
+  }
+  return [...byKey.values()].flatMap((calls) => {
+    const answered = calls.find((call) => isAnswered(call) && call.replayed);
+    const isBilled = calls.some(({ workspace, requestId }) =>
+      bills.has(`${workspace}/${requestId}`),
+    );
+    if (!answered || isBilled) return [];
+    const detail = `no sending with the key ${answered.idempotencyKey} has a bill`;
+    return [{ requestId: answered.requestId, detail }];
+  });
+}
+
+function findAnswerProblem(call: CallRecord): string | undefined {
+  const shown = JSON.stringify(call.text.slice(0, MAX_SHOWN_CHARACTERS));
+  if (call.answeredId !== undefined && call.answeredId !== call.requestId) {
+    return `the answer carries the request id ${call.answeredId}`;
+  }
+  if (isService(call)) {
+    if (!isAnswered(call)) return undefined;
+    const { idempotencyKey, requestId } = JSON.parse(call.text) as Record<string, string>;
+    if (call.idempotencyKey !== undefined) {
+      return idempotencyKey === call.idempotencyKey ? undefined : `foreign answer: ${shown}`;
+    }
+    return requestId === call.requestId ? undefined : `foreign answer: ${shown}`;
+  }
+  if (call.status !== 200) return undefined;
+  const whole = createAnswerText(call.requestId, call.expectedTokens);
+  if (call.complete) return call.text === whole ? undefined : `not the whole answer: ${shown}`;
+  if (!whole.startsWith(call.text)) return `foreign text: ${shown}`;
+  const hasError = call.error !== undefined || call.code !== undefined;
+  return hasError ? undefined : `the answer ends early and without an error: ${shown}`;
+}
+
+/** Each caller gets the whole answer to its own request, or an error. */
+export function checkAnswers(recording: Recording): PropertyResult {
+  const begun = recording.calls.filter((call) => call.status !== undefined);
+  const violations = begun.flatMap((call) => {
+    const detail = findAnswerProblem(call);
+    return detail === undefined ? [] : [{ requestId: call.requestId, detail }];
+  });
+  return { property: 'whole answer to the own request', tested: begun.length, violations };
+}
+
+/** A request that was reported as not run is in no upstream's journal. */
+export function checkNotRun(recording: Recording): PropertyResult {
+  const runs = new Map<string, string>();
+  for (const entry of listEngineWork(recording)) runs.set(entry.requestId, entry.upstream);
+  for (const { upstream, calls } of recording.services) {
+    for (const call of calls) runs.set(call.requestId ?? '', upstream);
+  }
+  const violations: Violation[] = [];
+  let tested = 0;
+  for (const [requestId, calls] of groupCalls(recording)) {
+    // With several sendings of one id, the journal does not tell which of them ran.
+    const [call] = calls;
+    if (calls.length !== 1 || call?.ran !== 'no') continue;
+    tested += 1;
+    const upstream = runs.get(requestId);
+    if (upstream === undefined) continue;
+    violations.push({ requestId, detail: `code ${call.code} says not run; ${upstream} ran it` });
+  }
+  return { property: '"not run" means not run', tested, violations };
+}
+
+/** A call that must not be repeated runs at most once; all its answers are the first one. */
+export function checkNonIdempotent(recording: Recording): PropertyResult {
+  const violations: Violation[] = [];
+  const effects = new Map<string, string[]>();
+  for (const { upstream, calls } of recording.services) {
+    for (const { idempotencyKey, effect } of calls) {
+      if (idempotencyKey === undefined) continue;
+      effects.set(idempotencyKey, [
+        ...(effects.get(idempotencyKey) ?? []),
+        `${upstream}/${effect}`,
+      ]);
+    }
+  }
+  const keyed = recording.calls.filter((call) => call.idempotencyKey !== undefined);
+  for (const [key, runs] of effects) {
+    if (runs.length === 1) continue;
+    const requestId = keyed.find((call) => call.idempotencyKey === key)?.requestId;
+    const detail = `the key ${key} ran ${runs.length} times: ${runs.join(', ')}`;
+    violations.push({ detail, ...(requestId !== undefined && { requestId }) });
+  }
+  for (const call of keyed.filter(isAnswered)) {
+    const { service, effect } = JSON.parse(call.text) as { service: string; effect: number };
+    const [run] = effects.get(call.idempotencyKey ?? '') ?? [];
+    if (run === `${service}/${effect}`) continue;
+    const detail = `the answer shows effect ${service}/${effect}, the journal ${run}`;
+    violations.push({ requestId: call.requestId, detail });
+  }
+  return { property: 'non-idempotent runs at most once', tested: effects.size, violations };
+}
+
+// A crash ends every request on the engine; the entries of the others have the same end time.
+const CRASH_WINDOW_MS = 100;
+
+/** Requests that ran beside one that crashes the engine get their answer. */
+export function checkInnocent(recording: Recording): PropertyResult {
+  const calls = groupCalls(recording);
+  const crashed = listEngineWork(recording).filter((entry) => entry.outcome === 'crashed');
+  const isMarked = (requestId: string) =>
+    ['crash-marker', 'crash-probe'].includes(calls.get(requestId)?.[0]?.kind ?? '');
+  const innocent = new Set(
+    crashed
+      .filter((entry) => !isMarked(entry.requestId))
+      .filter((entry) =>
+        crashed.some(
+          (other) =>
+            isMarked(other.requestId) &&
+            other.upstream === entry.upstream &&
+            Math.abs((other.endedAtMs ?? 0) - (entry.endedAtMs ?? 0)) < CRASH_WINDOW_MS,
+        ),
+      )
+      .map((entry) => entry.requestId),
+  );
+  const violations: Violation[] = [];
+  for (const requestId of innocent) {
+    for (const call of calls.get(requestId) ?? []) {
+      if (isAnswered(call) || isLostWithEntry(recording, call)) continue;
+      const detail = `beside a crashing request; ended with ${describeEnd(call)}`;
+      violations.push({ requestId, detail });
+    }
+  }
+  return { property: 'innocent beside a crash is answered', tested: innocent.size, violations };
+}
+
+function describeEnd(call: CallRecord): string {
+  return call.error ?? `status ${call.status}, code ${call.code}`;
+}
+
+/** Whether the instance that held the request was killed meanwhile. */
+function isLostWithEntry(recording: Recording, call: CallRecord): boolean {
+  return recording.faults.some(
+    ({ fault, startedAtMs }) =>
+      fault.kind === 'entry-kill' &&
+      fault.target === call.entry &&
+      startedAtMs >= call.sentAtMs &&
+      startedAtMs <= call.endedAtMs,
+  );
+}
+
+const QUARANTINED = 1110;
+const NOT_TAKEN_CODES = { from: 2000, to: 3000 };
+
+/** A request that keeps crashing engines is refused in the end, at every instance. */
+export function checkCrasher(recording: Recording): PropertyResult {
+  const probes = recording.calls.filter((call) => call.kind === 'crash-probe');
+  const taken = probes.filter(({ code, status }) => {
+    const isNotTaken =
+      code !== undefined && code > NOT_TAKEN_CODES.from && code < NOT_TAKEN_CODES.to;
+    return status !== undefined && !isNotTaken;
+  });
+  const violations = taken
+    .filter((call) => call.code !== QUARANTINED)
+    .map((call) => ({
+      requestId: call.requestId,
+      detail: `${call.entry} took the crashing request again: ${describeEnd(call)}`,
+    }));
+  return { property: 'crashing request is refused', tested: taken.length, violations };
+}
--- /dev/null
+++ b/packages/bench/src/soak/checker.ts
@@ -0,0 +1,45 @@
+import {
+  checkAnswers,
+  checkBills,
+  checkCrasher,
+  checkInnocent,
+  checkNonIdempotent,
+  checkNotRun,
+} from './answerChecks.js';
+import {
+  checkInForce,
+  checkInvariantCounters,
+  checkNoRevert,
+  checkRaces,
+  checkRestarts,
+} from './configChecks.js';
+import type { PropertyResult, Recording } from './recording.js';
+import {
+  checkAllowedVersions,
+  checkLeaving,
+  checkSessions,
+  checkWithdrawals,
+} from './versionChecks.js';
+
+const checks: readonly ((recording: Recording) => PropertyResult)[] = [
+  checkAllowedVersions,
+  checkWithdrawals,
+  checkSessions,
+  checkBills,
+  checkAnswers,
+  checkNotRun,
+  checkNonIdempotent,
+  checkLeaving,
+  checkRestarts,
+  checkNoRevert,
+  checkInForce,
+  checkRaces,
+  checkInnocent,
+  checkCrasher,
+  checkInvariantCounters,
+];
+
+/** Checks every property of a run on its recorded data. */
+export function checkRecording(recording: Recording): PropertyResult[] {
+  return checks.map((check) => check(recording));
+}
--- /dev/null
+++ b/packages/bench/src/soak/operatorDesk.ts
@@ -0,0 +1,166 @@
+import type { Bill, Change } from '@cactusstair/protocol';
+import { OperatorClient, RolloutPhase, Rollout, Workspace } from '@cactusstair/protocol';
+import { systemClock } from '@cactusstair/utils';
+import type { CallOptions, Metadata, ServiceError } from '@grpc/grpc-js';
+import { credentials, Metadata as GrpcMetadata } from '@grpc/grpc-js';
+
+import type { OperatorRecord } from './recording.js';
+
+type UnaryCall<Request, Reply> = (
+  request: Request,
+  metadata: Metadata,
+  options: Partial<CallOptions>,
+  callback: (error: ServiceError | null, reply: Reply) => void,
+) => unknown;
+
+const CALL_TIMEOUT_MS = 5000;
+const RETRY_INTERVAL_MS = 500;
+
+/** Operators who change the configuration through several instances, also against each other. */
+export class OperatorDesk {
+  readonly records: OperatorRecord[] = [];
+
+  private readonly clients: OperatorClient[];
+
+  private races = 0;
+
+  private turn = 0;
+
+  /** @param addresses operator ports of the entry instances. */
+  constructor(addresses: readonly string[]) {
+    this.clients = addresses.map(
+      (address) => new OperatorClient(address, credentials.createInsecure()),
+    );
+  }
+
+  /** Sends conflicting changes of one workspace at the same time, one through each instance. */
+  async race(workspace: string): Promise<void> {
+    this.races += 1;
+    const race = this.races;
+    const stored = await this.retry((client) =>
+      this.call(client, client.getWorkspace, { name: workspace }),
+    );
+    await Promise.all(
+      this.clients.map((client, index) =>
+        this.put(client, stored.workspace, stored.version, 1 + index + race * 10, race),
+      ),
+    );
+  }
+
+  /** Makes one change that is not contested and returns its record, or throws when none is taken. */
+  async change(workspace: string, weight: number): Promise<OperatorRecord> {
+    return this.retry(async (client) => {
+      const stored = await this.call(client, client.getWorkspace, { name: workspace });
+      const record = await this.put(client, stored.workspace, stored.version, weight);
+      if (!record.accepted) throw new Error(record.error);
+      return record;
+    });
+  }
+
+  /** Withdraws a version and insists until an instance accepts. */
+  async withdraw(name: string, permit: 'candidate' | 'settled'): Promise<void> {
+    const [model = '', version = ''] = name.split('@');
+    await this.retry((client) =>
+      this.record({ action: 'withdraw', name, permit }, () =>
+        this.call(client, client.withdrawVersion, { model, version, expectedVersion: 0 }),
+      ).then(assertAccepted),
+    );
+  }
+
+  async startRollout(name: string): Promise<void> {
+    const [model = '', candidateVersion = ''] = name.split('@');
+    const rollout = Rollout.fromPartial({
+      name: `to-${model}-${candidateVersion}`,
+      model,
+      candidateVersion,
+      steps: [30, 60],
+      phase: RolloutPhase.LOADING,
+      minRatingsPerStep: 10_000,
+      qualityMargin: 0.2,
+    });
+    await this.retry((client) =>
+      this.record({ action: 'rollout', name }, () =>
+        this.call(client, client.startRollout, { rollout }),
+      ).then(assertAccepted),
+    );
+  }
+
+  /** Exports every bill; throws when the stream breaks. */
+  async exportBills(): Promise<Bill[]> {
+    return this.retry(async (client) => {
+      const bills: Bill[] = [];
+      for await (const bill of client.exportBills({ workspace: '' })) bills.push(bill as Bill);
+      return bills;
+    });
+  }
+
+  close(): void {
+    for (const client of this.clients) client.close();
+  }
+
+  private put(
+    client: OperatorClient,
+    workspace: Workspace | undefined,
+    expectedVersion: number,
+    weight: number,
+    race?: number,
+  ): Promise<OperatorRecord> {
+    const changed = Workspace.fromPartial({ ...workspace, weight });
+    return this.record(
+      { action: 'put', name: changed.name, ...(race !== undefined && { race }) },
+      () => this.call(client, client.putWorkspace, { workspace: changed, expectedVersion }),
+    );
+  }
+
+  private async record(
+    shape: Pick<OperatorRecord, 'action' | 'name'> & Partial<OperatorRecord>,
+    send: () => Promise<Change>,
+  ): Promise<OperatorRecord> {
+    const record: OperatorRecord = { ...shape, sentAtMs: Date.now(), accepted: false };
+    this.records.push(record);
+    try {
+      const change = await send();
+      record.accepted = true;
+      record.revision = change.revision;
+      record.acceptedAtMs = change.acceptedAtMs;
+    } catch (error) {
+      record.error = (error as Error).message;
+    }
+    return record;
+  }
+
+  private async retry<T>(run: (client: OperatorClient) => Promise<T>): Promise<T> {
+    let lastError: unknown;
+    // Longer than any single fault of the schedule.
+    for (const deadlineMs = Date.now() + 40_000; Date.now() < deadlineMs;) {
+      this.turn += 1;
+      const client = this.clients[this.turn % this.clients.length] as OperatorClient;
+      try {
+        return await run(client);
+      } catch (error) {
+        lastError = error;
+        await systemClock.sleep(RETRY_INTERVAL_MS);
+      }
+    }
+    throw lastError;
+  }
+
+  private call<Request, Reply>(
+    client: OperatorClient,
+    method: UnaryCall<Request, Reply>,
+    request: Request,
+  ): Promise<Reply> {
+    return new Promise((resolve, reject) => {
+      const deadline = Date.now() + CALL_TIMEOUT_MS;
+      method.call(client, request, new GrpcMetadata(), { deadline }, (error, reply) => {
+        if (error) reject(error);
+        else resolve(reply);
+      });
+    });
+  }
+}
+
+function assertAccepted(record: OperatorRecord): OperatorRecord {
+  if (!record.accepted) throw new Error(record.error);
+  return record;
+}
--- a/packages/place/src/entryPlan.ts
+++ b/packages/place/src/entryPlan.ts
@@ -6,6 +6,8 @@
   name: string;
   zone: PlaceZone;
   ports: { callers: number; operators: number; peers: number; metrics: number };
+  /** Address that the other instances use, which may be that of a proxy. */
+  peersAddress: string;
 }
 
 /** What the settings of an entry instance need besides its plan. */
@@ -29,7 +31,11 @@
   const ports = await findFreePorts(named.length * PORTS_PER_ENTRY);
   return named.map((entry) => {
     const [callers = 0, operators = 0, peers = 0, metrics = 0] = ports.splice(0, PORTS_PER_ENTRY);
-    return { ...entry, ports: { callers, operators, peers, metrics } };
+    return {
+      ...entry,
+      ports: { callers, operators, peers, metrics },
+      peersAddress: `127.0.0.1:${peers}`,
+    };
   });
 }
 
@@ -45,15 +51,14 @@
   return {
     instance: { id: name, region: zone.region ?? options.region ?? 'local', zone: zone.name },
     listen: Object.fromEntries(listen),
+    advertise: { peers: plan.peersAddress },
     platform: {
       objectApi: `http://${resolveAddress('platform')}`,
       weightStore: `http://${resolveAddress('weights')}`,
       rating: `http://${resolveAddress('rater')}`,
     },
     peers: {
-      seeds: plans
-        .filter((other) => other.name !== name)
-        .map((other) => `127.0.0.1:${other.ports.peers}`),
+      seeds: plans.filter((other) => other.name !== name).map((other) => other.peersAddress),
       clusterKeyFile,
     },
     ...options.entrySettings,
--- a/packages/place/src/place.ts
+++ b/packages/place/src/place.ts
@@ -190,6 +190,7 @@
     this.upstreams.sort((a, b) => (a.name < b.name ? -1 : 1));
     const plans = await planEntries(this.options.zones);
     await this.writeConfig();
+    for (const plan of plans) await this.startPeersProxy(plan);
     await Promise.all(plans.map((plan) => this.startEntry(plan, plans)));
     this.entries.sort((a, b) => (a.name < b.name ? -1 : 1));
     if (this.options.awaitReadiness ?? true) {
@@ -284,17 +285,30 @@
   }
 
   private async startProxiesTo(target: string, address?: string): Promise<void> {
-    const proxies = (this.options.proxies ?? []).filter((proxy) => proxy.to === target);
+    const proxies = (this.options.proxies ?? []).filter(
+      (proxy) => proxy.to === target && proxy.port !== 'peers',
+    );
     for (const proxy of proxies) {
       const targetAddress = address ?? String(this.getProcess(target).readyLine.address);
-      const ready = await this.startStandin('proxy', proxy.name, '', { target: targetAddress });
-      this.proxies.set(proxy.name, {
-        address: String(ready.address),
-        control: String(ready.control),
-      });
+      await this.startProxy(proxy.name, targetAddress);
     }
   }
 
+  private async startProxy(name: string, target: string): Promise<string> {
+    const ready = await this.startStandin('proxy', name, '', { target });
+    const address = String(ready.address);
+    this.proxies.set(name, { address, control: String(ready.control) });
+    return address;
+  }
+
+  /** Starts the proxy before the peer port of an instance, whose settings then advertise it. */
+  private async startPeersProxy(plan: EntryPlan): Promise<void> {
+    const proxy = (this.options.proxies ?? []).find(
+      (entry) => entry.to === plan.name && entry.port === 'peers',
+    );
+    if (proxy) plan.peersAddress = await this.startProxy(proxy.name, plan.peersAddress);
+  }
+
   /** Returns the address at which `from` reaches `to`, through a proxy if one is set. */
   private resolveAddress(from: string, fromZone: string, to: string): string {
     const proxy = (this.options.proxies ?? []).find(
@@ -328,7 +342,9 @@
     const args = [this.entryMainFile, 'serve', '--config', file];
     const ready = await this.startProcess('entry', plan.name, zone, args);
     await this.startProxiesTo(plan.name, `127.0.0.1:${plan.ports.callers}`);
-    const proxy = (this.options.proxies ?? []).find((entry) => entry.to === plan.name);
+    const proxy = (this.options.proxies ?? []).find(
+      (entry) => entry.to === plan.name && entry.port !== 'peers',
+    );
     this.entries.push({
       name: plan.name,
       zone,
--- a/packages/server/src/settings.ts
+++ b/packages/server/src/settings.ts
@@ -54,6 +54,8 @@
       peers: address,
       metrics: address,
     }),
+    // Where peers reach this instance if that is not `listen.peers`, for example behind a proxy.
+    advertise: z.strictObject({ peers: address }).optional(),
     platform: z.strictObject({
       objectApi: httpUrl,
       weightStore: httpUrl.optional(),
