Answer repeats of an unknown outcome with its result code

Cause: the outcome 3101 of a call whose answer the service lost was kept as a plain 502 with a JSON body. A repeat got that body without x-cactusstair-code and x-cactusstair-ran, so a client that reads the headers could not tell it from an answer of the service.

Ruled out: the claim itself; the repeat did not run again and got the kept body.

Change: a kept failure has a content type of its own and is read back as a failure.

--- a/packages/server/src/requests/serviceHandler.ts
+++ b/packages/server/src/requests/serviceHandler.ts
@@ -2,14 +2,13 @@
 
 import type { BillingJournal, Claim, ClaimJournal } from '@cactusstair/coordination';
 import type { Failure, KeptAnswer, Workspace } from '@cactusstair/protocol';
-import { ClaimOutcome, createFailure, getResultCode } from '@cactusstair/protocol';
+import { ClaimOutcome, createFailure, getResultCode, resultCodes } from '@cactusstair/protocol';
 import type { RetryBudget } from '@cactusstair/routing';
 import type { Clock, Invariants } from '@cactusstair/utils';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 
 import type { CallerHeaders } from '../callers/callerHeaders.js';
-import { createFailureAnswer } from '../callers/failureAnswer.js';
 import type { EntryMetrics } from '../ops/metrics.js';
 import type { PeerLinks } from '../peers/peerLinks.js';
 import type { LinkFailure } from '../upstreams/linkFailure.js';
@@ -59,6 +58,8 @@
 const SERVICE_CLASS = 'service';
 const MS_PER_SECOND = 1000;
 const HTTP_SERVER_ERROR = 500;
+/** Marks a kept answer as a failure of the router, so that repeats get its code and headers. */
+const KEPT_FAILURE_TYPE = 'application/vnd.cactusstair.failure+json';
 
 /** Serves calls to plain services; calls that must not be repeated run at most once. */
 export class ServiceHandler {
@@ -291,6 +292,7 @@
 
 function createReplay(answer: KeptAnswer | undefined): Result<ServiceReply, Failure> {
   if (!answer) return err(createFailure('answer_not_kept', 'the request ran once'));
+  if (answer.contentType === KEPT_FAILURE_TYPE) return err(readKeptFailure(answer));
   return ok({
     status: answer.status,
     contentType: answer.contentType,
@@ -301,10 +303,17 @@
 
 /** A failure in the form in which it is kept for repeats. */
 function createKeptFailure(failure: Failure): KeptAnswer {
-  const answer = createFailureAnswer(failure);
   return {
-    status: answer.status,
-    contentType: 'application/json',
-    body: Buffer.from(JSON.stringify(answer.body)),
+    status: getResultCode(failure).httpStatus,
+    contentType: KEPT_FAILURE_TYPE,
+    body: Buffer.from(JSON.stringify(failure)),
   };
 }
+
+function readKeptFailure(answer: KeptAnswer): Failure {
+  const { name, message } = JSON.parse(Buffer.from(answer.body).toString('utf8')) as Failure;
+  // An instance of a newer release may have kept a failure that this one does not know.
+  return Object.hasOwn(resultCodes, name)
+    ? createFailure(name, message)
+    : createFailure('outcome_unknown', message);
+}
