Let repeats wait for a claim whose write has not been answered

Cause: an instance entered its claim in the local table only when the answer to the conditional update arrived. When that answer is late or lost, the claim is stored already, a repeat at another instance sees it and asks the owner, the owner does not know it, and the repeat is told with 3101 that the owner is lost, although it is alive and the request runs once.

Ruled out: the read-back after a lost answer; it finds the claim and grants it.

Change: a claim is entered as pending before its write and forgotten if it is not granted.

Before: 'runs once when the answer to its claim is lost after the write (silent)' failed with 3101 for the repeat. After: it passes; tests/coordination/claim*: 33 passed, 0 failed.

--- a/packages/coordination/src/claimJournal.ts
+++ b/packages/coordination/src/claimJournal.ts
@@ -91,7 +91,7 @@
    * shard is full, `conflict` after too many lost attempts, `unknown` when a write got no answer;
    * the journal then removes the claim as soon as it can.
    */
-  claim(
+  async claim(
     workspace: string,
     key: string,
     requestDigest: string,
@@ -103,15 +103,20 @@
     const claim: Claim = { workspace, key, requestDigest, owner, incarnation, nonce };
     if (this.waitingCount >= this.options.maxWaiting) {
       const message = `${this.waitingCount} claims wait for the object API; nothing was claimed`;
-      return Promise.resolve(err({ type: 'unavailable', message }));
+      return err({ type: 'unavailable', message });
     }
-    return this.enqueue<ClaimDecision>((resolve, fail) => ({
+    const entryKey = computeEntryKey(workspace, key);
+    // The write takes effect before its answer arrives; a repeat at a peer may ask in between.
+    this.local.startPending(entryKey, nonce);
+    const decision = await this.enqueue<ClaimDecision>((resolve, fail) => ({
       type: 'claim',
-      entryKey: computeEntryKey(workspace, key),
+      entryKey,
       claim,
       resolve,
       fail,
     }));
+    this.local.endPending(entryKey, nonce);
+    return decision;
   }
 
   /**
--- a/packages/coordination/src/localClaims.ts
+++ b/packages/coordination/src/localClaims.ts
@@ -2,8 +2,11 @@
 import { ClaimOutcome } from '@cactusstair/protocol';
 import type { Clock } from '@cactusstair/utils';
 
-/** `unsettled`: the claim is not in use, but it may still be stored. */
-type LocalState = 'running' | 'unsettled' | 'done' | 'released';
+/**
+ * `pending`: the write of the claim is under way and may have taken effect. `unsettled`: the claim
+ * is not in use, but it may still be stored.
+ */
+type LocalState = 'pending' | 'running' | 'unsettled' | 'done' | 'released';
 
 interface LocalClaim {
   nonce: string;
@@ -13,6 +16,7 @@
 }
 
 const outcomes: Record<LocalState, ClaimOutcome> = {
+  pending: ClaimOutcome.RUNNING,
   running: ClaimOutcome.RUNNING,
   unsettled: ClaimOutcome.RUNNING,
   done: ClaimOutcome.DONE,
@@ -35,7 +39,7 @@
   /** Records a state. A state of an older claim of the same key is ignored. */
   setState(entryKey: string, nonce: string, state: LocalState, answer?: KeptAnswer): void {
     const known = this.claims.get(entryKey);
-    const starts = state === 'running' || state === 'unsettled';
+    const starts = state !== 'done' && state !== 'released';
     if (!starts && known && known.nonce !== nonce) return;
     const claim = { nonce, state, answer, waiters: known?.waiters ?? new Set<() => void>() };
     this.claims.set(entryKey, claim);
@@ -50,6 +54,19 @@
     }
   }
 
+  /** Records that a claim is being written, unless an earlier one of the same key is known. */
+  startPending(entryKey: string, nonce: string): void {
+    if (!this.claims.has(entryKey)) this.setState(entryKey, nonce, 'pending');
+  }
+
+  /** Forgets a claim that was not granted and is not stored. */
+  endPending(entryKey: string, nonce: string): void {
+    const claim = this.claims.get(entryKey);
+    if (claim?.nonce !== nonce || claim.state !== 'pending') return;
+    this.claims.delete(entryKey);
+    for (const notify of claim.waiters) notify();
+  }
+
   /** Waits until the claim is finished, at most `waitMs`. */
   async awaitOutcome(entryKey: string, waitMs: number): Promise<AwaitClaimReply> {
     const claim = this.claims.get(entryKey);
