--- /dev/null
+++ b/tests/guarantees/support/testPlace.ts
@@ -0,0 +1,158 @@
+import assert from 'node:assert/strict';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import type { EntryAddresses, PlaceOptions } from '@cactusstair/place';
+import { Place } from '@cactusstair/place';
+import type { EngineJournalEntry, ServiceJournalEntry } from '@cactusstair/standins';
+import { waitFor } from '@cactusstair/utils';
+
+import { CallerClient } from './callerClient.js';
+import { OperatorClient } from './operatorClient.js';
+
+/** Deadline of conditions that the product reaches within seconds on an idle machine. */
+export const WAIT_MS = 30_000;
+
+/** A run of a request in an engine's journal. */
+export interface EngineRun extends EngineJournalEntry {
+  engine: string;
+}
+
+/** A run of a call in a service's journal. */
+export interface ServiceRun extends ServiceJournalEntry {
+  service: string;
+}
+
+type TestPlaceOptions = Omit<PlaceOptions, 'workspaces' | 'runDir'> &
+  Partial<Pick<PlaceOptions, 'workspaces'>>;
+
+/** A place with clients for its first workspace, and the checks that every test file ends with. */
+export class TestPlace {
+  readonly caller: CallerClient;
+
+  private readonly operators = new Map<string, OperatorClient>();
+
+  private constructor(readonly place: Place) {
+    this.caller = new CallerClient(place.workspaces[0]?.apiKey ?? '');
+  }
+
+  /** Starts the place with fatal invariants and a short stop. */
+  static async start(options: TestPlaceOptions): Promise<TestPlace> {
+    const place = await Place.start({
+      workspaces: [{ name: 'ladders' }],
+      ...options,
+      runDir: mkdtempSync(join(tmpdir(), 'cactusstair-place-')),
+      entrySettings: {
+        invariants: { fatal: true },
+        shutdown: { unreadyMs: 1 },
+        ...options.entrySettings,
+      },
+    });
+    return new TestPlace(place);
+  }
+
+  getEntry(name: string): EntryAddresses {
+    const entry = this.place.entries.find((each) => each.name === name);
+    if (!entry) throw new Error(`the place has no entry instance "${name}"`);
+    return entry;
+  }
+
+  /** Base URL for callers of an instance. */
+  getCallersUrl(name: string): string {
+    return this.getEntry(name).callers;
+  }
+
+  getOperator(name: string): OperatorClient {
+    let client = this.operators.get(name);
+    if (!client) {
+      client = new OperatorClient(this.getEntry(name).operators);
+      this.operators.set(name, client);
+    }
+    return client;
+  }
+
+  async listEngineRuns(requestId?: string): Promise<EngineRun[]> {
+    const runs = await this.listRuns<EngineJournalEntry>('engine', 'requests');
+    return runs
+      .map(({ upstream, ...entry }) => ({ ...entry, engine: upstream }))
+      .filter((entry) => requestId === undefined || entry.requestId === requestId);
+  }
+
+  /** Calls that services ran, of one idempotency key or all. */
+  async listServiceRuns(key?: string): Promise<ServiceRun[]> {
+    const runs = await this.listRuns<ServiceJournalEntry>('service', 'calls');
+    return runs
+      .map(({ upstream, ...entry }) => ({ ...entry, service: upstream }))
+      .filter((entry) => key === undefined || entry.idempotencyKey === key);
+  }
+
+  async awaitReady(name: string): Promise<void> {
+    const { metrics } = this.getEntry(name);
+    await waitFor(async () => (await fetch(`${metrics}/readyz`)).ok, {
+      what: `${name} to be ready`,
+      timeoutMs: WAIT_MS,
+    });
+  }
+
+  async clearFaults(...names: string[]): Promise<void> {
+    for (const name of names) await this.place.injectFault(name, { fault: 'clear' });
+  }
+
+  /** Reads a metric of an instance, summed over its label sets. */
+  async readMetric(name: string, metric: string): Promise<number> {
+    const text = await (await fetch(`${this.getEntry(name).metrics}/metrics`)).text();
+    return text
+      .split('\n')
+      .filter((line) => line.startsWith(`${metric}{`) || line.startsWith(`${metric} `))
+      .reduce((sum, line) => sum + Number(line.slice(line.lastIndexOf(' ') + 1)), 0);
+  }
+
+  /** Fails if a journal has a run of a request whose every answer said that it was not run. */
+  async assertNotRunAnswers(): Promise<void> {
+    const refused = new Set<string>();
+    for (const { requestId, ran } of this.caller.answers) if (ran === 'no') refused.add(requestId);
+    for (const { requestId, ran } of this.caller.answers)
+      if (ran !== 'no') refused.delete(requestId);
+    const started = [
+      ...(await this.listEngineRuns()).filter((run) => run.startedAtMs !== undefined),
+      ...(await this.listServiceRuns()),
+    ].filter((run) => refused.has(run.requestId ?? ''));
+    assert.deepEqual(started, [], 'requests that were answered "not run" were run');
+  }
+
+  private async assertNoViolations(): Promise<void> {
+    for (const { name } of this.place.entries) {
+      if (!this.place.getProcess(name).isRunning) continue;
+      const violations = await this.readMetric(name, 'cactusstair_invariant_violations_total');
+      assert.equal(violations, 0, `${name} counted violations of its invariants`);
+    }
+  }
+
+  /** Clears the faults, checks the "not run" answers and the invariants, and stops the place. */
+  async close(): Promise<void> {
+    try {
+      for (const child of this.place.processes) {
+        child.resume();
+        if (child.role !== 'entry' && child.isRunning) await this.clearFaults(child.name);
+      }
+      await this.assertNotRunAnswers();
+      await this.assertNoViolations();
+    } finally {
+      for (const client of this.operators.values()) client.close();
+      await this.place.close();
+    }
+    rmSync(this.place.runDir, { recursive: true, force: true });
+  }
+
+  private async listRuns<Entry>(role: string, field: string) {
+    const names = this.place.processes.filter((child) => child.role === role && child.isRunning);
+    const journals = await Promise.all(
+      names.map(async ({ name }) => {
+        const journal = (await this.place.fetchJournal(name)) as Record<string, Entry[]>;
+        return (journal[field] ?? []).map((entry) => ({ ...entry, upstream: name }));
+      }),
+    );
+    return journals.flat();
+  }
+}
