Let proxies stand before the peers' ports of a place

Tests of partitions cut an instance off from its peers. An instance publishes the address in peers.advertised where it differs from the address it listens on, and Place puts a proxy between.

--- a/packages/place/src/entryPlan.ts
+++ b/packages/place/src/entryPlan.ts
@@ -1,11 +1,13 @@
 import { findFreePorts } from './freePorts.js';
-import type { PlaceOptions, PlaceZone } from './placeOptions.js';
+import type { PlaceOptions, PlaceProxy, PlaceZone } from './placeOptions.js';
 
 /** Name, zone and ports of an entry instance that is about to start. */
 export interface EntryPlan {
   name: string;
   zone: PlaceZone;
   ports: { callers: number; operators: number; peers: number; metrics: number };
+  /** Address at which the other instances reach it; that of a proxy if one stands before it. */
+  peersAddress: string;
 }
 
 /** What the settings of an entry instance need besides its plan. */
@@ -29,7 +31,8 @@
   const ports = await findFreePorts(named.length * PORTS_PER_ENTRY);
   return named.map((entry) => {
     const [callers = 0, operators = 0, peers = 0, metrics = 0] = ports.splice(0, PORTS_PER_ENTRY);
-    return { ...entry, ports: { callers, operators, peers, metrics } };
+    const listen = { callers, operators, peers, metrics };
+    return { ...entry, ports: listen, peersAddress: `127.0.0.1:${peers}` };
   });
 }
 
@@ -51,11 +54,21 @@
       rating: `http://${resolveAddress('rater')}`,
     },
     peers: {
-      seeds: plans
-        .filter((other) => other.name !== name)
-        .map((other) => `127.0.0.1:${other.ports.peers}`),
+      seeds: plans.filter((other) => other.name !== name).map((other) => other.peersAddress),
+      advertised: plan.peersAddress,
       clusterKeyFile,
     },
     ...options.entrySettings,
   };
 }
+
+/** Lists the proxies before a port of a process; only entry instances have a port for peers. */
+export function listProxiesTo(
+  options: PlaceOptions,
+  target: string,
+  port: 'callers' | 'peers',
+): PlaceProxy[] {
+  return (options.proxies ?? []).filter(
+    (proxy) => proxy.to === target && (proxy.port ?? 'callers') === port,
+  );
+}
--- a/packages/place/src/place.ts
+++ b/packages/place/src/place.ts
@@ -8,7 +8,7 @@
 import { stringify } from 'yaml';
 
 import type { EntryPlan } from './entryPlan.js';
-import { createEntrySettings, planEntries } from './entryPlan.js';
+import { createEntrySettings, listProxiesTo, planEntries } from './entryPlan.js';
 import { findFreePorts } from './freePorts.js';
 import type { PlacedUpstream } from './placeConfig.js';
 import { createConfigEntries, deriveSecret, getApiKey, getServiceNames } from './placeConfig.js';
@@ -190,6 +190,7 @@
     this.upstreams.sort((a, b) => (a.name < b.name ? -1 : 1));
     const plans = await planEntries(this.options.zones);
     await this.writeConfig();
+    await Promise.all(plans.map((plan) => this.startPeersProxy(plan)));
     await Promise.all(plans.map((plan) => this.startEntry(plan, plans)));
     this.entries.sort((a, b) => (a.name < b.name ? -1 : 1));
     if (this.options.awaitReadiness ?? true) {
@@ -283,8 +284,19 @@
     await this.listInstance(upstream.name, 'live');
   }
 
-  private async startProxiesTo(target: string, address?: string): Promise<void> {
-    const proxies = (this.options.proxies ?? []).filter((proxy) => proxy.to === target);
+  /** Puts the proxy before the peers' port of an instance, if one is set, into its plan. */
+  private async startPeersProxy(plan: EntryPlan): Promise<void> {
+    await this.startProxiesTo(plan.name, plan.peersAddress, 'peers');
+    const proxy = listProxiesTo(this.options, plan.name, 'peers')[0];
+    if (proxy) plan.peersAddress = this.proxies.get(proxy.name)?.address ?? '';
+  }
+
+  private async startProxiesTo(
+    target: string,
+    address?: string,
+    port: 'callers' | 'peers' = 'callers',
+  ): Promise<void> {
+    const proxies = listProxiesTo(this.options, target, port);
     for (const proxy of proxies) {
       const targetAddress = address ?? String(this.getProcess(target).readyLine.address);
       const ready = await this.startStandin('proxy', proxy.name, '', { target: targetAddress });
@@ -328,7 +340,7 @@
     const args = [this.entryMainFile, 'serve', '--config', file];
     const ready = await this.startProcess('entry', plan.name, zone, args);
     await this.startProxiesTo(plan.name, `127.0.0.1:${plan.ports.callers}`);
-    const proxy = (this.options.proxies ?? []).find((entry) => entry.to === plan.name);
+    const proxy = listProxiesTo(this.options, plan.name, 'callers')[0];
     this.entries.push({
       name: plan.name,
       zone,
--- a/packages/place/src/placeOptions.ts
+++ b/packages/place/src/placeOptions.ts
@@ -88,6 +88,8 @@
   from: string;
   /** Process behind the proxy: `platform`, `weights`, `rater`, an upstream or an entry instance. */
   to: string;
+  /** Port of an entry instance that the proxy stands before. Default `callers`. */
+  port?: 'callers' | 'peers';
 }
 
 /** Options of `Place`. */
--- a/packages/server/src/coordination.ts
+++ b/packages/server/src/coordination.ts
@@ -65,7 +65,7 @@
       incarnation,
       region,
       zone,
-      peersAddress: settings.listen.peers,
+      peersAddress: settings.peers.advertised ?? settings.listen.peers,
       clock,
       random,
       getAppliedRevision: () => this.replica.appliedRevision,
--- a/packages/server/src/settings.ts
+++ b/packages/server/src/settings.ts
@@ -62,6 +62,8 @@
     }),
     peers: z.strictObject({
       seeds: z.array(address).max(1000).default([]),
+      /** Address at which the other instances reach this one, if it is not `listen.peers`. */
+      advertised: address.optional(),
       clusterKeyFile: file,
     }),
     tls: z.strictObject({ caFile: file, certFile: file, keyFile: file }).optional(),
