--- a/tests/guarantees/support/callerClient.ts
+++ b/tests/guarantees/support/callerClient.ts
@@ -18,6 +18,8 @@
   /** Whether the answer says that it is complete. */
   whole: boolean;
   replayed: boolean;
+  /** Message of a failure. */
+  message: string | undefined;
   /** Why the connection broke, if it did. */
   broken: string | undefined;
 }
@@ -46,7 +48,7 @@
 
 interface ChatJson {
   choices?: { message?: { content?: string }; delta?: { content?: string } }[];
-  error?: { code: number; ran: string };
+  error?: { code: number; ran: string; message: string };
 }
 
 const DEFAULT_TOKENS = 8;
@@ -64,6 +66,7 @@
     text: '',
     whole: false,
     replayed: false,
+    message: undefined,
     broken: undefined,
   };
 }
@@ -95,6 +98,7 @@
   if (error) {
     answer.code = error.code;
     answer.ran = error.ran;
+    answer.message = error.message;
   }
 }
 
@@ -148,6 +152,7 @@
         const json = (await response.json()) as ChatJson;
         answer.text = json.choices?.[0]?.message?.content ?? '';
         answer.whole = response.status === 200;
+        answer.message = json.error?.message;
       }
     } catch (error) {
       answer.broken = String(error);
