--- a/packages/routing/src/cascadePlan.ts
+++ b/packages/routing/src/cascadePlan.ts
@@ -1,19 +1,42 @@
+/** An estimated probability: its mean and the bound that plans rely on. */
+export interface Estimate {
+  mean: number;
+  bound: number;
+}
+
 /** What a plan needs to know about a rung. */
 export interface PlanRung {
   cost: number;
   latencyMs: number;
   /** Probability that an answer meets the target. */
-  metFirst: number;
-  /** Probability that an answer meets the target after a lower rung was seen to miss it. */
-  metAfterMiss: number;
+  metFirst: Estimate;
+  /** The same after a lower rung was seen to miss the target. */
+  metAfterMiss: Estimate;
 }
 
-/** Start at a rung and escalate answers that are seen to miss the target up to `last`. */
+/** A request as far as a plan depends on it. */
+export interface PlanRequest {
+  rungs: PlanRung[];
+  deadlineMs: number;
+  /** Whether an answer can be replaced after it was started. */
+  canEscalate: boolean;
+}
+
+/**
+ * Starts at a rung and escalates answers that are seen to miss the target up to `last`. Below
+ * `acceptFrom`, answers without a rating escalate as well: such a rung is a cheap trial whose
+ * answer counts only when a rating confirms it.
+ */
 export interface CascadeStrategy {
   start: number;
   last: number;
+  acceptFrom: number;
+  /** Expected cost with the means. */
   cost: number;
+  /** Probability to meet the target with the bounds. */
   met: number;
+  /** Probability that a request reaches each rung. */
+  reach: number[];
 }
 
 /** A strategy and the share of requests that use it. */
@@ -22,78 +45,172 @@
   weight: number;
 }
 
-/** Options of `planCascade`. */
-export interface PlanOptions {
-  /** Share of answers that have to meet the quality target. */
-  targetShare: number;
-  /** Probability that the rating of an answer comes in time to escalate. */
-  ratedShare: number;
-  deadlineMs: number;
-  /** Whether an answer can be replaced after it was started. */
-  canEscalate: boolean;
+/**
+ * Price in cost per probability to meet the target up to which a request is raised to a better
+ * strategy; at the price itself, the share `shareAtPrice` of the requests is raised.
+ */
+export interface PlanPrice {
+  price: number;
+  shareAtPrice: number;
+}
+
+type Chain = Pick<CascadeStrategy, 'start' | 'last' | 'acceptFrom'>;
+
+// When the target is out of reach, a gain below this does not justify a dearer strategy.
+const MET_TOLERANCE = 0.01;
+
+// Prices closer than this share of each other are the same step of the plan.
+const PRICE_TOLERANCE = 1e-6;
+
+/** Follows a chain; returns the share that meets the target and the share at each rung. */
+function followChain(
+  rungs: PlanRung[],
+  chain: Chain,
+  ratedShare: number,
+  kind: keyof Estimate,
+): { met: number; reach: number[] } {
+  const reach = rungs.map(() => 0);
+  let unknown = 1;
+  let missed = 0;
+  let met = 0;
+  for (let index = chain.start; index <= chain.last; index += 1) {
+    const rung = rungs[index];
+    if (!rung) break;
+    reach[index] = unknown + missed;
+    const good = unknown * rung.metFirst[kind] + missed * rung.metAfterMiss[kind];
+    const bad = unknown + missed - good;
+    if (index === chain.last) return { met: met + good, reach };
+    const escalatesUnrated = index < chain.acceptFrom;
+    met += escalatesUnrated ? ratedShare * good : good;
+    unknown *= escalatesUnrated ? 1 - ratedShare : 0;
+    missed = ratedShare * bad + (escalatesUnrated ? (1 - ratedShare) * missed : 0);
+  }
+  return { met, reach };
+}
+
+function createStrategy(rungs: PlanRung[], chain: Chain, ratedShare: number): CascadeStrategy {
+  // The target is met with the bounds. Costs of proven and unproven rungs compare by the means.
+  const { met } = followChain(rungs, chain, ratedShare, 'bound');
+  const { reach } = followChain(rungs, chain, ratedShare, 'mean');
+  const cost = rungs.reduce((sum, rung, index) => sum + rung.cost * (reach[index] ?? 0), 0);
+  return { ...chain, cost, met, reach };
+}
+
+/** Returns the last rung that a chain from `start` can reach within the deadline, or -1. */
+function findLast({ rungs, deadlineMs, canEscalate }: PlanRequest, start: number): number {
+  let latencyMs = 0;
+  let last = -1;
+  for (let index = start; index < rungs.length; index += 1) {
+    latencyMs += rungs[index]?.latencyMs ?? 0;
+    if (latencyMs > deadlineMs || (index > start && !canEscalate)) break;
+    last = index;
+  }
+  return last;
 }
 
-// Within this difference of the probability to meet the target the cheaper strategy is taken.
-const MET_TOLERANCE = 0.005;
-
-function listStrategies(rungs: PlanRung[], options: PlanOptions): CascadeStrategy[] {
-  return rungs.flatMap((first, start) => {
-    const strategies: CascadeStrategy[] = [];
-    let { cost, metFirst: met, latencyMs } = first;
-    let missedShare = options.ratedShare * (1 - met);
-    for (let last = start; last < rungs.length; last += 1) {
-      if (last > start) {
-        const rung = rungs[last];
-        if (!rung || !options.canEscalate) break;
-        latencyMs += rung.latencyMs;
-        cost += missedShare * rung.cost;
-        met += missedShare * rung.metAfterMiss;
-        missedShare *= options.ratedShare * (1 - rung.metAfterMiss);
+function listStrategies(request: PlanRequest, ratedShare: number): CascadeStrategy[] {
+  const { rungs } = request;
+  const strategies: CascadeStrategy[] = [];
+  rungs.forEach((_, start) => {
+    const limit = findLast(request, start);
+    for (let last = start; last <= limit; last += 1) {
+      for (let acceptFrom = start; acceptFrom <= last; acceptFrom += 1) {
+        strategies.push(createStrategy(rungs, { start, last, acceptFrom }, ratedShare));
       }
-      if (latencyMs > options.deadlineMs) break;
-      strategies.push({ start, last, cost, met });
     }
-    return strategies;
   });
+  return strategies;
 }
 
-function chooseBest(strategies: CascadeStrategy[]): CascadeStrategy | undefined {
-  const best = Math.max(...strategies.map((strategy) => strategy.met));
-  return strategies
-    .filter((strategy) => strategy.met >= best - MET_TOLERANCE)
-    .sort((a, b) => a.cost - b.cost)[0];
+/** Returns a text that is the same for requests with the same strategies and costs. */
+export function describeShape(request: PlanRequest): string {
+  return request.rungs
+    .map(({ cost }, start) => `${cost.toFixed(4)}/${findLast(request, start)}`)
+    .join(' ');
 }
 
 /**
- * Returns the cheapest mix of strategies that meets the target share within the deadline. The
- * optimum of this linear program mixes at most two strategies. If no mix meets the share, the
- * plan is the strategy that comes closest; it is empty if no rung answers within the deadline.
+ * Returns the strategies that are cheapest for some mix, from cheap to good: the lower convex
+ * hull of cost over the probability to meet the target. It is empty if no rung answers within
+ * the deadline.
  */
-export function planCascade(rungs: PlanRung[], options: PlanOptions): WeightedStrategy[] {
-  const strategies = listStrategies(rungs, options);
-  const meeting = strategies.filter((strategy) => strategy.met >= options.targetShare);
-  const missing = strategies.filter((strategy) => strategy.met < options.targetShare);
-  if (meeting.length === 0) {
-    const best = chooseBest(strategies);
-    return best ? [{ strategy: best, weight: 1 }] : [];
-  }
-  const pure = meeting.map((strategy) => ({
-    cost: strategy.cost,
-    plan: [{ strategy, weight: 1 }],
-  }));
-  const mixed = meeting.flatMap((high) =>
-    missing
-      .filter((low) => low.cost < high.cost)
-      .map((low) => {
-        const weight = (options.targetShare - low.met) / (high.met - low.met);
-        return {
-          cost: weight * high.cost + (1 - weight) * low.cost,
-          plan: [
-            { strategy: low, weight: 1 - weight },
-            { strategy: high, weight },
-          ],
-        };
+export function listEfficientStrategies(
+  request: PlanRequest,
+  ratedShare: number,
+): CascadeStrategy[] {
+  const hull: CascadeStrategy[] = [];
+  listStrategies(request, ratedShare)
+    .sort((a, b) => a.cost - b.cost || b.met - a.met)
+    .forEach((strategy) => {
+      if (strategy.met <= (hull.at(-1)?.met ?? -1)) return;
+      while (hull.length > 1) {
+        const [below, top] = hull.slice(-2) as [CascadeStrategy, CascadeStrategy];
+        if (calculatePrice(below, top) < calculatePrice(top, strategy)) break;
+        hull.pop();
+      }
+      hull.push(strategy);
+    });
+  return hull;
+}
+
+/** Returns the cost per probability to meet the target of replacing `low` by `high`. */
+function calculatePrice(low: CascadeStrategy, high: CascadeStrategy): number {
+  return (high.cost - low.cost) / (high.met - low.met);
+}
+
+/**
+ * Finds the price at which the mean over sample requests meets the target share. This is the dual
+ * solution of the linear program that minimises the expected cost: all requests are raised up to
+ * the same price. If the share is out of reach, the price is infinite.
+ */
+export function findPrice(hulls: CascadeStrategy[][], targetShare: number): PlanPrice {
+  const reachable = hulls.filter((hull) => hull.length > 0);
+  let missing = reachable.reduce((sum, hull) => sum + targetShare - (hull[0]?.met ?? 0), 0);
+  if (missing <= 0) return { price: 0, shareAtPrice: 0 };
+  const raises = reachable
+    .flatMap((hull) =>
+      hull.slice(1).map((high, index) => {
+        const low = hull[index] as CascadeStrategy;
+        return { price: calculatePrice(low, high), met: high.met - low.met };
       }),
-  );
-  return [...pure, ...mixed].sort((a, b) => a.cost - b.cost)[0]?.plan ?? [];
+    )
+    .sort((a, b) => a.price - b.price);
+  for (let index = 0; index < raises.length;) {
+    const price = raises[index]?.price ?? 0;
+    let step = 0;
+    for (; isSamePrice(raises[index]?.price, price); index += 1) step += raises[index]?.met ?? 0;
+    if (step >= missing) return { price, shareAtPrice: missing / step };
+    missing -= step;
+  }
+  return { price: Number.POSITIVE_INFINITY, shareAtPrice: 1 };
+}
+
+function isSamePrice(value: number | undefined, price: number): boolean {
+  if (value === undefined || !Number.isFinite(price)) return false;
+  return Math.abs(value - price) <= PRICE_TOLERANCE * price;
+}
+
+/** Returns the cheapest strategy that comes as close to the target as any. */
+function chooseBest(hull: CascadeStrategy[]): CascadeStrategy {
+  const best = hull.at(-1) as CascadeStrategy;
+  return hull.find((strategy) => strategy.met >= best.met - MET_TOLERANCE) ?? best;
+}
+
+/** Returns the mix of at most two strategies that a price gives a request. */
+export function planCascade(hull: CascadeStrategy[], limit: PlanPrice): WeightedStrategy[] {
+  let [strategy] = hull;
+  if (!strategy) return [];
+  if (limit.price === Number.POSITIVE_INFINITY) return [{ strategy: chooseBest(hull), weight: 1 }];
+  for (const next of hull.slice(1)) {
+    const price = calculatePrice(strategy, next);
+    if (isSamePrice(price, limit.price)) {
+      return [
+        { strategy, weight: 1 - limit.shareAtPrice },
+        { strategy: next, weight: limit.shareAtPrice },
+      ];
+    }
+    if (price > limit.price) break;
+    strategy = next;
+  }
+  return [{ strategy, weight: 1 }];
 }
--- a/packages/routing/src/cascadePolicy.ts
+++ b/packages/routing/src/cascadePolicy.ts
@@ -3,8 +3,8 @@
 import type { Clock, Random } from '@cactusstair/utils';
 
 import { EvidenceTable } from './cascadeEvidence.js';
-import { planCascade } from './cascadePlan.js';
-import type { WeightedStrategy } from './cascadePlan.js';
+import { describeShape, findPrice, listEfficientStrategies, planCascade } from './cascadePlan.js';
+import type { CascadeStrategy, PlanPrice, PlanRequest, WeightedStrategy } from './cascadePlan.js';
 import { createPlanRung, estimateRungs } from './cascadePosterior.js';
 import type { RungPosterior } from './cascadePosterior.js';
 
@@ -89,9 +89,13 @@
   sharedWeight: 8,
 };
 
-// Posteriors are kept this long; few ratings arrive in the meantime.
-const POSTERIOR_LIFETIME_MS = 1000;
-const MAX_KEPT_POSTERIORS = 10_000;
+// Estimates are kept this long; few ratings arrive in the meantime.
+const SCOPE_LIFETIME_MS = 1000;
+const MAX_SCOPES = 10_000;
+
+/** Recent requests of a workspace and class over which the target share is planned. */
+const SAMPLE_REQUESTS = 48;
+const MAX_SHAPES = 200;
 
 /** Ratings at which a rung that the plan does not use is explored half as often. */
 const EXPLORED_RATINGS = 30;
@@ -102,9 +106,18 @@
 /** Weight that the share of ratings in time loses with each finished answer. */
 const RATED_DECAY = 0.995;
 
-interface KeptPosteriors {
+type RequestShape = Pick<CascadeRequest, 'rungs' | 'deadlineMs' | 'streaming'>;
+
+/** What is kept per workspace, class and cascade. */
+interface Scope {
   expiresAtMs: number;
   posteriors: RungPosterior[];
+  ratedShare: number;
+  samples: RequestShape[];
+  nextSample: number;
+  limit: PlanPrice;
+  /** Strategies by shape of the request. */
+  hulls: Map<string, CascadeStrategy[]>;
 }
 
 interface RatedCount {
@@ -116,6 +129,12 @@
   return strategies.reduce((sum, { strategy, weight }) => sum + weight * strategy.cost, 0);
 }
 
+/** Returns the cost of a rung as a share of the request's dearest rung. */
+function calculateCostShare(rungs: RungInfo[], rung: number): number {
+  const dearest = Math.max(...rungs.map((info) => info.expectedCost));
+  return dearest > 0 ? (rungs[rung]?.expectedCost ?? 0) / dearest : 0;
+}
+
 function findFastest(rungs: RungInfo[]): number {
   const latencies = rungs.map((rung) => rung.expectedLatencyMs);
   return Math.max(0, latencies.indexOf(Math.min(...latencies)));
@@ -131,7 +150,7 @@
 
   private readonly evidence: EvidenceTable;
 
-  private readonly kept = new Map<string, KeptPosteriors>();
+  private readonly scopes = new Map<string, Scope>();
 
   private readonly ratedCounts = new Map<string, RatedCount>();
 
@@ -153,19 +172,21 @@
 
   /** Chooses the first rung. If none answers within the deadline, it is the fastest one. */
   chooseStart(request: CascadeRequest): StartChoice {
+    this.addSample(request);
     const plan = this.createPlan(request);
     const planned = this.drawStart(plan) ?? findFastest(request.rungs);
-    this.spent.total += plan.length > 0 ? sumCost(plan) : 0;
+    this.spent.total += sumCost(plan);
     const explored = this.drawExploration(request, plan, planned);
     if (explored === undefined) return { rung: planned, explored: false };
-    this.spent.exploration += request.rungs[explored]?.expectedCost ?? 0;
+    this.spent.exploration += calculateCostShare(request.rungs, explored);
     return { rung: explored, explored: true };
   }
 
   /**
    * Decides whether to run the next rung instead of returning an answer. Streams never escalate.
    * An answer that met the target is returned. One that missed it escalates as far as the plan
-   * needs. One without a rating escalates only if its rung is below all that the plan starts with.
+   * needs. One without a rating escalates if the evidence does not support its rung, or if the
+   * plan uses the rung only for answers that a rating confirms.
    */
   shouldEscalate(request: EscalationRequest): boolean {
     const { rung, rating, rungs, cascade } = request;
@@ -175,15 +196,19 @@
     if (next.expectedLatencyMs > request.remainingMs) return false;
     if (rating !== undefined && rating >= cascade.qualityTarget) return false;
     const plan = this.createPlan(request);
-    const isBelowPlan = plan.every(({ strategy }) => strategy.start > rung);
-    if (isBelowPlan || rating === undefined) return isBelowPlan;
-    const passing = plan.filter(({ strategy }) => strategy.start <= rung && strategy.last >= rung);
-    const going = passing.filter(({ strategy }) => strategy.last > rung);
-    const sumWeights = (part: WeightedStrategy[]) =>
-      part.reduce((sum, { weight }) => sum + weight, 0);
-    // A rung that the plan passes by was reached under an earlier plan.
-    if (passing.length === 0) return true;
-    return this.options.random.next() * sumWeights(passing) < sumWeights(going);
+    // Without a plan, no rung answers within the deadline.
+    if (plan.length === 0) return false;
+    const passing = plan.map(({ strategy, weight }) => ({
+      weight: weight * (strategy.reach[rung] ?? 0),
+      goes: rung < (rating === undefined ? strategy.acceptFrom : strategy.last),
+    }));
+    const sumWeights = (part: typeof passing) => part.reduce((sum, { weight }) => sum + weight, 0);
+    const total = sumWeights(passing);
+    // An explored rung, or one that was reached under an earlier plan.
+    if (total === 0) {
+      return rating !== undefined || plan.every(({ strategy }) => strategy.start > rung);
+    }
+    return this.options.random.next() * total < sumWeights(passing.filter(({ goes }) => goes));
   }
 
   /** Records a rating; values outside 0..1, which only a faulty service gives, are ignored. */
@@ -204,37 +229,66 @@
     this.evidence.import(evidence, this.options.clock.wallMs());
   }
 
-  private getPosteriors(request: CascadeRequest): RungPosterior[] {
+  private getScope(request: CascadeRequest): Scope {
     const { workspace, requestClass, cascade, rungs } = request;
-    const { qualityTarget, targetShare } = cascade;
-    const nowMs = this.options.clock.monotonicMs();
+    const { name, qualityTarget, targetShare } = cascade;
     const versions = rungs.map(({ model, version }) => ({ model, version }));
-    const scope = { workspace, requestClass, rungs: versions, qualityTarget, targetShare };
-    const key = JSON.stringify(scope);
-    const kept = this.kept.get(key);
-    if (kept && kept.expiresAtMs > nowMs) return kept.posteriors;
-    if (this.kept.size >= MAX_KEPT_POSTERIORS) this.kept.clear();
+    const target = { workspace, requestClass, rungs: versions, qualityTarget, targetShare };
+    const key = JSON.stringify([name, target]);
+    const nowMs = this.options.clock.monotonicMs();
+    const known = this.scopes.get(key);
+    if (known && known.expiresAtMs > nowMs) return known;
+    if (this.scopes.size >= MAX_SCOPES) this.scopes.clear();
     const wallMs = this.options.clock.wallMs();
-    const posteriors = estimateRungs(scope, this.evidence, this.options.sharedWeight, wallMs);
-    this.kept.set(key, { expiresAtMs: nowMs + POSTERIOR_LIFETIME_MS, posteriors });
-    return posteriors;
+    const scope: Scope = {
+      expiresAtMs: nowMs + SCOPE_LIFETIME_MS,
+      posteriors: estimateRungs(target, this.evidence, this.options.sharedWeight, wallMs),
+      ratedShare: this.getRatedShare(request),
+      samples: known?.samples ?? [request],
+      nextSample: known?.nextSample ?? 0,
+      limit: { price: Number.POSITIVE_INFINITY, shareAtPrice: 1 },
+      hulls: new Map(),
+    };
+    const hulls = scope.samples.map((sample) => this.listStrategies(sample, scope));
+    scope.limit = findPrice(hulls, targetShare);
+    this.scopes.set(key, scope);
+    return scope;
+  }
+
+  private addSample(request: CascadeRequest): void {
+    const scope = this.getScope(request);
+    const { rungs, deadlineMs, streaming } = request;
+    scope.samples[scope.nextSample] = { rungs, deadlineMs, streaming };
+    scope.nextSample = (scope.nextSample + 1) % SAMPLE_REQUESTS;
   }
 
-  /** Plans with the lower bounds of all rungs, but with the upper bound of `optimistic`. */
-  private createPlan(request: CascadeRequest, optimistic?: number): WeightedStrategy[] {
-    const posteriors = this.getPosteriors(request);
+  /** Uses the lower bounds of all rungs, but the upper bound of `optimistic`. */
+  private listStrategies(request: RequestShape, scope: Scope, optimistic?: number) {
     const { confidence } = this.options;
     const rungs = request.rungs.flatMap((info, index) => {
-      const posterior = posteriors[index];
+      const posterior = scope.posteriors[index];
       const deviations = index === optimistic ? confidence : -confidence;
-      return posterior ? [createPlanRung(info, posterior, deviations)] : [];
+      if (!posterior) return [];
+      // With absolute costs, plans would save on the long requests of a class and raise its short
+      // ones, and the ratings of a rung would come from requests of one length only.
+      const cost = calculateCostShare(request.rungs, index);
+      return [{ ...createPlanRung(info, posterior, deviations), cost }];
     });
-    return planCascade(rungs, {
-      targetShare: request.cascade.targetShare,
-      ratedShare: this.getRatedShare(request),
+    const planned: PlanRequest = {
+      rungs,
       deadlineMs: request.deadlineMs,
       canEscalate: !request.streaming,
-    });
+    };
+    if (optimistic !== undefined) return listEfficientStrategies(planned, scope.ratedShare);
+    const shape = describeShape(planned);
+    const hull = scope.hulls.get(shape) ?? listEfficientStrategies(planned, scope.ratedShare);
+    if (scope.hulls.size < MAX_SHAPES) scope.hulls.set(shape, hull);
+    return hull;
+  }
+
+  private createPlan(request: CascadeRequest): WeightedStrategy[] {
+    const scope = this.getScope(request);
+    return planCascade(this.listStrategies(request, scope), scope.limit);
   }
 
   private drawStart(plan: WeightedStrategy[]): number | undefined {
@@ -256,11 +310,11 @@
     // The answer of a stream cannot be replaced, so only the plan's slack serves as its trial.
     if (request.streaming || plan.length === 0) return undefined;
     if (random.next() >= explorationShare) return undefined;
-    const posteriors = this.getPosteriors(request);
+    const scope = this.getScope(request);
     const lowest = Math.min(...plan.map(({ strategy }) => strategy.start));
     const fallback = request.rungs[planned];
     const open = request.rungs
-      .map((info, rung) => ({ info, rung, ratings: posteriors[rung]?.first.ratings ?? 0 }))
+      .map((info, rung) => ({ info, rung, ratings: scope.posteriors[rung]?.first.ratings ?? 0 }))
       .filter(({ rung }) => rung < lowest)
       // A miss must leave the time for the planned rung.
       .filter(
@@ -271,9 +325,11 @@
     if (!open) return undefined;
     if (random.next() >= EXPLORED_RATINGS / (EXPLORED_RATINGS + open.ratings)) return undefined;
     const budget = explorationCostShare * this.spent.total;
-    if (this.spent.exploration + open.info.expectedCost > budget) return undefined;
-    const hoped = sumCost(this.createPlan(request, open.rung));
-    return hoped < (1 - MIN_EXPLORATION_SAVING) * sumCost(plan) ? open.rung : undefined;
+    const cost = calculateCostShare(request.rungs, open.rung);
+    if (this.spent.exploration + cost > budget) return undefined;
+    const hull = this.listStrategies(request, scope, open.rung);
+    const hoped = planCascade(hull, findPrice([hull], request.cascade.targetShare));
+    return sumCost(hoped) < (1 - MIN_EXPLORATION_SAVING) * sumCost(plan) ? open.rung : undefined;
   }
 
   private countRated(request: CascadeRequest, rated: boolean): void {
--- a/packages/routing/src/cascadePosterior.ts
+++ b/packages/routing/src/cascadePosterior.ts
@@ -28,7 +28,8 @@
 
 /** Weight in ratings of the prior of a rung without evidence. */
 const PRIOR_WEIGHT = 1;
-const PRIOR_MEAN = 0.5;
+// Presumes an unproven rung to be bad, so that ratings and not the prior give it requests.
+const PRIOR_MEAN = 0.2;
 
 // The strongest rung is the fallback, so it is presumed to meet the target until ratings differ.
 const STRONGEST_PRIOR_MEAN = 0.95;
@@ -53,17 +54,26 @@
   return Math.min(1, Math.max(0, bound));
 }
 
-/** Returns what a plan assumes of a rung at a number of standard deviations from the means. */
+/** Returns what a plan assumes of a rung, with bounds at a number of standard deviations. */
 export function createPlanRung(
   info: { expectedCost: number; expectedLatencyMs: number },
   posterior: RungPosterior,
   standardDeviations: number,
 ): PlanRung {
+  const first = {
+    mean: posterior.first.mean,
+    bound: calculateBound(posterior.first, standardDeviations),
+  };
+  // Requests that a lower rung missed are the harder ones, so a miss raises no estimate.
+  const afterMiss = {
+    mean: Math.min(first.mean, posterior.afterMiss.mean),
+    bound: Math.min(first.bound, calculateBound(posterior.afterMiss, standardDeviations)),
+  };
   return {
     cost: info.expectedCost,
     latencyMs: info.expectedLatencyMs,
-    metFirst: calculateBound(posterior.first, standardDeviations),
-    metAfterMiss: calculateBound(posterior.afterMiss, standardDeviations),
+    metFirst: first,
+    metAfterMiss: afterMiss,
   };
 }
 
--- a/packages/routing/src/rolloutPolicy.ts
+++ b/packages/routing/src/rolloutPolicy.ts
@@ -18,7 +18,9 @@
 export interface RolloutPolicyOptions {
   /** Bound on the probability that a version within all margins is ever withdrawn. */
   alpha?: number;
-  /** Bound on the probability that a step of a version beyond a margin advances. */
+  /** Bound on the probability that the last step of a version beyond a margin completes. */
+  completeAlpha?: number;
+  /** The same bound for an earlier step to advance; the later steps still test the version. */
   advanceAlpha?: number;
   /** Requests that a step may expose before the first rating of it arrives. */
   unratedRequestsPerStep?: number;
@@ -28,6 +30,7 @@
   maxRequestsPerStep?: number;
 }
 
+const DEFAULT_ADVANCE_ALPHA = 0.2;
 const DEFAULT_UNRATED_REQUESTS_PER_STEP = 500;
 // Allows the default of one rated answer in 20, with room for ratings that are late.
 const DEFAULT_REQUESTS_PER_RATING = 40;
@@ -76,12 +79,12 @@
   })).find(({ eValue, threshold }) => eValue >= threshold);
 }
 
-function isNotWorse(step: StepEvidence, advanceAlpha: number): boolean {
+function isNotWorse(step: StepEvidence, alpha: number): boolean {
   return METRICS.every((metric) => {
     const sums = step[metric];
     // Answers that are not streamed have no first token, so latency may have no evidence.
     if (metric === 'latency' && (sums?.pairs ?? 0) === 0) return true;
-    return sums !== undefined && calculateEValue(sums.notWorseLogs) >= 1 / advanceAlpha;
+    return sums !== undefined && calculateEValue(sums.notWorseLogs) >= 1 / alpha;
   });
 }
 
@@ -121,9 +124,11 @@
   const step = findStep(steps, rollout.stepIndex);
   if (!step) return { type: 'wait', hold: false };
   const rated = step.ratings >= rollout.minRatingsPerStep;
-  if (rated && isNotWorse(step, options.advanceAlpha ?? DEFAULT_ALPHA)) {
-    return isLastStep(rollout) ? { type: 'complete' } : { type: 'advance' };
-  }
+  const last = isLastStep(rollout);
+  const alpha = last
+    ? (options.completeAlpha ?? DEFAULT_ALPHA)
+    : (options.advanceAlpha ?? DEFAULT_ADVANCE_ALPHA);
+  if (rated && isNotWorse(step, alpha)) return { type: last ? 'complete' : 'advance' };
   const limit = calculateExposureLimit(step, options);
   // A held step resumes below the limit only, so that each rating does not cause two writes.
   return { type: 'wait', hold: step.requests >= (rollout.hold ? RESUME_SHARE * limit : limit) };
--- a/packages/routing/src/sequentialTest.ts
+++ b/packages/routing/src/sequentialTest.ts
@@ -26,10 +26,19 @@
 export const DEFAULT_ALPHA = 0.05;
 
 /**
- * Bets as a share of the largest bet that cannot lose more than the whole wealth. Large ones
- * find large drops within a few pairs, small ones find drops close to the margin.
+ * Bets per unit of rating. Large ones find large drops within a few pairs, small ones find drops
+ * close to the margin. Each is limited so that no pair can lose the whole wealth.
  */
-const BETS = [0.95, 0.5, 0.2, 0.07];
+const BETS = [5, 2, 0.8, 0.3];
+const LARGEST_BET_SHARE = 0.95;
+
+// The bound on the baseline's spread has a price, which pays only for a much larger bet.
+const MIN_BOUNDED_GAIN = 1.5;
+// Keeps the price of the bound below 0.05 in log wealth per pair.
+const BOUNDED_BET_FACTOR = 0.4;
+
+// Weight, in values, of the centre 0.5 until the baseline has values.
+const CENTRE_PRIOR_WEIGHT = 4;
 
 /** Creates the sums of a test without evidence. */
 export function createTestSums(): PairedTestSums {
@@ -53,21 +62,57 @@
   return logs.reduce((sum, value) => sum + Math.exp(Math.min(value, 700)), 0) / BETS.length;
 }
 
+interface Pair {
+  candidate: number;
+  baseline: number;
+  baselineCount: number;
+  margin: number;
+  centre: number;
+}
+
+function limitBet(bet: number, limit: number): number {
+  return Math.sign(bet) * Math.min(Math.abs(bet), limit);
+}
+
+/** Returns the log factor of a pair; negative bets are for `worse`. */
+function calculateLogFactor(pair: Pair, bet: number): number {
+  const { candidate, baseline, baselineCount, margin, centre } = pair;
+  // The largest values of the difference and of its negative are 1 + margin and 1 - margin.
+  const limited = limitBet(bet, LARGEST_BET_SHARE / (bet < 0 ? 1 + margin : 1 - margin));
+  const boundedLimit = Math.min(
+    LARGEST_BET_SHARE / (bet < 0 ? 1 - centre : centre),
+    Math.sqrt(BOUNDED_BET_FACTOR * baselineCount),
+  );
+  const bounded = limitBet(bet, boundedLimit);
+  if (Math.abs(bounded) < MIN_BOUNDED_GAIN * Math.abs(limited)) {
+    return Math.log1p(limited * (candidate - baseline + margin));
+  }
+  const price = bounded ** 2 / (8 * baselineCount);
+  return (
+    Math.log1p(bounded * (candidate - centre)) - bounded * (baseline - margin - centre) - price
+  );
+}
+
 /**
  * Always-valid test of the candidate's mean against the baseline's mean minus a margin, on
  * values in 0..1.
  *
- * Values are paired in the order of arrival: a pair is the mean of the candidate's values and
- * the mean of the baseline's values since the last pair. Its length depends on the arms only,
- * never on the values, so the difference d of a pair has the mean (candidate - baseline).
- * With D = d + margin, each factor 1 - bet * D has a mean of at most 1 while the drop is at most
- * the margin, hence the product over pairs is a non-negative supermartingale and so is its
- * average over the bets. By Ville's inequality it ever exceeds 1/alpha with probability at most
- * alpha. The bound covers all times at once: the verdict may be read after every value and the
- * test stopped or continued on what was read. `not_worse` uses the factors 1 + bet * D likewise.
+ * Values are paired in the order of arrival: a pair is the mean x of the candidate's values and
+ * the mean y of the baseline's values since the last pair. Its length depends on the arms only,
+ * never on the values. While the drop is at most the margin m, each factor of the wealth has a
+ * mean of at most 1. Small bets have the factor 1 - bet * (x - y + m). Large ones, with n baseline
+ * values, have (1 - bet * (x - c)) * exp(bet * (y - m - c) - bet^2 / (8 n)) for a centre c that is known
+ * before the pair: Hoeffding's lemma bounds the mean of the second part by exp(bet * v) with
+ * v = E[y] - m - c, and (1 - bet * u) * exp(bet * v) <= 1 holds for u = E[x] - c >= v. The second
+ * form allows larger bets. `not_worse` uses the same factors with the opposite sign of the bet.
+ *
+ * The product over pairs is a non-negative supermartingale and so is its average over the bets.
+ * By Ville's inequality it ever exceeds 1/alpha with probability at most alpha. The bound covers
+ * all times at once: the verdict may be read after every value and the test stopped or continued
+ * on what was read. Pairs of separate instances multiply, so their log wealth adds up.
  *
- * Pairs of separate instances multiply, so their log wealth adds up and the bound stays valid.
- * Assumes that arms are assigned without regard to the quality of the answer.
+ * Assumes that arms are assigned without regard to the quality of the answer and that the answers
+ * are independent. Ratings within a session that depend on each other weaken the bound.
  */
 export class SequentialTest {
   private readonly options: Required<SequentialTestOptions>;
@@ -79,6 +124,8 @@
     candidate: { sum: 0, count: 0 },
   };
 
+  private readonly baselineTotal = { sum: 0, count: 0 };
+
   private readonly reached = { worse: false, notWorse: false };
 
   constructor(options: SequentialTestOptions) {
@@ -95,7 +142,9 @@
     this.pending[arm].sum += rating;
     this.pending[arm].count += 1;
     if (baseline.count === 0 || candidate.count === 0) return;
-    this.addPair(candidate.sum / candidate.count - baseline.sum / baseline.count);
+    this.addPair(candidate.sum / candidate.count, baseline.sum / baseline.count, baseline.count);
+    this.baselineTotal.sum += baseline.sum;
+    this.baselineTotal.count += baseline.count;
     Object.assign(baseline, { sum: 0, count: 0 });
     Object.assign(candidate, { sum: 0, count: 0 });
   }
@@ -121,16 +170,17 @@
     return { pairs, worseLogs: [...worseLogs], notWorseLogs: [...notWorseLogs] };
   }
 
-  private addPair(difference: number): void {
+  private addPair(candidate: number, baseline: number, baselineCount: number): void {
     const { margin } = this.options;
-    const shifted = difference + margin;
+    const { sum, count } = this.baselineTotal;
+    const mean = (sum + 0.5 * CENTRE_PRIOR_WEIGHT) / (count + CENTRE_PRIOR_WEIGHT);
+    const centre = Math.min(0.98, Math.max(0.02, mean - margin));
     this.sums.pairs += 1;
     BETS.forEach((bet, index) => {
-      // The largest values of D and -D are 1 + margin and 1 - margin.
-      const worse = Math.log1p((-bet * shifted) / (1 + margin));
-      const notWorse = Math.log1p((bet * shifted) / (1 - margin));
-      this.sums.worseLogs[index] = (this.sums.worseLogs[index] ?? 0) + worse;
-      this.sums.notWorseLogs[index] = (this.sums.notWorseLogs[index] ?? 0) + notWorse;
+      const pair = { candidate, baseline, baselineCount, margin, centre };
+      const { worseLogs, notWorseLogs } = this.sums;
+      worseLogs[index] = (worseLogs[index] ?? 0) + calculateLogFactor(pair, -bet);
+      notWorseLogs[index] = (notWorseLogs[index] ?? 0) + calculateLogFactor(pair, bet);
     });
     const { reached, sums } = this;
     reached.worse ||= this.reachesThreshold(sums.worseLogs);
