Read the platform's list of leaving instances

Cause: no code read GET /v1/instances. The sign 'platform list' of a leaving upstream was taken from the operators' upstream object only, so an upstream that the platform lists as leaving kept getting work.

Ruled out: the age of the list; the place of the test lists instances with an age of 1 ms.

Change: each instance reads the list every 1.5 s and marks the upstreams that it names. At 830 instances this is about 550 reads a second; one reader per zone would need a peer message.

Before: "gets no new work 3 s after it is leaving in the platform's list" failed, with starts after the limit. After: it and the tests of the two other signs pass.

--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -36,6 +36,7 @@
 import { RolloutEditor } from './rollouts/rolloutEditor.js';
 import type { EntrySettings } from './settings.js';
 import { EngineClient } from './upstreams/engineClient.js';
+import { fetchLeavingInstances } from './upstreams/instanceList.js';
 import { ServiceClient } from './upstreams/serviceClient.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 import { VersionResolver } from './workspaces/versionResolver.js';
@@ -44,6 +45,9 @@
 
 const CALL_GRACE_MS = 2000;
 const DRAIN_POLL_MS = 20;
+const LIST_TIMEOUT_MS = 1000;
+/** All calls on a silent link fail together; an instance with little load must repeat them. */
+const MIN_RETRIES_PER_WINDOW = 30;
 
 /**
  * One entry instance: everything between callers and upstreams in one process.
@@ -265,6 +269,7 @@
     membershipTask.start();
     this.lifecycle.startTask('addresses', (signal) => addresses.run(signal));
     this.lifecycle.startTask('upstreams', (signal) => this.directory.run(signal));
+    this.lifecycle.startTask('instance list', (signal) => this.directory.followList(signal));
   }
 
   private createCallerServer(): Promise<CallerServer> {
--- a/packages/server/src/upstreams/upstreamDirectory.ts
+++ b/packages/server/src/upstreams/upstreamDirectory.ts
@@ -23,6 +23,8 @@
   /** Zone of this instance. */
   zone: string;
   connectMs: number;
+  /** Reads the names of the instances that leave from the platform's list. */
+  fetchLeaving: () => Promise<Set<string>>;
 }
 
 /** What decides where a model request runs. */
@@ -53,6 +55,8 @@
 }
 
 const CAPACITY_INTERVAL_MS = 200;
+/** Leaves time for the read within the 3 s after which a leaving upstream gets no new work. */
+const LIST_INTERVAL_MS = 1500;
 
 /** The upstreams of the configuration: one polling task each, grouped into pools. */
 export class UpstreamDirectory {
@@ -64,6 +68,9 @@
 
   private readonly prefixIndex: PrefixIndex;
 
+  /** Upstreams that leave according to the platform's list. */
+  private listedLeaving = new Set<string>();
+
   constructor(private readonly options: UpstreamDirectoryOptions) {
     this.prefixIndex = new PrefixIndex({ clock: options.clock });
   }
@@ -80,6 +87,19 @@
     }
   }
 
+  /** Follows the platform's list of instances until `signal` aborts. */
+  async followList(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      try {
+        this.listedLeaving = await this.options.fetchLeaving();
+        for (const { upstream } of this.running.values()) this.applyListed(upstream);
+      } catch {
+        // The last list stays in use while the platform does not answer.
+      }
+      await this.options.clock.sleep(LIST_INTERVAL_MS, signal);
+    }
+  }
+
   async close(): Promise<void> {
     await Promise.all([...this.running.values()].map(({ lifecycle }) => lifecycle.close()));
     this.running.clear();
@@ -173,8 +193,7 @@
         lifecycle.close().catch((error: unknown) => this.logCloseError(name, error));
       } else if (JSON.stringify(config) !== JSON.stringify(upstream.config)) {
         Object.assign(upstream.config, config);
-        if (config.leaving) upstream.health.markLeaving('platform_list');
-        else upstream.health.clearLeaving('platform_list');
+        this.applyListed(upstream);
       }
     }
     this.updateHealthPools([...wanted.values()]);
@@ -183,6 +202,11 @@
     }
   }
 
+  private applyListed({ name, config, health }: Upstream): void {
+    if (config.leaving || this.listedLeaving.has(name)) health.markLeaving('platform_list');
+    else health.clearLeaving('platform_list');
+  }
+
   private updateHealthPools(configs: UpstreamConfig[]): void {
     const namesByPool = new Map<string, string[]>();
     for (const config of configs) {
@@ -216,6 +240,7 @@
     lifecycle.own('link', () => upstream.link.close());
     lifecycle.startTask(`poll ${config.name}`, (signal) => upstream.pollLoad(signal));
     this.running.set(config.name, { upstream, lifecycle });
+    this.applyListed(upstream);
   }
 
   private logCloseError(name: string, error: unknown): void {
