Repeat chat calls after crashes, refused connections and silent links

Causes: (1) the retry budget allowed 3 repeats in 10 s on an instance with little load, so that of the calls on links that went silent together, or beside a crash, most ended with 3102. (2) A refused connection used up one of the four attempts, and four were refused within milliseconds while engines restarted. (3) A call that failed was reported to the quarantine as completed, which cleared a suspect.

Ruled out: the probe and the replacement of the link; repeats went over new connections.

Change: 30 repeats in a window at least; a suspect is repeated without the budget, since isolation bounds it; a refused connection is followed by a pause, for at most the queue time of the class, and is not counted; a failed call ends as abandoned.

Before: 'answers every request over new ones' failed with 3102 'Headers Timeout Error', and requests beside a crashing one with 3102 'read ECONNRESET' and 'connect ECONNREFUSED'. After: the first passes.

--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -127,6 +127,7 @@
       logger: this.logger,
       zone,
       connectMs: settings.limits.connectMs,
+      fetchLeaving: () => fetchLeavingInstances(settings.platform.objectApi, LIST_TIMEOUT_MS),
     });
   }
 
@@ -277,7 +278,7 @@
     const { replica, sessions, billing, claims } = this.coordination;
     const { limits } = settings;
     const resolver = new VersionResolver(replica, settings.permits);
-    const retryBudget = new RetryBudget({ clock });
+    const retryBudget = new RetryBudget({ clock, minPerWindow: MIN_RETRIES_PER_WINDOW });
     const rungs = new RungRunner({
       directory,
       resolver,
--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -73,6 +73,8 @@
 const PRIORITY: Record<RequestClass, number> = { short: 1, long: 0 };
 const RETRY_AFTER_MS = 1000;
 const EXCLUSIVE_POLL_MS = 50;
+const FIRST_PAUSE_MS = 10;
+const LONGEST_PAUSE_MS = 320;
 const MS_PER_SECOND = 1000;
 
 /** Gets the answer of one model version, over as many attempts as the retry budget allows. */
@@ -119,25 +121,58 @@
       firstTokenAtMs: undefined,
     };
     const exclude = new Set<string>();
+    const wait = this.createUpstreamWait(call);
     let lastFailure: LinkFailure | undefined;
+    let needsBudget = false;
     this.options.retryBudget.recordRequest();
-    for (let attempt = 1; attempt <= MAX_ATTEMPTS_PER_RUNG; attempt += 1) {
-      if (attempt > 1 && !this.options.retryBudget.tryTake()) break;
+    for (let calls = 0; calls < MAX_ATTEMPTS_PER_RUNG;) {
+      if (needsBudget && !this.mayRetry(call)) break;
+      needsBudget = false;
       const refusal = this.checkBeforeAttempt(call, resolved);
       if (refusal) return err(refusal);
       const upstream = await this.chooseUpstream(call, pool, exclude);
-      if (!upstream) break;
+      if (!upstream) {
+        if (!lastFailure || !(await wait())) break;
+        continue;
+      }
       try {
         return ok(await this.runAttempt(call, resolved, upstream, progress, onToken));
       } catch (error) {
         lastFailure = error as LinkFailure;
         exclude.add(upstream.name);
         if (lastFailure.kind === 'aborted') break;
+        // A refused connection costs no upstream any work; the engine may be restarting.
+        if (lastFailure.kind === 'connect') {
+          if (!(await wait())) break;
+        } else {
+          calls += 1;
+          needsBudget = true;
+        }
       }
     }
     return err(this.createFailure(call, resolved, lastFailure));
   }
 
+  /** Creates a function that pauses between tries; it returns false when no more is allowed. */
+  private createUpstreamWait(call: ChatCall): () => Promise<boolean> {
+    const { clock, queueMs } = this.options;
+    let endsAtMs: number | undefined;
+    let pauseMs = FIRST_PAUSE_MS;
+    return async () => {
+      endsAtMs ??= Math.min(clock.monotonicMs() + queueMs[call.requestClass], call.deadlineMs);
+      if (call.signal.aborted || clock.monotonicMs() >= endsAtMs) return false;
+      await clock.sleep(pauseMs, call.signal);
+      pauseMs = Math.min(pauseMs * 2, LONGEST_PAUSE_MS);
+      return true;
+    };
+  }
+
+  /** A crash suspect is repeated in isolation, which bounds its repeats without the budget. */
+  private mayRetry(call: ChatCall): boolean {
+    const { quarantine, retryBudget } = this.options;
+    return quarantine.classify(call.fingerprint) === 'suspect' || retryBudget.tryTake();
+  }
+
   /** Configuration may have changed while the request was queued or between two attempts. */
   private checkBeforeAttempt(call: ChatCall, resolved: ResolvedVersion): Failure | undefined {
     const fullName = `${resolved.model.name}@${resolved.version.version}`;
@@ -186,6 +221,7 @@
       const answer = await this.readAnswer(call, resolved, upstream, progress, attempt, onToken);
       upstream.recordSuccess(this.options.clock.monotonicMs() - startedAtMs);
       metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: 'success' });
+      endSuspicion('completed');
       return answer;
     } catch (error) {
       const failure = error as LinkFailure;
@@ -194,7 +230,8 @@
       else await upstream.recordFailure(failure);
       throw error;
     } finally {
-      endSuspicion();
+      // Without effect after an answer; a call that failed does not clear its request.
+      endSuspicion('abandoned');
       release();
     }
   }
--- /dev/null
+++ b/tests/guarantees/leavingUpstream.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+
+import { waitFor } from '@cactusstair/utils';
+
+import { TestPlace, WAIT_MS } from './support/testPlace.js';
+
+const LIMIT_MS = 3000;
+const OBSERVED_MS = 6000;
+const INSTANCES = ['riga-a-1', 'riga-a-2'];
+
+describe('a leaving upstream', () => {
+  let test: TestPlace;
+
+  before(async () => {
+    test = await TestPlace.start({
+      zones: [
+        {
+          name: 'riga-a',
+          entries: 2,
+          engines: [{ versions: ['small@1'], count: 4, options: { firstTokenMs: 5, tokenMs: 1 } }],
+        },
+      ],
+      models: [{ name: 'small', versions: [{ version: '1' }] }],
+      proxies: [{ name: 'link-3', from: '*', to: 'riga-a-engine-3' }],
+      // The age of the list is the platform's own; the limit counts from the first sign.
+      platform: { instanceLagMs: 1 },
+      seed: 19,
+    });
+  });
+
+  after(() => test.close());
+
+  /** Sends load from before the first sign until well after the limit; returns late starts. */
+  const listLateStarts = async (engine: string, giveSign: () => Promise<void>) => {
+    let signAtMs = Infinity;
+    const send = async (name: string) => {
+      while (Date.now() < signAtMs + OBSERVED_MS) {
+        const answer = await test.caller.chat(test.getCallersUrl(name), 'small', { maxTokens: 2 });
+        assert.ok(answer.whole, JSON.stringify(answer));
+      }
+    };
+    const senders = INSTANCES.flatMap((name) => [send(name), send(name)]);
+    await waitFor(async () => (await test.listEngineRuns()).some((run) => run.engine === engine), {
+      what: `load on ${engine}`,
+      timeoutMs: WAIT_MS,
+    });
+    await giveSign();
+    signAtMs = Date.now();
+    await Promise.all(senders);
+    const runs = await test.listEngineRuns();
+    const late = runs.filter((run) => (run.startedAtMs ?? 0) > signAtMs + LIMIT_MS);
+    assert.ok(late.some((run) => run.engine !== engine));
+    return late.filter((run) => run.engine === engine);
+  };
+
+  it('gets no new work 3 s after its own announcement', async () => {
+    const late = await listLateStarts('riga-a-engine-1', () =>
+      test.place.injectFault('riga-a-engine-1', { fault: 'leaving' }),
+    );
+    assert.deepEqual(late, []);
+  });
+
+  it("gets no new work 3 s after it is leaving in the platform's list", async () => {
+    const late = await listLateStarts('riga-a-engine-2', () =>
+      test.place.listInstance('riga-a-engine-2', 'leaving'),
+    );
+    assert.deepEqual(late, []);
+  });
+
+  it('gets no new work 3 s after the first probe that fails', async () => {
+    const late = await listLateStarts('riga-a-engine-3', () =>
+      test.place.injectFault('link-3', { fault: 'cut' }),
+    );
+    assert.deepEqual(late, []);
+  });
+});
--- /dev/null
+++ b/tests/guarantees/silentLinks.test.ts
@@ -0,0 +1,93 @@
+import assert from 'node:assert/strict';
+import { randomUUID } from 'node:crypto';
+import { after, before, describe, it } from 'node:test';
+
+import { createAnswerText } from '@cactusstair/standins';
+import { waitFor } from '@cactusstair/utils';
+
+import { TestPlace, WAIT_MS } from './support/testPlace.js';
+
+const REQUESTS = 6;
+const TOKENS = 8;
+const LINKS = ['link-engine-1', 'link-engine-2', 'link-service', 'link-platform'];
+
+describe('when open connections go silent for good', () => {
+  let test: TestPlace;
+  let url: string;
+
+  before(async () => {
+    test = await TestPlace.start({
+      zones: [
+        {
+          name: 'riga-a',
+          engines: [{ versions: ['small@1'], count: 2, options: { firstTokenMs: 5, tokenMs: 1 } }],
+          services: [{ service: 'standings' }],
+        },
+      ],
+      models: [{ name: 'small', versions: [{ version: '1' }] }],
+      proxies: [
+        { name: 'link-engine-1', from: '*', to: 'riga-a-engine-1' },
+        { name: 'link-engine-2', from: '*', to: 'riga-a-engine-2' },
+        { name: 'link-service', from: '*', to: 'riga-a-standings-1' },
+        { name: 'link-platform', from: '*', to: 'platform' },
+      ],
+      seed: 18,
+      entrySettings: { limits: { firstTokenMs: 1000, interTokenMs: 1000, serviceAnswerMs: 2000 } },
+    });
+    url = test.getCallersUrl('riga-a-1');
+  });
+
+  after(() => test.close());
+
+  const chatMany = () =>
+    Promise.all(
+      Array.from({ length: REQUESTS }, () =>
+        test.caller.chat(url, 'small', { maxTokens: TOKENS, stream: true }),
+      ),
+    );
+
+  const callService = (key: string) => test.caller.callService(url, 'standings', { key });
+
+  const silence = async (names: string[]) => {
+    for (const name of names) {
+      await test.place.injectFault(name, { fault: 'blackhole', scope: 'existing' });
+    }
+  };
+
+  it('answers every request over new ones', async () => {
+    await chatMany();
+    await silence(LINKS);
+    const answers = await chatMany();
+    const later = await chatMany();
+    await test.clearFaults(...LINKS);
+    for (const answer of [...answers, ...later]) {
+      assert.ok(answer.whole, JSON.stringify(answer));
+      assert.equal(answer.text, createAnswerText(answer.requestId, TOKENS));
+    }
+  });
+
+  it('uses a new one for each call that must not be repeated', async () => {
+    await callService(randomUUID());
+    await silence(['link-service']);
+    const answer = await callService(randomUUID());
+    await test.clearFaults(...LINKS);
+    assert.equal(answer.status, 200, JSON.stringify(answer));
+  });
+
+  it('reaches the object API over new ones; until then a claim is refused as not run', async () => {
+    await callService(randomUUID());
+    await silence(['link-platform']);
+    const key = randomUUID();
+    const answer = await waitFor(
+      async () => {
+        const next = await callService(key);
+        assert.ok(next.status === 200 || next.ran === 'no', JSON.stringify(next));
+        return next.status === 200 && next;
+      },
+      { what: 'a claim over a new connection', timeoutMs: WAIT_MS },
+    );
+    await test.clearFaults(...LINKS);
+    assert.equal((await test.listServiceRuns(key)).length, 1);
+    assert.equal(answer.replayed, false);
+  });
+});
--- a/tests/guarantees/support/testPlace.ts
+++ b/tests/guarantees/support/testPlace.ts
@@ -149,7 +149,11 @@
     const names = this.place.processes.filter((child) => child.role === role && child.isRunning);
     const journals = await Promise.all(
       names.map(async ({ name }) => {
-        const journal = (await this.place.fetchJournal(name)) as Record<string, Entry[]>;
+        // A stand-in that an injected crash has stopped keeps its journal and comes back.
+        const journal = await waitFor(
+          async () => (await this.place.fetchJournal(name)) as Record<string, Entry[]>,
+          { what: `the journal of ${name}`, timeoutMs: WAIT_MS },
+        );
         return (journal[field] ?? []).map((entry) => ({ ...entry, upstream: name }));
       }),
     );
