Copy bills to a seed before the first exchange

Cause: an instance that starts during an outage of the object API takes its configuration from a peer and is ready before its first membership exchange. It then knows no instance to copy a bill to, and the object API takes none, so that an answer that ran was withheld with 3102.

Ruled out: the peers; the copy succeeded as soon as one was known.

Change: the seeds stand in until an instance is known.

--- a/packages/server/src/coordination.ts
+++ b/packages/server/src/coordination.ts
@@ -84,7 +84,12 @@
       callersAddress: settings.listen.callers,
       operatorsAddress: settings.listen.operators,
     });
-    this.addresses = new AddressBook({ membership: this.membership, store: this.store, clock });
+    this.addresses = new AddressBook({
+      membership: this.membership,
+      store: this.store,
+      seeds: settings.peers.seeds,
+      clock,
+    });
     this.sessions = new SessionTokens({ getKeys: () => this.replica.getSessionKeys(), clock });
     this.claims = new ClaimJournal({
       store: this.store,
--- a/packages/server/src/peers/addressBook.ts
+++ b/packages/server/src/peers/addressBook.ts
@@ -14,6 +14,8 @@
 export interface AddressBookOptions {
   membership: Membership;
   store: ObjectStore;
+  /** Peer addresses to use before any instance is known. */
+  seeds: readonly string[];
   clock: Clock;
 }
 
@@ -50,7 +52,7 @@
     return this.options.membership.findMember(id) ?? this.listed.find((record) => record.id === id);
   }
 
-  /** Lists all other instances that are not known to have gone. */
+  /** Lists all other instances that are not known to have gone, or the seeds if none is known. */
   listOthers(): PeerAddress[] {
     const { membership } = this.options;
     const self = membership.getSelf();
@@ -64,6 +66,10 @@
       else others.delete(member.id);
     }
     others.delete(self.id);
-    return [...others.values()];
+    if (others.size > 0) return [...others.values()];
+    // An instance that starts during an outage of the object API serves before its first exchange.
+    return this.options.seeds
+      .filter((peersAddress) => peersAddress !== self.peersAddress)
+      .map((peersAddress) => ({ id: '', zone: '', peersAddress }));
   }
 }
--- /dev/null
+++ b/tests/guarantees/configuration.test.ts
@@ -0,0 +1,177 @@
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+
+import type { Model } from '@cactusstair/protocol';
+import { waitFor } from '@cactusstair/utils';
+
+import { OperatorError } from './support/operatorClient.js';
+import { TestPlace, WAIT_MS } from './support/testPlace.js';
+
+const INSTANCES = ['riga-a-1', 'riga-a-2', 'riga-a-3', 'riga-b-1'];
+const CHANGES = 15;
+const TOKENS = 4;
+const PRICE_STEP_MICROS = 1_000_000;
+
+describe('an accepted change of the configuration', () => {
+  let test: TestPlace;
+
+  before(async () => {
+    test = await TestPlace.start({
+      zones: [
+        {
+          name: 'riga-a',
+          entries: 3,
+          engines: [{ versions: ['small@1'], options: { firstTokenMs: 5, tokenMs: 1 } }],
+        },
+        { name: 'riga-b', entries: 1 },
+      ],
+      models: [{ name: 'small', versions: [{ version: '1' }] }],
+      proxies: [
+        { name: 'platform-link', from: '*', to: 'platform' },
+        ...INSTANCES.map((name) => ({
+          name: `peers-${name}`,
+          from: '*',
+          to: name,
+          port: 'peers' as const,
+        })),
+      ],
+      seed: 15,
+    });
+  });
+
+  after(() => test.close());
+
+  const readCost = async (instance: string): Promise<number> => {
+    const answer = await test.caller.chat(test.getCallersUrl(instance), 'small', {
+      maxTokens: TOKENS,
+      prompt: 'Is a let serve replayed?',
+    });
+    assert.equal(answer.status, 200, JSON.stringify(answer));
+    return answer.costMicros ?? 0;
+  };
+
+  const readModel = async (instance: string): Promise<{ model: Model; version: number }> => {
+    const { model, version } = await test.getOperator(instance).getModel('small');
+    assert.ok(model);
+    return { model, version };
+  };
+
+  /** Sets the price of a generated token, which each answer's cost shows. */
+  const putPrice = async (instance: string, step: number) => {
+    const { model, version } = await readModel(instance);
+    for (const each of model.versions) {
+      each.completionMicrosPerKilotoken = step * PRICE_STEP_MICROS;
+      each.promptMicrosPerKilotoken = 0;
+    }
+    return test.getOperator(instance).putModel(model, version);
+  };
+
+  const computeCost = (step: number) => (step * PRICE_STEP_MICROS * TOKENS) / 1000;
+
+  it('is in force on every instance, as GetChange says', async () => {
+    const change = await putPrice('riga-a-2', 1);
+    for (const instance of INSTANCES) {
+      await waitFor(async () => (await readCost(instance)) === computeCost(1), {
+        what: `the price on ${instance}`,
+        timeoutMs: WAIT_MS,
+      });
+    }
+    await waitFor(
+      async () => (await test.getOperator('riga-b-1').getChange(change)).inForceEverywhere,
+      { what: 'GetChange to say so', timeoutMs: WAIT_MS },
+    );
+  });
+
+  it('goes to one of two racing operators; the other gets 4101 with both versions', async () => {
+    const { model, version } = await readModel('riga-a-1');
+    const results = await Promise.allSettled(
+      ['riga-a-1', 'riga-b-1'].map((name) => test.getOperator(name).putModel(model, version)),
+    );
+    const lost = results.filter((result) => result.status === 'rejected');
+    assert.equal(lost.length, 1);
+    const error = lost[0]?.reason as OperatorError;
+    assert.ok(error instanceof OperatorError);
+    assert.equal(error.code, 4101);
+    assert.match(error.message, new RegExp(`\\b${version}\\b`));
+    assert.match(error.message, new RegExp(`\\b${version + 1}\\b`));
+  });
+
+  it('does not go back when watch events come late, twice and out of order', async () => {
+    await test.place.injectFault('platform', {
+      fault: 'watch',
+      delayMs: 30,
+      repeat: 0.5,
+      reorder: 0.5,
+    });
+    await test.place.injectFault('platform', {
+      fault: 'staleReads',
+      lagMs: 1500,
+      probability: 0.3,
+    });
+    let done = false;
+    const watchCosts = async (instance: string) => {
+      let highest = 0;
+      while (!done || highest < computeCost(CHANGES)) {
+        const cost = await readCost(instance);
+        assert.ok(cost >= highest, `${instance} went back from ${highest} to ${cost}`);
+        highest = cost;
+      }
+    };
+    const watches = INSTANCES.map(watchCosts);
+    const { model, version } = await readModel('riga-a-1');
+    let expectedVersion = version;
+    const tryPut = async () => {
+      try {
+        const change = await test.getOperator('riga-a-1').putModel(model, expectedVersion);
+        return change.version;
+      } catch {
+        // The version came from a stale read.
+        expectedVersion += 1;
+        return undefined;
+      }
+    };
+    for (let step = 2; step <= CHANGES; step += 1) {
+      for (const each of model.versions) {
+        each.completionMicrosPerKilotoken = step * PRICE_STEP_MICROS;
+      }
+      expectedVersion = await waitFor(tryPut, { what: `change ${step}`, timeoutMs: WAIT_MS });
+    }
+    await test.clearFaults('platform');
+    done = true;
+    await Promise.all(watches);
+  });
+
+  it('reaches an instance that starts during an outage from a peer, and none without one', async () => {
+    const child = test.place.getProcess('riga-a-3');
+    const expected = await readCost('riga-a-1');
+    await test.place.injectFault('platform-link', { fault: 'blackhole' });
+    await child.kill();
+    await child.start();
+    await test.awaitReady('riga-a-3');
+    assert.equal(await readCost('riga-a-3'), expected);
+
+    const peers = INSTANCES.map((name) => `peers-${name}`);
+    for (const name of peers) await test.place.injectFault(name, { fault: 'blackhole' });
+    await child.kill();
+    const sinceMs = Date.now();
+    await child.start();
+    const countTries = async (name: string) => {
+      const journal = (await test.place.fetchJournal(name)) as {
+        connections: { openedAtMs: number }[];
+      };
+      return journal.connections.filter(({ openedAtMs }) => openedAtMs >= sinceMs).length;
+    };
+    await waitFor(
+      async () =>
+        (await countTries('platform-link')) > 0 && (await countTries('peers-riga-a-1')) > 1,
+      { what: 'tries to reach the platform and a peer', timeoutMs: WAIT_MS },
+    );
+    const { metrics, callers } = test.getEntry('riga-a-3');
+    assert.equal((await fetch(`${metrics}/readyz`)).status, 503);
+    const refused = await test.caller.chat(callers, 'small');
+    assert.deepEqual([refused.code, refused.ran], [2109, 'no']);
+    await test.clearFaults('platform-link', ...peers);
+    await test.awaitReady('riga-a-3');
+    assert.equal(await readCost('riga-a-3'), expected);
+  });
+});
--- /dev/null
+++ b/tests/guarantees/gracefulShutdown.test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import { randomUUID } from 'node:crypto';
+import { after, before, describe, it } from 'node:test';
+
+import { createAnswerText } from '@cactusstair/standins';
+
+import { TestPlace } from './support/testPlace.js';
+
+const INSTANCES = ['riga-a-1', 'riga-a-2', 'riga-a-3'];
+const CALLERS = 6;
+const TOKENS = 100;
+const STOPPING = 2107;
+
+describe('a planned stop', () => {
+  let test: TestPlace;
+
+  before(async () => {
+    test = await TestPlace.start({
+      zones: [
+        {
+          name: 'riga-a',
+          entries: 3,
+          engines: [{ versions: ['small@1'], count: 2, options: { firstTokenMs: 10, tokenMs: 5 } }],
+          services: [{ service: 'standings', options: { callMs: 200 } }],
+        },
+      ],
+      models: [{ name: 'small', versions: [{ version: '1' }] }],
+      seed: 20,
+      entrySettings: { shutdown: { unreadyMs: 1000 } },
+    });
+  });
+
+  after(() => test.close());
+
+  /** Like the platform's load balancer, takes only instances that say that they are ready. */
+  const listReady = async () => {
+    const states = await Promise.all(
+      test.place.entries.map(async (entry) => {
+        try {
+          return (await fetch(`${entry.metrics}/readyz`)).ok ? [entry.callers] : [];
+        } catch {
+          return [];
+        }
+      }),
+    );
+    return states.flat();
+  };
+
+  it('cuts no request when every instance is replaced under load', async () => {
+    let done = false;
+    let turn = 0;
+    const send = async (call: (url: string) => Promise<void>) => {
+      while (!done) {
+        const ready = await listReady();
+        turn += 1;
+        const url = ready[turn % ready.length];
+        if (url !== undefined) await call(url);
+      }
+    };
+    const chat = async (url: string) => {
+      const stream = turn % 2 === 0;
+      const answer = await test.caller.chat(url, 'small', { stream, maxTokens: TOKENS });
+      if (answer.code === STOPPING) return;
+      assert.ok(answer.whole, JSON.stringify(answer));
+      assert.equal(answer.text, createAnswerText(answer.requestId, TOKENS));
+    };
+    const record = async (url: string) => {
+      const answer = await test.caller.callService(url, 'standings', { key: randomUUID() });
+      assert.ok(answer.status === 200 || answer.code === STOPPING, JSON.stringify(answer));
+    };
+    const senders = Array.from({ length: CALLERS }, (_, index) =>
+      send(index % 3 === 0 ? record : chat),
+    );
+    const replaceAll = async () => {
+      for (const name of INSTANCES) {
+        const child = test.place.getProcess(name);
+        assert.deepEqual(await child.stop(), { code: 0, signal: null });
+        await child.start();
+        await test.awaitReady(name);
+      }
+      done = true;
+    };
+    await Promise.all([replaceAll(), ...senders]).finally(() => {
+      done = true;
+    });
+    const answered = test.caller.answers.filter((answer) => answer.whole);
+    assert.ok(answered.length > CALLERS * INSTANCES.length);
+  });
+});
