--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -37,6 +37,7 @@
 import { RolloutEditor } from './rollouts/rolloutEditor.js';
 import type { EntrySettings } from './settings.js';
 import { EngineClient } from './upstreams/engineClient.js';
+import { fetchLeavingInstances } from './upstreams/instanceList.js';
 import { ServiceClient } from './upstreams/serviceClient.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 import { VersionResolver } from './workspaces/versionResolver.js';
@@ -45,6 +46,9 @@
 
 const CALL_GRACE_MS = 2000;
 const DRAIN_POLL_MS = 20;
+const LIST_TIMEOUT_MS = 1000;
+/** All calls on a silent link fail together; an instance with little load must repeat them. */
+const MIN_RETRIES_PER_WINDOW = 30;
 
 /**
  * One entry instance: everything between callers and upstreams in one process.
@@ -132,6 +136,7 @@
       logger: this.logger,
       zone,
       connectMs: settings.limits.connectMs,
+      fetchLeaving: () => fetchLeavingInstances(settings.platform.objectApi, LIST_TIMEOUT_MS),
     });
   }
 
@@ -284,6 +289,7 @@
     this.lifecycle.startTask('addresses', (signal) => addresses.run(signal));
     this.lifecycle.startTask('cascade evidence', (signal) => sharing.run(signal));
     this.lifecycle.startTask('upstreams', (signal) => this.directory.run(signal));
+    this.lifecycle.startTask('instance list', (signal) => this.directory.followList(signal));
   }
 
   private createCallerServer(): Promise<CallerServer> {
@@ -291,7 +297,7 @@
     const { replica, sessions, billing, quotas, claims } = this.coordination;
     const { limits } = settings;
     const resolver = new VersionResolver(replica, settings.permits);
-    const retryBudget = new RetryBudget({ clock });
+    const retryBudget = new RetryBudget({ clock, minPerWindow: MIN_RETRIES_PER_WINDOW });
     const rungs = new RungRunner({
       directory,
       resolver,
