Check the version again after the wait for an upstream

The check ran before the wait for an exclusive upstream, in which the withdrawal came into force. It now runs after the wait. A request whose connections were all refused is answered as not run, since no byte has left. The withdrawal tests run one request before the withdrawal: on a slow machine there was nothing to compare.

--- a/packages/bench/src/scenarios/membership.ts
+++ b/packages/bench/src/scenarios/membership.ts
@@ -31,9 +31,9 @@
 
 /** Whether one instance sees the new revision in the summary of every zone. */
 function isAcknowledged(cluster: MemberCluster): boolean {
-  return cluster.nodes[0]!.membership
-    .getZoneSummaries()
-    .every((summary) => summary.lowestAppliedRevision >= NEW_REVISION);
+  return cluster.nodes[0]!.membership.getZoneSummaries().every(
+    (summary) => summary.lowestAppliedRevision >= NEW_REVISION,
+  );
 }
 
 async function measureCluster(size: ClusterSize, seed: number): Promise<ClusterFigures> {
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -28,6 +28,7 @@
 import { EvidenceSharing } from './peers/evidenceSharing.js';
 import { PeerLinks } from './peers/peerLinks.js';
 import { createPeerService } from './peers/peerService.js';
+import { AnswerRater } from './requests/answerRater.js';
 import { ChatHandler } from './requests/chatHandler.js';
 import { RatingClient } from './requests/ratingClient.js';
 import { RungRunner } from './requests/rungRunner.js';
@@ -324,15 +325,19 @@
       quarantine,
       cascades: this.cascades,
       rungs,
-      ratings: new RatingClient(settings.platform.rating),
+      rater: new AnswerRater({
+        ratings: new RatingClient(settings.platform.rating),
+        counters: this.counters,
+        cascades: this.cascades,
+        random,
+        sampleShare: settings.ratings.sampleShare,
+        candidateShare: settings.ratings.candidateShare,
+      }),
       counters: this.counters,
       metrics,
       invariants,
       clock,
-      random,
       requestMs: limits.requestMs,
-      ratingSampleShare: settings.ratings.sampleShare,
-      candidateSampleShare: settings.ratings.candidateShare,
     });
     const services = new ServiceHandler({
       directory,
--- a/packages/server/src/requests/chatHandler.ts
+++ b/packages/server/src/requests/chatHandler.ts
@@ -2,7 +2,7 @@
 
 import type { BillingJournal, QuotaLease } from '@cactusstair/coordination';
 import type { BillStep, Failure, Workspace } from '@cactusstair/protocol';
-import { createFailure, getResultCode, VersionState } from '@cactusstair/protocol';
+import { createFailure, getResultCode } from '@cactusstair/protocol';
 import type {
   CascadePolicy,
   CascadeRequest,
@@ -10,7 +10,7 @@
   RungInfo,
   VersionStatsRecorder,
 } from '@cactusstair/routing';
-import type { Clock, Invariants, Random } from '@cactusstair/utils';
+import type { Clock, Invariants } from '@cactusstair/utils';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 
@@ -21,8 +21,8 @@
 import type { EntryMetrics } from '../ops/metrics.js';
 import { computePrefixHashes } from '../upstreams/prefixHashes.js';
 import type { ResolvedVersion, Target, VersionResolver } from '../workspaces/versionResolver.js';
+import type { AnswerRater } from './answerRater.js';
 import { computeCostMicros, sumSteps } from './pricing.js';
-import type { RatingClient } from './ratingClient.js';
 import type { ChatCall, RungAnswer, RungRunner } from './rungRunner.js';
 import type { BoundSession, SessionBinder } from './sessionBinder.js';
 import { VersionLatencies } from './versionLatencies.js';
@@ -36,17 +36,12 @@
   quarantine: CrashQuarantine;
   cascades: CascadePolicy;
   rungs: RungRunner;
-  ratings: RatingClient;
+  rater: AnswerRater;
   counters: VersionStatsRecorder;
   metrics: EntryMetrics;
   invariants: Invariants;
   clock: Clock;
-  random: Random;
   requestMs: number;
-  /** Share of answers that are sent to the rating service, in 0..1. */
-  ratingSampleShare: number;
-  /** The same for answers of a version under rollout. */
-  candidateSampleShare: number;
 }
 
 /** A chat request of an authenticated caller. */
@@ -67,7 +62,6 @@
   rungs: ResolvedVersion[];
 }
 
-const RATING_TIMEOUT_MS = 500;
 const CHARACTERS_PER_TOKEN = 4;
 const MS_PER_SECOND = 1000;
 
@@ -236,13 +230,10 @@
     const { call, rungs } = prepared;
     const request = this.createCascadeRequest(prepared, streaming);
     if (!request || streaming || rung + 1 >= rungs.length) {
-      if (this.options.random.next() < this.getSampleShare(answer)) {
-        // The caller does not wait for a rating that cannot change its answer.
-        this.rateAnswer(call, answer, escalated).catch(() => {});
-      }
+      this.options.rater.rateSample(call, answer, escalated);
       return undefined;
     }
-    const rating = await this.rateAnswer(call, answer, escalated);
+    const rating = await this.options.rater.rate(call, answer, escalated);
     const remainingMs = call.deadlineMs - this.options.clock.monotonicMs();
     const escalate = this.options.cascades.shouldEscalate({
       ...request,
@@ -253,12 +244,6 @@
     return escalate ? rung + 1 : undefined;
   }
 
-  private getSampleShare({ resolved }: RungAnswer): number {
-    return resolved.version.state === VersionState.CANDIDATE
-      ? this.options.candidateSampleShare
-      : this.options.ratingSampleShare;
-  }
-
   /** Returns undefined for a request that names a model and not a cascade. */
   private createCascadeRequest(
     prepared: PreparedChat,
@@ -289,29 +274,6 @@
     };
   }
 
-  private async rateAnswer(
-    call: ChatCall,
-    answer: RungAnswer,
-    escalated: boolean,
-  ): Promise<number | undefined> {
-    const { ratings, counters, cascades } = this.options;
-    const model = answer.resolved.model.name;
-    const version = answer.resolved.version.version;
-    const question = { requestId: call.requestId, model, version, quality: answer.quality };
-    const rating = await ratings.rate(question, RATING_TIMEOUT_MS);
-    if (rating === undefined) return undefined;
-    counters.recordRating({ model, version, rating });
-    cascades.recordRating({
-      workspace: call.workspace.name,
-      requestClass: call.requestClass,
-      model,
-      version,
-      rating,
-      escalated,
-    });
-    return rating;
-  }
-
   /** Stores the bill and then sends the last bytes, so that no whole answer is without a bill. */
   private async deliver(
     call: ChatCall,
--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -133,9 +133,10 @@
     for (let calls = 0; calls < MAX_ATTEMPTS_PER_RUNG;) {
       if (needsBudget && !this.mayRetry(call)) break;
       needsBudget = false;
+      const upstream = await this.chooseUpstream(call, pool, exclude);
+      // Checked after the wait for an upstream, in which the configuration may have changed.
       const refusal = this.checkBeforeAttempt(call, resolved);
       if (refusal) return err(refusal);
-      const upstream = await this.chooseUpstream(call, pool, exclude);
       if (!upstream) {
         if (!lastFailure || !(await wait())) break;
         continue;
@@ -223,6 +224,7 @@
     const endSuspicion = quarantine.recordStart(upstream.name, call.fingerprint);
     try {
       const answer = await this.readAnswer(call, resolved, upstream, progress, attempt, onToken);
+      call.dispatched = true;
       endSuspicion('completed');
       upstream.recordSuccess(progress.attemptFirstTokenMs ?? 0, call.requestClass);
       metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: 'success' });
@@ -230,6 +232,8 @@
       return answer;
     } catch (error) {
       const failure = error as LinkFailure;
+      // Only a connection that was not made is proof that no byte has left.
+      call.dispatched ||= failure.dispatched ?? true;
       metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: failure.kind ?? 'internal' });
       if (failure.kind === 'aborted') await engines.cancel(upstream.link, call.requestId, attempt);
       else await upstream.recordFailure(failure);
@@ -267,8 +271,6 @@
       interTokenTimeoutMs: interTokenMs,
       signal: call.signal,
     });
-    // From here on bytes may reach the upstream, whatever the outcome of the call.
-    call.dispatched = true;
     for await (const event of events) {
       if (event.type === 'done') {
         const nowMs = clock.monotonicMs();
--- a/tests/guarantees/withdrawal.test.ts
+++ b/tests/guarantees/withdrawal.test.ts
@@ -58,6 +58,8 @@
 
   /** Sends requests to all instances until each has refused one after `change`, then stops. */
   const runLoad = async (model: string, run: () => Promise<Change>) => {
+    // Without a run before the withdrawal the journals would have nothing to compare.
+    assert.equal((await chat('riga-a-1', model)).status, 200);
     const answers: CallerAnswer[] = [];
     let acceptedAtMs = Infinity;
     const sendUntilRefused = async (instance: string) => {
