Check nesting and both token limits of chat bodies before parsing

Cause: the JSON visitor recurses, so a body of 90,000 brackets overflowed its stack and ended as 500 'internal' with ran 'unknown'. The limit on completion tokens was checked on max_completion_tokens only where both fields were sent, while engines may take max_tokens: a request with max_tokens 2^53 ran until the caller gave up after 300 s. Ruled out: the nesting limit of the visitor itself; returning false only mutes its callbacks. Change: a scan of the brackets outside strings comes before the parser; the larger of the two token fields is checked.

--- a/packages/server/src/callers/chatBody.ts
+++ b/packages/server/src/callers/chatBody.ts
@@ -64,7 +64,8 @@
     const message = `the prompt has ${promptLength} characters, ${limits.promptCharacters} are allowed`;
     return err(createFailure('request_too_large', message));
   }
-  const completionTokens = body.max_completion_tokens ?? body.max_tokens ?? 0;
+  // Engines differ in which of the two fields they take.
+  const completionTokens = Math.max(body.max_completion_tokens ?? 0, body.max_tokens ?? 0);
   if (completionTokens > limits.completionTokens) {
     const message = `max_tokens is ${completionTokens}, ${limits.completionTokens} are allowed`;
     return err(createFailure('request_too_large', message));
@@ -78,15 +79,11 @@
  * read another request than the one that was checked.
  */
 function findJsonProblem(text: string): string | undefined {
+  if (isNestedTooDeep(text)) return `the body is nested deeper than ${MAX_NESTING} levels`;
   let problem: string | undefined;
   const keysByLevel: Set<string>[] = [];
   const enter = () => {
     keysByLevel.push(new Set());
-    if (keysByLevel.length > MAX_NESTING) {
-      problem ??= `the body is nested deeper than ${MAX_NESTING} levels`;
-      return false;
-    }
-    return true;
   };
   const leave = () => {
     keysByLevel.pop();
@@ -112,6 +109,20 @@
   return problem;
 }
 
+/**
+ * Checks the nesting before the text is parsed: the parser recurses, and a body within the size
+ * limit can be nested deeper than its stack.
+ */
+function isNestedTooDeep(text: string): boolean {
+  let depth = 0;
+  for (const [token] of text.matchAll(/"(?:[^"\\]|\\.)*"?|[[\]{}]/gs)) {
+    if (token === '[' || token === '{') depth += 1;
+    else if (token === ']' || token === '}') depth -= 1;
+    if (depth > MAX_NESTING) return true;
+  }
+  return false;
+}
+
 /** Returns the text of all messages, with their roles, as one string. */
 export function getPromptText(body: ChatBody): string {
   return body.messages
