Refuse service paths and methods that an upstream could read differently

Cause: the path below a service was forwarded as it came, with dot segments and escaped slashes, and TRACE and WebDAV methods were forwarded too. An upstream that resolves them would run another path than the one that was asked for. Change: dot segments, also escaped ones, escaped slashes, backslashes and NUL and unusual methods are refused as unknown_route.

--- a/packages/server/src/callers/serviceController.ts
+++ b/packages/server/src/callers/serviceController.ts
@@ -1,3 +1,4 @@
+import { createFailure } from '@cactusstair/protocol';
 import { All, Controller, Inject, Req, Res } from '@nestjs/common';
 import type { FastifyReply, FastifyRequest } from 'fastify';
 
@@ -8,6 +9,23 @@
 
 const SERVICE_URL = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 
+const METHODS: readonly string[] = ['GET', 'HEAD', 'OPTIONS', 'POST', 'PUT', 'PATCH', 'DELETE'];
+/** Slashes and NUL behind an escape, also one that is itself escaped. */
+const HIDDEN_SEPARATOR = /%(?:25)*(?:2f|5c|00)|[\\\0]/i;
+const ESCAPED_DOT = /%(?:25)*2e/gi;
+
+/**
+ * Checks that every reader of a path sees the same segments. An upstream that decodes escapes or
+ * resolves dot segments would otherwise run another path than the one that was asked for.
+ */
+function isPlainPath(path: string): boolean {
+  if (HIDDEN_SEPARATOR.test(path)) return false;
+  return !path
+    .replace(ESCAPED_DOT, '.')
+    .split('/')
+    .some((segment) => segment === '.' || segment === '..');
+}
+
 /** Plain services by path. */
 @Controller('services')
 export class ServiceController {
@@ -22,6 +40,11 @@
     }
     const { requestId } = opened.value.headers;
     const [, service = '', path = '/', query = ''] = SERVICE_URL.exec(request.url) ?? [];
+    if (!METHODS.includes(request.method) || !isPlainPath(path)) {
+      const failure = createFailure('unknown_route', 'the method or the path is not supported');
+      sendFailure(reply, failure, requestId);
+      return;
+    }
     const result = await this.context.services.handle({
       ...opened.value,
       service,
