Answer failures of the HTTP layer with numbered codes

Cause: parser errors, header overflow, bad escapes and a missing Host were answered by the defaults of Node.js and Fastify, without a code and x-cactusstair-ran. The parser's answer could also follow an open request of the same connection, whose caller would have taken it for its own. The receive time limit was checked every 30 s only, so a slow sender held its socket for up to a minute. Change: clientErrors.ts answers these cases; a connection whose earlier request may have run is closed without an answer. limits.receiveMs sets the receive time limit and is checked at least every 5 s.

--- a/packages/server/src/callers/callerServer.ts
+++ b/packages/server/src/callers/callerServer.ts
@@ -4,12 +4,14 @@
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
-import type { FastifyInstance } from 'fastify';
+import type { FastifyInstance, FastifyReply } from 'fastify';
 
 import type { CallerContext } from './callerContext.js';
 import { CALLER_CONTEXT } from './callerContext.js';
+import { answerClientError, answerExpectation, checkHost } from './clientErrors.js';
 import { ChatController } from './chatController.js';
-import { FailureFilter } from './failureFilter.js';
+import { describeError, FailureFilter } from './failureFilter.js';
+import { sendFailure } from './openRequest.js';
 import { ServiceController } from './serviceController.js';
 
 /** Options of `CallerServer`. */
@@ -19,13 +21,14 @@
   bodyBytes: number;
   /** Largest sum of all request headers in bytes. */
   headerBytes: number;
+  /** A caller has to send its whole request within this time, so that slow senders hold no socket. */
+  receiveMs: number;
   /** Called for an error that no handler expected. */
   onError: (error: unknown) => void;
 }
 
-/** A caller has to send its whole request within this time, so that slow senders hold no socket. */
-const REQUEST_RECEIVE_TIMEOUT_MS = 30_000;
 const IDLE_CONNECTION_TIMEOUT_MS = 60_000;
+const MAX_CHECK_INTERVAL_MS = 5000;
 
 class CallerModule {}
 
@@ -44,9 +47,20 @@
   static async create(options: CallerServerOptions): Promise<CallerServer> {
     const adapter = new FastifyAdapter({
       bodyLimit: options.bodyBytes,
-      requestTimeout: REQUEST_RECEIVE_TIMEOUT_MS,
+      requestTimeout: options.receiveMs,
       keepAliveTimeout: IDLE_CONNECTION_TIMEOUT_MS,
-      http: { maxHeaderSize: options.headerBytes },
+      http: {
+        maxHeaderSize: options.headerBytes,
+        headersTimeout: options.receiveMs,
+        requestTimeout: options.receiveMs,
+        connectionsCheckingInterval: Math.min(options.receiveMs, MAX_CHECK_INTERVAL_MS),
+        // `checkHost` refuses such requests with a numbered failure.
+        requireHostHeader: false,
+      },
+      routerOptions: { maxParamLength: options.headerBytes },
+      clientErrorHandler: answerClientError,
+      frameworkErrors: (error: Error, _request: unknown, reply: FastifyReply) =>
+        sendFailure(reply, describeError(error)),
       forceCloseConnections: 'idle',
       exposeHeadRoutes: false,
     });
@@ -73,6 +87,8 @@
 }
 
 function configureFastify(fastify: FastifyInstance): void {
+  fastify.addHook('onRequest', checkHost);
+  fastify.server.on('checkExpectation', answerExpectation);
   fastify.removeAllContentTypeParsers();
   // Bodies stay bytes: services get them unchanged, and chat bodies are checked before use.
   fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
--- a/packages/server/src/callers/failureFilter.ts
+++ b/packages/server/src/callers/failureFilter.ts
@@ -10,6 +10,7 @@
 const failureByErrorCode: Record<string, () => Failure> = {
   FST_ERR_CTP_BODY_TOO_LARGE: () =>
     createFailure('request_too_large', 'the request body is too large'),
+  FST_ERR_BAD_URL: () => createFailure('unknown_route', 'the path has a malformed escape'),
   FST_ERR_CTP_INVALID_CONTENT_LENGTH: () =>
     createFailure('malformed_request', 'the body does not have the announced length'),
 };
@@ -21,7 +22,8 @@
 
 const HTTP_SERVER_ERROR = 500;
 
-function describeError(error: unknown): Failure {
+/** Returns the numbered failure of an error of the HTTP layer. */
+export function describeError(error: unknown): Failure {
   const { code, statusCode } = error as { code?: string; statusCode?: number };
   const status = error instanceof HttpException ? error.getStatus() : statusCode;
   const create = failureByErrorCode[code ?? ''] ?? failureByStatus[status ?? 0];
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -343,6 +343,7 @@
       context: { replica, chat, services, limits, checkAdmission: () => this.checkAdmission() },
       bodyBytes: limits.bodyBytes,
       headerBytes: limits.headerBytes,
+      receiveMs: limits.receiveMs,
       onError: (error) => this.logger.error('request failed', { error: String(error) }),
     });
   }
--- a/packages/server/src/settings.ts
+++ b/packages/server/src/settings.ts
@@ -80,6 +80,7 @@
         connectMs: milliseconds.default(1000),
         firstTokenMs: milliseconds.default(10_000),
         interTokenMs: milliseconds.default(5000),
+        receiveMs: milliseconds.default(30_000),
         serviceAnswerMs: milliseconds.default(10_000),
         queueShortMs: milliseconds.default(2000),
         queueLongMs: milliseconds.default(10_000),
