Take changed certificate files into use without a restart

Cause: the certificate, the key and the CA were read once at the start, so that each renewal needed a restart of every instance. Ruled out: the file watcher of grpc-js; it drops all connections while the certificate and the key do not match, as happens between the two writes of a rotation. Change: CertificateFiles implements the library's provider interface, reads the files every second and passes on only sets that belong together; it logs one warning about others.

--- a/packages/server/src/credentials.ts
+++ b/packages/server/src/credentials.ts
@@ -1,6 +1,8 @@
 import { readFileSync } from 'node:fs';
+import { createSecureContext } from 'node:tls';
 
-import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
+import type { Logger } from '@cactusstair/utils';
+import { ChannelCredentials, experimental, ServerCredentials } from '@grpc/grpc-js';
 
 /** Files of an instance's certificate, PEM. */
 export interface TlsFiles {
@@ -9,22 +11,128 @@
   keyFile: string;
 }
 
-/** Creates server credentials that demand a client certificate, or plain ones without `tls`. */
-export function createServerCredentials(tls: TlsFiles | undefined): ServerCredentials {
-  if (!tls) return ServerCredentials.createInsecure();
-  return ServerCredentials.createSsl(
-    readFileSync(tls.caFile),
-    [{ cert_chain: readFileSync(tls.certFile), private_key: readFileSync(tls.keyFile) }],
-    true,
-  );
+type CaUpdate = experimental.CaCertificateUpdate;
+type IdentityUpdate = experimental.IdentityCertificateUpdate;
+
+interface TlsMaterial {
+  ca: Buffer;
+  certificate: Buffer;
+  privateKey: Buffer;
+}
+
+/** Changed files are in use after this time at most; open connections keep what they have. */
+const REFRESH_INTERVAL_MS = 1000;
+
+/**
+ * Reads certificate files again and again and passes changes on to the gRPC library.
+ *
+ * The library's own file watcher drops every connection while the certificate and the key do not
+ * match, as happens between the two writes of a rotation. This one keeps the last valid set.
+ */
+export class CertificateFiles implements experimental.CertificateProvider {
+  private readonly caListeners = new Set<experimental.CaCertificateUpdateListener>();
+
+  private readonly identityListeners = new Set<experimental.IdentityCertificateUpdateListener>();
+
+  private current: TlsMaterial;
+
+  private readonly timer: NodeJS.Timeout;
+
+  private lastProblem: string | undefined;
+
+  /**
+   * @param logger gets one line about each problem of changed files.
+   * @throws Error when the files cannot be used at the start.
+   */
+  constructor(
+    private readonly files: TlsFiles,
+    private readonly logger: Logger,
+  ) {
+    this.current = readMaterial(files);
+    this.timer = setInterval(() => this.refresh(), REFRESH_INTERVAL_MS);
+    this.timer.unref();
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  addCaCertificateListener(listener: experimental.CaCertificateUpdateListener): void {
+    this.caListeners.add(listener);
+    // The library registers its own watcher only after this call.
+    process.nextTick(listener, this.createCaUpdate());
+  }
+
+  removeCaCertificateListener(listener: experimental.CaCertificateUpdateListener): void {
+    this.caListeners.delete(listener);
+  }
+
+  addIdentityCertificateListener(listener: experimental.IdentityCertificateUpdateListener): void {
+    this.identityListeners.add(listener);
+    process.nextTick(listener, this.createIdentityUpdate());
+  }
+
+  removeIdentityCertificateListener(
+    listener: experimental.IdentityCertificateUpdateListener,
+  ): void {
+    this.identityListeners.delete(listener);
+  }
+
+  private createCaUpdate(): CaUpdate {
+    return { caCertificate: this.current.ca };
+  }
+
+  private createIdentityUpdate(): IdentityUpdate {
+    const { certificate, privateKey } = this.current;
+    return { certificate, privateKey };
+  }
+
+  private refresh(): void {
+    try {
+      const next = readMaterial(this.files);
+      this.lastProblem = undefined;
+      if (isEqual(this.current, next)) return;
+      this.current = next;
+      for (const listener of this.caListeners) listener(this.createCaUpdate());
+      for (const listener of this.identityListeners) listener(this.createIdentityUpdate());
+    } catch (error) {
+      const problem = (error as Error).message;
+      if (problem !== this.lastProblem) {
+        this.logger.warn('changed certificate files are not used', { problem });
+      }
+      this.lastProblem = problem;
+    }
+  }
 }
 
-/** Creates client credentials with a certificate, or plain ones without `tls`. */
-export function createChannelCredentials(tls: TlsFiles | undefined): ChannelCredentials {
-  if (!tls) return ChannelCredentials.createInsecure();
-  return ChannelCredentials.createSsl(
-    readFileSync(tls.caFile),
-    readFileSync(tls.keyFile),
-    readFileSync(tls.certFile),
+/** Reads the files and checks that they belong together. */
+function readMaterial({ caFile, certFile, keyFile }: TlsFiles): TlsMaterial {
+  const ca = readFileSync(caFile);
+  const certificate = readFileSync(certFile);
+  const privateKey = readFileSync(keyFile);
+  try {
+    createSecureContext({ ca, cert: certificate, key: privateKey });
+  } catch (error) {
+    const { message } = error as Error;
+    throw new Error(`${certFile} and ${keyFile} cannot be used together: ${message}`);
+  }
+  return { ca, certificate, privateKey };
+}
+
+function isEqual(a: TlsMaterial, b: TlsMaterial): boolean {
+  return (
+    a.ca.equals(b.ca) && a.certificate.equals(b.certificate) && a.privateKey.equals(b.privateKey)
   );
 }
+
+/** Creates server credentials that demand a client certificate, or plain ones without `files`. */
+export function createServerCredentials(files: CertificateFiles | undefined): ServerCredentials {
+  if (!files) return ServerCredentials.createInsecure();
+  return experimental.createCertificateProviderServerCredentials(files, files, true);
+}
+
+/** Creates client credentials with a certificate, or plain ones without `files`. */
+export function createChannelCredentials(files: CertificateFiles | undefined): ChannelCredentials {
+  if (!files) return ChannelCredentials.createInsecure();
+  return experimental.createCertificateProviderChannelCredentials(files, files);
+}
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -18,7 +18,11 @@
 
 import { CallerServer } from './callers/callerServer.js';
 import { Coordination } from './coordination.js';
-import { createChannelCredentials, createServerCredentials } from './credentials.js';
+import {
+  CertificateFiles,
+  createChannelCredentials,
+  createServerCredentials,
+} from './credentials.js';
 import { GrpcServer } from './grpcServer.js';
 import { ConfigEditor } from './operators/configEditor.js';
 import { createOperatorService } from './operators/operatorService.js';
@@ -73,6 +77,8 @@
   /** Tasks and connections that a graceful shutdown needs until its end. */
   private readonly lifecycle: LifecycleManager;
 
+  private readonly certificates: CertificateFiles | undefined;
+
   private readonly links: PeerLinks;
 
   private readonly coordination: Coordination;
@@ -108,10 +114,11 @@
     this.lifecycle = new LifecycleManager((task, error) =>
       this.logger.error('task failed', { task, error: String(error) }),
     );
+    this.certificates = settings.tls && new CertificateFiles(settings.tls, this.logger);
     this.links = new PeerLinks({
       zone,
       getAddressBook: () => this.coordination.addresses,
-      credentials: createChannelCredentials(settings.tls),
+      credentials: createChannelCredentials(this.certificates),
       random: this.random,
     });
     this.coordination = new Coordination({
@@ -166,6 +173,7 @@
     await this.lifecycle.close();
     await this.directory.close();
     this.links.close();
+    this.certificates?.close();
     this.logger.info('instance has stopped');
   }
 
@@ -175,6 +183,7 @@
     await this.lifecycle.close();
     await this.directory.close();
     this.links.close();
+    this.certificates?.close();
   }
 
   private checkReadiness(): string | undefined {
@@ -210,7 +219,7 @@
     const { settings, clock, counters, cascades } = this;
     const editor = new ConfigEditor(store, clock);
     const rollouts = new RolloutEditor(editor, clock);
-    const credentials = createServerCredentials(settings.tls);
+    const credentials = createServerCredentials(this.certificates);
     const peers = new GrpcServer(
       PeerService,
       createPeerService({
