--- a/packages/bench/src/processes/entryOverhead.ts
+++ b/packages/bench/src/processes/entryOverhead.ts
@@ -9,9 +9,10 @@
 const ROUNDS = 600;
 const QUICK_ROUNDS = 100;
 const CONCURRENT_CALLS = 8;
-const TOKENS = 16;
 /** Histograms hold microseconds, so that short answers keep their resolution. */
 const MICROS_PER_MS = 1000;
+const MS_PER_SECOND = 1000;
+const BYTES_PER_MEGABYTE = 1_000_000;
 const MAX_MICROS = 60_000_000;
 const MODEL = 'small';
 
@@ -23,7 +24,7 @@
   latency: Histogram;
 }
 
-async function callOnce(agent: Agent, route: Route, count: number): Promise<void> {
+async function callOnce(agent: Agent, route: Route, count: number, tokens: number): Promise<void> {
   const startedAtMs = performance.now();
   const answer = await agent.request({
     origin: route.origin,
@@ -32,12 +33,12 @@
     headers: {
       ...route.headers,
       'content-type': 'application/json',
-      'x-request-id': `overhead-${count}-${route.model}`,
+      'x-request-id': `overhead-${tokens}-${count}-${route.model}`,
     },
     body: JSON.stringify({
       model: route.model,
       messages: [{ role: 'user', content: `question ${count}` }],
-      max_tokens: TOKENS,
+      max_tokens: tokens,
     }),
   });
   await answer.body.dump({ limit: MAX_MICROS });
@@ -46,14 +47,14 @@
 }
 
 /** Calls both routes in turn, so that noise of the machine falls on both alike. */
-async function callInTurn(routes: readonly Route[], rounds: number): Promise<void> {
+async function callInTurn(routes: readonly Route[], rounds: number, tokens: number): Promise<void> {
   const agent = new Agent();
   let next = 0;
   const worker = async () => {
     while (next < rounds) {
       next += 1;
       const count = next;
-      for (const route of routes) await callOnce(agent, route, count);
+      for (const route of routes) await callOnce(agent, route, count, tokens);
     }
   };
   await Promise.all(Array.from({ length: CONCURRENT_CALLS }, worker));
@@ -80,8 +81,12 @@
   return ratio.toFixed(2);
 }
 
-/** Measures an answer through an entry instance against the direct call on the same engine. */
-export async function measureEntryOverhead(seed: number, quick: boolean): Promise<ResultTable> {
+/** Measures answers of `tokens` tokens through an entry instance against direct calls. */
+export async function measureEntryOverhead(
+  seed: number,
+  quick: boolean,
+  tokens: number,
+): Promise<ResultTable> {
   const place = await Place.start({
     seed,
     // The second zone holds the copies of the bills, as in a real place.
@@ -98,21 +103,35 @@
     const idle = await samplePlace(place);
     const direct = createRoute(place.getUrl('riga-a-engine-1'), `${MODEL}@1`);
     const through = createRoute(entry.callers, MODEL, 'ladders-key');
-    await callInTurn([direct, through], quick ? QUICK_ROUNDS : ROUNDS);
+    const rounds = quick ? QUICK_ROUNDS : ROUNDS;
+    await callInTurn([direct, through], rounds, tokens);
     const loaded = await samplePlace(place);
     const cost = computeControlCost(idle, loaded, place.entries.length);
-    const idleMegabytes = Math.round(idle.largestEntryBytes / MICROS_PER_MS / 1000);
+    // Includes the cost of control during the run, on both instances.
+    const cpuMsPerAnswer =
+      ((loaded.entryCpuSeconds - idle.entryCpuSeconds) * MS_PER_SECOND) / rounds;
+    const idleMegabytes = Math.round(idle.largestEntryBytes / BYTES_PER_MEGABYTE);
     return {
-      title: `Answers of ${TOKENS} tokens, ${CONCURRENT_CALLS} at a time`,
-      columns: ['route', 'p50 ms', 'p95 ms', 'MB idle', 'MB loaded', 'reads/s', 'writes/s'],
+      title: `Answers of ${tokens} tokens, ${CONCURRENT_CALLS} at a time`,
+      columns: [
+        'route',
+        'p50 ms',
+        'p95 ms',
+        'MB idle',
+        'MB loaded',
+        'CPU ms/answer',
+        'reads/s',
+        'writes/s',
+      ],
       rows: [
-        ['direct', formatMs(direct, 50), formatMs(direct, 95), '', '', '', ''],
+        ['direct', formatMs(direct, 50), formatMs(direct, 95), '', '', '', '', ''],
         [
           'through an entry instance',
           formatMs(through, 50),
           formatMs(through, 95),
           idleMegabytes,
           Math.round(cost.largestEntryMegabytes),
+          cpuMsPerAnswer.toFixed(2),
           cost.storeReadsPerSecond.toFixed(2),
           cost.storeWritesPerSecond.toFixed(2),
         ],
--- a/packages/bench/src/processesMain.ts
+++ b/packages/bench/src/processesMain.ts
@@ -12,6 +12,9 @@
 const seedIndex = process.argv.indexOf('--seed');
 const seed = seedIndex < 0 ? 1 : Number(process.argv[seedIndex + 1]);
 
-process.stdout.write(`${formatTextTable(await measureEntryOverhead(seed, quick))}\n`);
+for (const tokens of [16, 256]) {
+  const table = await measureEntryOverhead(seed, quick, tokens);
+  process.stdout.write(`${formatTextTable(table)}\n`);
+}
 process.stdout.write(`${formatTextTable(await measureControlCost(seed, quick))}\n`);
 process.exit(0);
