Retry the neighbours of a crashing request without the retry budget

A failed call also cleared its suspicion, as the end of a call counted as completed. Ruled out: the quarantine's class as the condition; it merges crashes within 1 s, and a neighbour of the second one is then not a suspect. Change: a request that saw a crash retries outside the budget and waits up to 15 s for a restart; only a complete answer clears; the version is checked after the wait. The isolation test guards the invariant; it did not fail on the code before in the runs made.

--- a/packages/server/src/requests/chatHandler.ts
+++ b/packages/server/src/requests/chatHandler.ts
@@ -147,6 +147,7 @@
       deadlineMs: this.options.clock.monotonicMs() + this.options.requestMs,
       signal: request.signal,
       dispatched: false,
+      sawCrash: false,
       attempts: 0,
     };
   }
--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -29,6 +29,8 @@
   signal: AbortSignal;
   /** Whether bytes of the request may have reached an upstream. */
   dispatched: boolean;
+  /** Whether the request was in flight at a crash of its upstream. */
+  sawCrash: boolean;
   /** Calls to upstreams so far, over all rungs. */
   attempts: number;
 }
@@ -73,6 +75,9 @@
 const PRIORITY: Record<RequestClass, number> = { short: 1, long: 0 };
 const RETRY_AFTER_MS = 1000;
 const EXCLUSIVE_POLL_MS = 50;
+// A crashing request often takes down all upstreams of its pool, one after the other.
+const RESTART_WAIT_MS = 15_000;
+const RESTART_POLL_MS = 200;
 const MS_PER_SECOND = 1000;
 
 /** Gets the answer of one model version, over as many attempts as the retry budget allows. */
@@ -120,22 +125,62 @@
     };
     const exclude = new Set<string>();
     let lastFailure: LinkFailure | undefined;
+    let end = `${MAX_ATTEMPTS_PER_RUNG} attempts failed`;
     this.options.retryBudget.recordRequest();
     for (let attempt = 1; attempt <= MAX_ATTEMPTS_PER_RUNG; attempt += 1) {
-      if (attempt > 1 && !this.options.retryBudget.tryTake()) break;
+      if (attempt > 1 && !this.canRetry(call)) {
+        end = 'the retry budget is used up';
+        break;
+      }
+      const upstream = await this.chooseUpstream(call, resolved, pool, exclude);
+      // Checked after the choice, for which a suspect may have waited long.
       const refusal = this.checkBeforeAttempt(call, resolved);
       if (refusal) return err(refusal);
-      const upstream = await this.chooseUpstream(call, pool, exclude);
-      if (!upstream) break;
+      if (!upstream) {
+        end = 'no upstream is available for another attempt';
+        break;
+      }
       try {
         return ok(await this.runAttempt(call, resolved, upstream, progress, onToken));
       } catch (error) {
         lastFailure = error as LinkFailure;
         exclude.add(upstream.name);
-        if (lastFailure.kind === 'aborted') break;
+        if (lastFailure.kind === 'aborted') {
+          end = 'the caller went away';
+          break;
+        }
+        // Nothing was sent, so the attempt does not count.
+        if (await this.awaitRestart(call, lastFailure, progress.startedAtMs)) attempt -= 1;
       }
     }
-    return err(this.createFailure(call, resolved, lastFailure));
+    return err(this.createFailure(call, resolved, lastFailure, end));
+  }
+
+  /**
+   * A request that was in flight at a crash is retried outside the budget: one crash fails more
+   * requests at once than the budget holds, and isolation bounds their retries. The quarantine
+   * does not tell: it merges crashes of one upstream that follow each other closely.
+   */
+  private canRetry(call: ChatCall): boolean {
+    return call.sawCrash || this.options.retryBudget.tryTake();
+  }
+
+  /**
+   * Pauses a request that was in flight at a crash when its next upstream is down too. Returns
+   * false when the upstreams have had their time to restart.
+   */
+  private async awaitRestart(
+    call: ChatCall,
+    failure: LinkFailure,
+    startedAtMs: number,
+  ): Promise<boolean> {
+    const { clock } = this.options;
+    if (failure.kind !== 'connect' || !call.sawCrash) return false;
+    if (clock.monotonicMs() >= Math.min(startedAtMs + RESTART_WAIT_MS, call.deadlineMs)) {
+      return false;
+    }
+    await clock.sleep(RESTART_POLL_MS, call.signal);
+    return true;
   }
 
   /** Configuration may have changed while the request was queued or between two attempts. */
@@ -154,6 +199,7 @@
   /** A crash suspect runs alone; it waits for its turn as long as its deadline allows. */
   private async chooseUpstream(
     call: ChatCall,
+    resolved: ResolvedVersion,
     pool: ModelPool,
     exclude: Set<string>,
   ): Promise<Upstream | undefined> {
@@ -164,6 +210,7 @@
       const upstream = pool.choose(request) ?? pool.choose({ ...request, exclude: new Set() });
       if (upstream || !exclusive) return upstream;
       if (call.signal.aborted || clock.monotonicMs() >= call.deadlineMs) return undefined;
+      if (this.checkBeforeAttempt(call, resolved)) return undefined;
       await clock.sleep(EXCLUSIVE_POLL_MS, call.signal);
     }
   }
@@ -184,6 +231,7 @@
     const startedAtMs = this.options.clock.monotonicMs();
     try {
       const answer = await this.readAnswer(call, resolved, upstream, progress, attempt, onToken);
+      endSuspicion('completed');
       upstream.recordSuccess(this.options.clock.monotonicMs() - startedAtMs);
       metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: 'success' });
       return answer;
@@ -191,10 +239,11 @@
       const failure = error as LinkFailure;
       metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: failure.kind ?? 'internal' });
       if (failure.kind === 'aborted') await engines.cancel(upstream.link, call.requestId, attempt);
-      else await upstream.recordFailure(failure);
+      else if (await upstream.recordFailure(failure)) call.sawCrash = true;
       throw error;
     } finally {
-      endSuspicion();
+      // Without effect after a complete answer; a failed call proves nothing about the request.
+      endSuspicion('abandoned');
       release();
     }
   }
@@ -264,10 +313,11 @@
     call: ChatCall,
     resolved: ResolvedVersion,
     lastFailure: LinkFailure | undefined,
+    end: string,
   ): Failure {
     const fullName = `${resolved.model.name}@${resolved.version.version}`;
     if (call.dispatched) {
-      const reason = lastFailure?.message ?? 'no upstream is available for another attempt';
+      const reason = lastFailure ? `${lastFailure.message}; ${end}` : end;
       return createFailure('answer_incomplete', `the answer of ${fullName} broke off: ${reason}`);
     }
     return createFailure('no_upstream', `no upstream of ${fullName} is available`, RETRY_AFTER_MS);
--- a/packages/server/src/upstreams/upstream.ts
+++ b/packages/server/src/upstreams/upstream.ts
@@ -114,20 +114,22 @@
   /**
    * Finds out what a failed call means, with a probe over a new connection: a crashed upstream
    * does not answer it; one that answers has lost or silenced the old connections only.
+   *
+   * @returns whether the upstream crashed.
    */
-  async recordFailure(failure: LinkFailure): Promise<void> {
-    if (failure.kind === 'aborted') return;
+  async recordFailure(failure: LinkFailure): Promise<boolean> {
+    if (failure.kind === 'aborted') return false;
     if (failure.kind === 'timeout') {
       this.limit.recordSample({ latencyMs: 0, inFlight: this.outstanding, failed: true });
     }
     const before = this.report?.incarnation;
     const probed = failure.kind === 'status' ? this.report : await this.probe();
     const restarted = probed !== undefined && probed.incarnation !== before;
-    if (failure.kind === 'crash' && (probed === undefined || restarted)) {
-      this.context.quarantine.recordCrash(this.name);
-    }
+    const crashed = failure.kind === 'crash' && (probed === undefined || restarted);
+    if (crashed) this.context.quarantine.recordCrash(this.name);
     if (failure.kind === 'timeout' && probed) this.link.replace();
     this.health.recordFailure(failure.kind === 'mismatch' ? 'status' : failure.kind);
+    return crashed;
   }
 
   markLeaving(): void {
--- /dev/null
+++ b/tests/guarantees/crashNeighbours.test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, describe, it } from 'node:test';
+
+import { Place } from '@cactusstair/place';
+import { OperatorClient } from '@cactusstair/protocol';
+import type { EngineJournalEntry } from '@cactusstair/standins';
+import { createAnswerText } from '@cactusstair/standins';
+import { waitFor } from '@cactusstair/utils';
+import { credentials } from '@grpc/grpc-js';
+
+const MARKER = 'CRASH-ENGINE';
+const ENGINES = ['riga-a-engine-1', 'riga-a-engine-2'];
+const NEIGHBOURS = 8;
+const ROUNDS = 4;
+const TOKENS = 6;
+
+/** Requests that were in flight on an engine which another request crashed. */
+describe('neighbours of a crashing request', () => {
+  let place: Place;
+  const runDir = mkdtempSync(join(tmpdir(), 'cactusstair-test-'));
+
+  before(async () => {
+    place = await Place.start({
+      runDir,
+      zones: [
+        {
+          name: 'riga-a',
+          engines: [
+            { versions: ['small@1', 'small@2'], count: 2, options: { tokenMs: 200, slots: 64 } },
+          ],
+        },
+      ],
+      models: [{ name: 'small', versions: [{ version: '1' }, { version: '2' }] }],
+      workspaces: [{ name: 'ladders', apiKey: 'ladders-key' }],
+      entrySettings: { invariants: { fatal: true } },
+    });
+  });
+
+  after(async () => {
+    await place.close();
+    rmSync(runDir, { recursive: true });
+  });
+
+  async function send(requestId: string, model: string, prompt: string) {
+    const response = await fetch(`${place.entries[0]?.callers}/v1/chat/completions`, {
+      method: 'POST',
+      headers: {
+        authorization: 'Bearer ladders-key',
+        'content-type': 'application/json',
+        'x-request-id': requestId,
+      },
+      body: JSON.stringify({
+        model,
+        messages: [{ role: 'user', content: prompt }],
+        metadata: { expected_tokens: String(TOKENS) },
+      }),
+    });
+    const body = (await response.json()) as {
+      choices?: { message: { content: string } }[];
+      error?: { message: string };
+    };
+    return { status: response.status, text: body.choices?.[0]?.message.content, error: body.error };
+  }
+
+  async function listRuns(): Promise<EngineJournalEntry[]> {
+    // An engine that has crashed does not listen for a moment.
+    const journals = await waitFor(
+      () => Promise.all(ENGINES.map((name) => place.fetchJournal(name))),
+      { what: 'the journals', timeoutMs: 5000 },
+    );
+    return journals.flatMap((journal) => (journal as { requests: EngineJournalEntry[] }).requests);
+  }
+
+  async function crashBeside(prefix: string, model: string) {
+    await listRuns();
+    for (const name of ENGINES) {
+      await place.injectFault(name, {
+        fault: 'crashOnMarker',
+        marker: MARKER,
+        downMs: 300,
+        afterTokens: 1,
+      });
+    }
+    const sendings = Array.from({ length: NEIGHBOURS }, (_, index) =>
+      send(`${prefix}-${index}`, model, `question ${prefix} ${index}`),
+    );
+    await waitFor(
+      async () =>
+        (await listRuns()).filter((run) => run.requestId.startsWith(prefix)).length >= NEIGHBOURS,
+      { what: 'the neighbours to run', timeoutMs: 10_000 },
+    );
+    const crashing = send(`${prefix}-marker`, model, `${MARKER} ${prefix}`);
+    return { sendings, crashing };
+  }
+
+  it('are all answered, although they are more than the retry budget holds', async () => {
+    for (let round = 0; round < ROUNDS; round += 1) {
+      const { sendings, crashing } = await crashBeside(`beside-${round}`, 'small@1');
+      for (const [index, answer] of (await Promise.all(sendings)).entries()) {
+        const whole = createAnswerText(`beside-${round}-${index}`, TOKENS);
+        assert.equal(answer.text, whole, answer.error?.message);
+      }
+      assert.notEqual((await crashing).status, 200);
+    }
+    const crashed = (await listRuns()).filter((run) => run.outcome === 'crashed');
+    assert.ok(crashed.length > 2 * ROUNDS, `${crashed.length} runs crashed`);
+  });
+
+  it('start no work on a version that is withdrawn while they wait for isolation', async () => {
+    const { sendings } = await crashBeside('waiting', 'small@2');
+    await waitFor(
+      async () =>
+        (await listRuns()).some(
+          (run) => run.requestId === 'waiting-marker' && run.outcome === 'crashed',
+        ),
+      { what: 'the engine to crash', timeoutMs: 10_000 },
+    );
+    const operator = new OperatorClient(
+      place.entries[0]?.operators ?? '',
+      credentials.createInsecure(),
+    );
+    await new Promise((resolve, reject) => {
+      operator.withdrawVersion(
+        { model: 'small', version: '2', expectedVersion: 0 },
+        (error, reply) => (error ? reject(error) : resolve(reply)),
+      );
+    });
+    operator.close();
+    await Promise.all(sendings);
+    const metrics = await (await fetch(`${place.entries[0]?.metrics}/metrics`)).text();
+    assert.doesNotMatch(metrics, /cactusstair_invariant_violations_total\{[^}]*\} [1-9]/);
+  });
+});
