--- a/packages/bench/src/soak/answerChecks.ts
+++ b/packages/bench/src/soak/answerChecks.ts
@@ -1,6 +1,7 @@
 import { createAnswerText } from '@cactusstair/standins';
 
 import type { CallRecord, PropertyResult, Recording, Violation } from './recording.js';
+import type { EngineWork } from './versionChecks.js';
 import { groupCalls, listEngineWork } from './versionChecks.js';
 
 const FAILURE_STATUS = 400;
@@ -168,6 +169,7 @@
   for (const requestId of innocent) {
     for (const call of calls.get(requestId) ?? []) {
       if (isAnswered(call) || isLostWithEntry(recording, call)) continue;
+      if (isWithdrawnMeanwhile(recording, call, crashed)) continue;
       const detail = `beside a crashing request; ended with ${describeEnd(call)}`;
       violations.push({ requestId, detail });
     }
@@ -176,7 +178,7 @@
 }
 
 function describeEnd(call: CallRecord): string {
-  return call.error ?? `status ${call.status}, code ${call.code}`;
+  return call.error ?? `status ${call.status}, code ${call.code}, ${call.message ?? 'no message'}`;
 }
 
 /** Whether the instance that held the request was killed meanwhile. */
@@ -190,6 +192,21 @@
   );
 }
 
+/** Whether the version that the request ran on was withdrawn before a retry could start. */
+function isWithdrawnMeanwhile(
+  recording: Recording,
+  call: CallRecord,
+  crashed: readonly EngineWork[],
+): boolean {
+  const names = crashed
+    .filter((entry) => entry.requestId === call.requestId)
+    .map(({ model, version }) => `${model}@${version}`);
+  return recording.operators.some(
+    ({ action, name, sentAtMs }) =>
+      action === 'withdraw' && names.includes(name) && sentAtMs <= call.endedAtMs,
+  );
+}
+
 const QUARANTINED = 1110;
 const NOT_TAKEN_CODES = { from: 2000, to: 3000 };
 
--- a/packages/bench/src/soak/callSender.ts
+++ b/packages/bench/src/soak/callSender.ts
@@ -50,7 +50,7 @@
 }
 
 interface ErrorBody {
-  error: { code?: number; ran?: string };
+  error: { code?: number; ran?: string; message?: string };
 }
 
 function isErrorBody(value: unknown): value is ErrorBody {
@@ -60,6 +60,7 @@
 function recordError(record: CallRecord, { error }: ErrorBody): void {
   if (error.code !== undefined) record.code = error.code;
   if (error.ran !== undefined) record.ran = error.ran;
+  if (error.message !== undefined) record.message = error.message;
 }
 
 /** Reads the events of a streamed answer into the record. */
--- a/packages/bench/src/soak/configChecks.ts
+++ b/packages/bench/src/soak/configChecks.ts
@@ -65,6 +65,8 @@
     const samples = recording.samples.filter((sample) => sample.entry === entry);
     for (const change of listConfigChanges(recording)) {
       const boundMs = change.atMs + IN_FORCE_BOUND_MS;
+      // The instance had not started yet, or no reading of it shows since when it runs.
+      if (change.atMs < (samples[0]?.atMs ?? Infinity)) continue;
       if (!isUndisturbed(recording, entry, change.atMs, boundMs)) continue;
       const inForce = samples.find(
         (sample) => sample.atMs >= change.atMs && sample.configRevision >= change.revision,
--- a/packages/bench/src/soak/recording.ts
+++ b/packages/bench/src/soak/recording.ts
@@ -34,6 +34,8 @@
   status?: number;
   /** Result code of a failure. */
   code?: number;
+  /** Message of a failure. */
+  message?: string;
   ran?: string;
   answeredId?: string;
   answeredModel?: string;
--- a/tests/bench/checker.test.ts
+++ b/tests/bench/checker.test.ts
@@ -224,6 +224,11 @@
       assert.deepEqual(findViolations(createRecording({ history, samples, faults })), {});
     });
 
+    it('judges no change that came before the instance started', () => {
+      const samples = [createSample(14_000, 7)];
+      assert.deepEqual(findViolations(createRecording({ history, samples })), {});
+    });
+
     it('finds a run after which no change is accepted', () => {
       assertFinds('change in force within 12 s', /no change was accepted/, {
         lastChange: undefined,
@@ -261,6 +266,25 @@
       });
     });
 
+    it('accepts that an innocent request ends whose version was withdrawn meanwhile', () => {
+      const failed = { status: 502, code: 3102, ran: 'unknown', complete: false };
+      const calls = [
+        createCall('r1', failed),
+        createCall('m1', { ...failed, kind: 'crash-marker' }),
+      ];
+      const requests = [createRun('r1', crash), createRun('m1', crash)];
+      const create = (name: string) =>
+        findViolations(
+          createRecording({
+            calls,
+            engines: [{ upstream: 'engine-1', requests }],
+            operators: [{ ...withdrawal, name }],
+          }),
+        );
+      assert.deepEqual(Object.keys(create('small@1')), []);
+      assert.deepEqual(Object.keys(create('small@2')), ['innocent beside a crash is answered']);
+    });
+
     it('finds an instance that takes the crashing request again', () => {
       const taken = createCall('m1', { kind: 'crash-probe', status: 502, code: 3102 });
       assertFinds('crashing request is refused', /took the crashing request again/, {
