--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -31,6 +31,8 @@
   signal: AbortSignal;
   /** Whether bytes of the request may have reached an upstream. */
   dispatched: boolean;
+  /** Whether the request was in flight at a crash of its upstream. */
+  sawCrash: boolean;
   /** Calls to upstreams so far, over all rungs. */
   attempts: number;
 }
@@ -79,6 +81,8 @@
 const EXCLUSIVE_POLL_MS = 50;
 const FIRST_PAUSE_MS = 10;
 const LONGEST_PAUSE_MS = 320;
+// A crashing request often takes down all upstreams of its pool, one after the other.
+const RESTART_WAIT_MS = 15_000;
 const MS_PER_SECOND = 1000;
 
 /** Gets the answer of one model version, over as many attempts as the retry budget allows. */
@@ -128,35 +132,53 @@
     const exclude = new Set<string>();
     const wait = this.createUpstreamWait(call);
     let lastFailure: LinkFailure | undefined;
+    let end = `${MAX_ATTEMPTS_PER_RUNG} attempts failed`;
     let needsBudget = false;
     this.options.retryBudget.recordRequest();
     for (let calls = 0; calls < MAX_ATTEMPTS_PER_RUNG;) {
-      if (needsBudget && !this.mayRetry(call)) break;
+      if (needsBudget && !this.canRetry(call)) {
+        end = 'the retry budget is used up';
+        break;
+      }
       needsBudget = false;
-      const upstream = await this.chooseUpstream(call, pool, exclude);
-      // Checked after the wait for an upstream, in which the configuration may have changed.
+      const upstream = await this.chooseUpstream(call, resolved, pool, exclude);
+      // Checked after the choice, for which a suspect may have waited long.
       const refusal = this.checkBeforeAttempt(call, resolved);
       if (refusal) return err(refusal);
       if (!upstream) {
-        if (!lastFailure || !(await wait())) break;
-        continue;
+        if (lastFailure && (await wait())) continue;
+        end = 'no upstream is available for another attempt';
+        break;
       }
       try {
         return ok(await this.runAttempt(call, resolved, upstream, progress, onToken));
       } catch (error) {
         lastFailure = error as LinkFailure;
         exclude.add(upstream.name);
-        if (lastFailure.kind === 'aborted') break;
+        if (lastFailure.kind === 'aborted') {
+          end = 'the caller went away';
+          break;
+        }
         // A refused connection costs no upstream any work; the engine may be restarting.
         if (lastFailure.kind === 'connect') {
-          if (!(await wait())) break;
-        } else {
-          calls += 1;
-          needsBudget = true;
+          if (await wait()) continue;
+          end = 'no upstream accepts a connection';
+          break;
         }
+        calls += 1;
+        needsBudget = true;
       }
     }
-    return err(this.createFailure(call, resolved, lastFailure));
+    return err(this.createFailure(call, resolved, lastFailure, end));
+  }
+
+  /**
+   * A request that was in flight at a crash is retried outside the budget: one crash fails more
+   * requests at once than the budget holds, and isolation bounds their retries. The quarantine
+   * does not tell: it merges crashes of one upstream that follow each other closely.
+   */
+  private canRetry(call: ChatCall): boolean {
+    return call.sawCrash || this.options.retryBudget.tryTake();
   }
 
   /** Creates a function that pauses between tries; it returns false when no more is allowed. */
@@ -165,7 +187,8 @@
     let endsAtMs: number | undefined;
     let pauseMs = FIRST_PAUSE_MS;
     return async () => {
-      endsAtMs ??= Math.min(clock.monotonicMs() + queueMs[call.requestClass], call.deadlineMs);
+      const longestMs = call.sawCrash ? RESTART_WAIT_MS : queueMs[call.requestClass];
+      endsAtMs ??= Math.min(clock.monotonicMs() + longestMs, call.deadlineMs);
       if (call.signal.aborted || clock.monotonicMs() >= endsAtMs) return false;
       await clock.sleep(pauseMs, call.signal);
       pauseMs = Math.min(pauseMs * 2, LONGEST_PAUSE_MS);
@@ -173,12 +196,6 @@
     };
   }
 
-  /** A crash suspect is repeated in isolation, which bounds its repeats without the budget. */
-  private mayRetry(call: ChatCall): boolean {
-    const { quarantine, retryBudget } = this.options;
-    return quarantine.classify(call.fingerprint) === 'suspect' || retryBudget.tryTake();
-  }
-
   /** Configuration may have changed while the request was queued or between two attempts. */
   private checkBeforeAttempt(call: ChatCall, resolved: ResolvedVersion): Failure | undefined {
     const fullName = `${resolved.model.name}@${resolved.version.version}`;
@@ -195,6 +212,7 @@
   /** A crash suspect runs alone; it waits for its turn as long as its deadline allows. */
   private async chooseUpstream(
     call: ChatCall,
+    resolved: ResolvedVersion,
     pool: ModelPool,
     exclude: Set<string>,
   ): Promise<Upstream | undefined> {
@@ -205,6 +223,7 @@
       const upstream = pool.choose(request) ?? pool.choose({ ...request, exclude: new Set() });
       if (upstream || !exclusive) return upstream;
       if (call.signal.aborted || clock.monotonicMs() >= call.deadlineMs) return undefined;
+      if (this.checkBeforeAttempt(call, resolved)) return undefined;
       await clock.sleep(EXCLUSIVE_POLL_MS, call.signal);
     }
   }
@@ -225,7 +244,6 @@
     try {
       const answer = await this.readAnswer(call, resolved, upstream, progress, attempt, onToken);
       call.dispatched = true;
-      endSuspicion('completed');
       upstream.recordSuccess(progress.attemptFirstTokenMs ?? 0, call.requestClass);
       metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: 'success' });
       endSuspicion('completed');
@@ -236,10 +254,10 @@
       call.dispatched ||= failure.dispatched ?? true;
       metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: failure.kind ?? 'internal' });
       if (failure.kind === 'aborted') await engines.cancel(upstream.link, call.requestId, attempt);
-      else await upstream.recordFailure(failure);
+      else if (await upstream.recordFailure(failure)) call.sawCrash = true;
       throw error;
     } finally {
-      // Without effect after an answer; a call that failed does not clear its request.
+      // Without effect after a complete answer; a failed call proves nothing about the request.
       endSuspicion('abandoned');
       release();
     }
@@ -311,10 +329,11 @@
     call: ChatCall,
     resolved: ResolvedVersion,
     lastFailure: LinkFailure | undefined,
+    end: string,
   ): Failure {
     const fullName = `${resolved.model.name}@${resolved.version.version}`;
     if (call.dispatched) {
-      const reason = lastFailure?.message ?? 'no upstream is available for another attempt';
+      const reason = lastFailure ? `${lastFailure.message}; ${end}` : end;
       return createFailure('answer_incomplete', `the answer of ${fullName} broke off: ${reason}`);
     }
     return createFailure('no_upstream', `no upstream of ${fullName} is available`, RETRY_AFTER_MS);
