--- a/packages/coordination/src/zoneTable.ts
+++ b/packages/coordination/src/zoneTable.ts
@@ -15,9 +15,12 @@
   contacts: Map<string, MemberRecord>;
 }
 
-/** A contact needs its identity and address only; other fields would age on the way. */
+/**
+ * The age of a confirmation would age further on the way. The applied revision stays: a contact may
+ * be passed on into its own zone, where a record without it would count as not having the change.
+ */
 function createContact(record: MemberRecord): MemberRecord {
-  return { ...record, appliedRevision: 0, confirmedAgeMs: -1 };
+  return { ...record, confirmedAgeMs: -1 };
 }
 
 /** Latest summary and recent contacts of each zone. */
--- a/tests/coordination/membershipCluster.test.ts
+++ b/tests/coordination/membershipCluster.test.ts
@@ -1,17 +1,32 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
+import { MemberCluster } from '@cactusstair/bench';
 import { Membership, MembershipTask, MemoryObjectStore } from '@cactusstair/coordination';
 import type { InstanceRecord } from '@cactusstair/protocol';
 import { MemberStatus } from '@cactusstair/protocol';
 import { createRandom, LifecycleManager, ManualClock } from '@cactusstair/utils';
 
-import { MemberCluster } from '@cactusstair/bench';
 import { runPending, runUntil } from './runUntil.js';
 
 const ZONES = ['riga-a', 'riga-b', 'jelgava', 'valmiera'];
 
 describe('Membership in a cluster', () => {
+  it('acknowledges a change in every zone, which records without a revision once prevented', async () => {
+    let revision = 1;
+    const cluster = new MemberCluster(1, { getAppliedRevision: () => revision });
+    cluster.startMany(60, ZONES);
+    await cluster.runUntil('summaries', () => cluster.areZonesConverged(), 60);
+    revision = 2;
+    const isAcknowledged = () =>
+      cluster.nodes.every((node) =>
+        node.membership
+          .getZoneSummaries()
+          .every(({ lowestAppliedRevision }) => lowestAppliedRevision === 2),
+      );
+    await cluster.runUntil('every instance sees the revision in every zone', isAcknowledged, 60);
+  });
+
   it('converges with 120 members in four zones and stays within its rate', async (t) => {
     const cluster = new MemberCluster(1);
     cluster.startMany(120, ZONES);
