--- /dev/null
+++ b/tests/cli/settings.test.ts
@@ -0,0 +1,104 @@
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
+
+import { findFreePorts } from '@cactusstair/place';
+
+const mainFile = fileURLToPath(new URL('../../../packages/cli/dist/main.js', import.meta.url));
+
+interface CommandEnd {
+  code: number | null;
+  stdout: string;
+  stderr: string;
+}
+
+function runCommand(...args: string[]): Promise<CommandEnd> {
+  const child = spawn(process.execPath, [mainFile, ...args]);
+  const end = { stdout: '', stderr: '' };
+  child.stdout.on('data', (chunk: Buffer) => {
+    end.stdout += String(chunk);
+  });
+  child.stderr.on('data', (chunk: Buffer) => {
+    end.stderr += String(chunk);
+  });
+  return new Promise((resolve) => {
+    child.on('close', (code) => resolve({ code, ...end }));
+  });
+}
+
+describe('settings of the command line', () => {
+  const dir = mkdtempSync(join(tmpdir(), 'cactusstair-cli-'));
+  const file = join(dir, 'entry.yaml');
+  writeFileSync(join(dir, 'cluster.key'), 'a key of the cluster\n');
+
+  after(() => rmSync(dir, { recursive: true }));
+
+  async function writeSettings(change: (text: string) => string = (text) => text): Promise<void> {
+    const [callers, operators, peers, metrics] = await findFreePorts(4);
+    const lines = [
+      'instance: { id: riga-a-1, region: lv-central, zone: riga-a }',
+      'listen:',
+      `  callers: 127.0.0.1:${callers}`,
+      `  operators: 127.0.0.1:${operators}`,
+      `  peers: 127.0.0.1:${peers}`,
+      `  metrics: 127.0.0.1:${metrics}`,
+      'platform: { objectApi: http://127.0.0.1:9 }',
+      'peers: { clusterKeyFile: cluster.key }',
+      'permits: { candidateMs: 10000 }',
+    ];
+    writeFileSync(file, change(lines.join('\n')));
+  }
+
+  /** Guards against messages that do not lead the operator to the faulty line. */
+  const faults: [name: string, change: (text: string) => string, line: number, key: string][] = [
+    ['an unknown key', (text) => text.replace('candidateMs', 'candidate'), 9, 'permits.candidate'],
+    ['a wrong unit', (text) => text.replace('10000', '10s'), 9, 'permits.candidateMs'],
+    [
+      'a missing key file',
+      (text) => text.replace('cluster.key', 'none.key'),
+      8,
+      'peers.clusterKeyFile',
+    ],
+    ['a wrong port', (text) => text.replace(/callers: .*/, 'callers: 80'), 3, 'listen.callers'],
+  ];
+  for (const command of ['check', 'serve']) {
+    for (const [name, change, line, key] of faults) {
+      it(`${command} ends with exit code 2, file, line and key on ${name}`, async () => {
+        await writeSettings(change);
+        const { code, stderr } = await runCommand(command, '--config', file);
+        assert.equal(code, 2, stderr);
+        assert.ok(stderr.includes(`${file}:${line}: ${key}: `), stderr);
+      });
+    }
+  }
+
+  it('check accepts good settings without listening', async () => {
+    await writeSettings();
+    const { code, stdout, stderr } = await runCommand('check', '--config', file);
+    assert.equal(code, 0, stderr);
+    assert.match(stdout, /ok/);
+  });
+
+  for (const [index, name] of ['callers', 'operators', 'peers', 'metrics'].entries()) {
+    it(`serve names the setting of a port in use: ${name}`, async () => {
+      const blocker = createServer();
+      await new Promise<void>((resolve) => {
+        blocker.listen(0, '127.0.0.1', resolve);
+      });
+      const { port } = blocker.address() as AddressInfo;
+      await writeSettings((text) =>
+        text.replace(new RegExp(`${name}: 127.0.0.1:\\d+`), `${name}: 127.0.0.1:${port}`),
+      );
+      const { code, stderr } = await runCommand('serve', '--config', file);
+      blocker.close();
+      assert.equal(code, 2, stderr);
+      assert.ok(stderr.includes(`${file}:${index + 3}: listen.${name}: `), stderr);
+    });
+  }
+});
