--- a/packages/place/src/entryPlan.ts
+++ b/packages/place/src/entryPlan.ts
@@ -1,5 +1,5 @@
 import { findFreePorts } from './freePorts.js';
-import type { PlaceOptions, PlaceProxy, PlaceZone } from './placeOptions.js';
+import type { PlaceOptions, PlaceZone } from './placeOptions.js';
 
 /** Name, zone and ports of an entry instance that is about to start. */
 export interface EntryPlan {
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -1,11 +1,6 @@
 import type { Failure } from '@cactusstair/protocol';
 import { createFailure, OperatorService, PeerService } from '@cactusstair/protocol';
-import {
-  CascadePolicy,
-  CrashQuarantine,
-  RetryBudget,
-  VersionStatsRecorder,
-} from '@cactusstair/routing';
+import { CascadePolicy, CrashQuarantine, VersionStatsRecorder } from '@cactusstair/routing';
 import type { Logger } from '@cactusstair/utils';
 import {
   createLogger,
@@ -32,28 +27,18 @@
 import { EvidenceSharing } from './peers/evidenceSharing.js';
 import { PeerLinks } from './peers/peerLinks.js';
 import { createPeerService } from './peers/peerService.js';
-import { AnswerRater } from './requests/answerRater.js';
-import { ChatHandler } from './requests/chatHandler.js';
-import { RatingClient } from './requests/ratingClient.js';
-import { RungRunner } from './requests/rungRunner.js';
-import { ServiceHandler } from './requests/serviceHandler.js';
-import { SessionBinder } from './requests/sessionBinder.js';
+import { createRequestHandlers } from './requests/requestHandlers.js';
 import { RolloutController } from './rollouts/rolloutController.js';
 import { RolloutEditor } from './rollouts/rolloutEditor.js';
 import type { EntrySettings } from './settings.js';
-import { EngineClient } from './upstreams/engineClient.js';
 import { fetchLeavingInstances } from './upstreams/instanceList.js';
-import { ServiceClient } from './upstreams/serviceClient.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
-import { VersionResolver } from './workspaces/versionResolver.js';
 
 type InstanceState = 'starting' | 'serving' | 'stopping';
 
 const CALL_GRACE_MS = 2000;
 const DRAIN_POLL_MS = 20;
 const LIST_TIMEOUT_MS = 1000;
-/** All calls on a silent link fail together; an instance with little load must repeat them. */
-const MIN_RETRIES_PER_WINDOW = 30;
 
 /**
  * One entry instance: everything between callers and upstreams in one process.
@@ -303,65 +288,23 @@
   }
 
   private createCallerServer(): Promise<CallerServer> {
-    const { settings, clock, metrics, invariants, directory, quarantine, random } = this;
-    const { replica, sessions, billing, quotas, claims } = this.coordination;
-    const { limits } = settings;
-    const resolver = new VersionResolver(replica, settings.permits);
-    const retryBudget = new RetryBudget({ clock, minPerWindow: MIN_RETRIES_PER_WINDOW });
-    const rungs = new RungRunner({
-      directory,
-      resolver,
-      engines: new EngineClient(),
-      quarantine,
-      retryBudget,
-      metrics,
-      invariants,
-      clock,
-      firstTokenMs: limits.firstTokenMs,
-      interTokenMs: limits.interTokenMs,
-      queueMs: { short: limits.queueShortMs, long: limits.queueLongMs },
-    });
-    const chat = new ChatHandler({
-      resolver,
-      sessions: new SessionBinder({
-        sessions,
-        resolver,
-        clock,
-        lifetimeMs: settings.sessions.lifetimeMs,
-      }),
-      billing,
-      quotas,
-      quarantine,
+    const { replica } = this.coordination;
+    const { limits } = this.settings;
+    const handlers = createRequestHandlers({
+      settings: this.settings,
+      coordination: this.coordination,
+      directory: this.directory,
+      links: this.links,
+      quarantine: this.quarantine,
       cascades: this.cascades,
-      rungs,
-      rater: new AnswerRater({
-        ratings: new RatingClient(settings.platform.rating),
-        counters: this.counters,
-        cascades: this.cascades,
-        random,
-        sampleShare: settings.ratings.sampleShare,
-        candidateShare: settings.ratings.candidateShare,
-      }),
       counters: this.counters,
-      metrics,
-      invariants,
-      clock,
-      requestMs: limits.requestMs,
-    });
-    const services = new ServiceHandler({
-      directory,
-      services: new ServiceClient(),
-      claims,
-      peers: this.links,
-      billing,
-      retryBudget,
-      metrics,
-      invariants,
-      clock,
-      answerMs: limits.serviceAnswerMs,
+      metrics: this.metrics,
+      invariants: this.invariants,
+      clock: this.clock,
+      random: this.random,
     });
     return CallerServer.create({
-      context: { replica, chat, services, limits, checkAdmission: () => this.checkAdmission() },
+      context: { replica, ...handlers, limits, checkAdmission: () => this.checkAdmission() },
       bodyBytes: limits.bodyBytes,
       headerBytes: limits.headerBytes,
       receiveMs: limits.receiveMs,
