--- a/packages/coordination/src/claimJournal.ts
+++ b/packages/coordination/src/claimJournal.ts
@@ -20,19 +20,26 @@
   owner: string;
   /** Returns the current incarnation of this instance; it rises when peers hold it for lost. */
   getIncarnation: () => number;
-  /** Number of shard objects. Must be the same on every instance. Default 16. */
+  /**
+   * Number of shard objects. Must be the same on every instance. Default 32. More shards hold more
+   * claims; under load a claim waits up to `shards / writesPerSecond` seconds.
+   */
   shards?: number;
   /** Largest serialised size of a shard in bytes. Default 400,000; the object API takes 1 MB. */
   maxShardBytes?: number;
   /**
-   * Time for which claims and answers are kept, in milliseconds. Default 24 h. A repeat after
+   * Time for which claims and answers are kept, in milliseconds. Default 1 h. A repeat after
    * this time runs again. Must exceed the longest request plus the difference between the wall
    * clocks of two instances.
    */
   retentionMs?: number;
   /** Sustained rate of this instance's writes. Default 40 a second. */
   writesPerSecond?: number;
-  /** Time for which an outcome waits to share an update with claims. Default 100 ms. */
+  /**
+   * Time for which an outcome waits to share an update with claims, in milliseconds. Default 500;
+   * with 100, outcomes used up the write rate at 200 claims a second and delayed the claims. The
+   * caller's answer need not wait for it: local waiters are answered at once.
+   */
   completionDelayMs?: number;
   /** Attempts for one batch when other instances write the same shard. Default 8. */
   maxAttempts?: number;
@@ -41,11 +48,11 @@
 }
 
 const defaults = {
-  shards: 16,
+  shards: 32,
   maxShardBytes: 400_000,
-  retentionMs: 24 * 3_600_000,
+  retentionMs: 3_600_000,
   writesPerSecond: 40,
-  completionDelayMs: 100,
+  completionDelayMs: 500,
   maxAttempts: 8,
   maxWaiting: 5000,
 };
@@ -91,7 +98,7 @@
    * shard is full, `conflict` after too many lost attempts, `unknown` when a write got no answer;
    * the journal then removes the claim as soon as it can.
    */
-  claim(
+  async claim(
     workspace: string,
     key: string,
     requestDigest: string,
@@ -103,15 +110,20 @@
     const claim: Claim = { workspace, key, requestDigest, owner, incarnation, nonce };
     if (this.waitingCount >= this.options.maxWaiting) {
       const message = `${this.waitingCount} claims wait for the object API; nothing was claimed`;
-      return Promise.resolve(err({ type: 'unavailable', message }));
+      return err({ type: 'unavailable', message });
     }
-    return this.enqueue<ClaimDecision>((resolve, fail) => ({
+    const entryKey = computeEntryKey(workspace, key);
+    // The write takes effect before its answer arrives; a repeat at a peer may ask in between.
+    this.local.startPending(entryKey, nonce);
+    const decision = await this.enqueue<ClaimDecision>((resolve, fail) => ({
       type: 'claim',
-      entryKey: computeEntryKey(workspace, key),
+      entryKey,
       claim,
       resolve,
       fail,
     }));
+    this.local.endPending(entryKey, nonce);
+    return decision;
   }
 
   /**
--- a/packages/place/src/placeOptions.ts
+++ b/packages/place/src/placeOptions.ts
@@ -56,7 +56,7 @@
   options?: Omit<EngineOptions, 'listen' | 'name' | 'zone' | 'versions' | 'weightStore'>;
 }
 
-/** Servers of a plain service in one zone, named `{zone}-{service}-{number}`. */
+/** Servers of a plain service in one zone, named `{zone}-{service}-{number}`; one per service. */
 export interface PlaceServices {
   service: string;
   /** Default 1. */
@@ -88,6 +88,8 @@
   from: string;
   /** Process behind the proxy: `platform`, `weights`, `rater`, an upstream or an entry instance. */
   to: string;
+  /** Port of an entry instance that the proxy stands before. Default `callers`. */
+  port?: 'callers' | 'peers';
 }
 
 /** Options of `Place`. */
--- a/packages/server/src/coordination.ts
+++ b/packages/server/src/coordination.ts
@@ -7,6 +7,7 @@
   HttpObjectStore,
   Membership,
   MembershipTask,
+  QuotaLease,
   SessionTokens,
 } from '@cactusstair/coordination';
 import type { CrashQuarantine } from '@cactusstair/routing';
@@ -46,6 +47,8 @@
 
   readonly billing: BillingJournal;
 
+  readonly quotas: QuotaLease;
+
   constructor(options: CoordinationOptions) {
     const { settings, incarnation, links, quarantine, clock, random, logger, lifecycle } = options;
     const { id, region, zone } = settings.instance;
@@ -65,7 +68,7 @@
       incarnation,
       region,
       zone,
-      peersAddress: settings.listen.peers,
+      peersAddress: settings.advertise?.peers ?? settings.listen.peers,
       clock,
       random,
       getAppliedRevision: () => this.replica.appliedRevision,
@@ -84,7 +87,12 @@
       callersAddress: settings.listen.callers,
       operatorsAddress: settings.listen.operators,
     });
-    this.addresses = new AddressBook({ membership: this.membership, store: this.store, clock });
+    this.addresses = new AddressBook({
+      membership: this.membership,
+      store: this.store,
+      seeds: settings.peers.seeds,
+      clock,
+    });
     this.sessions = new SessionTokens({ getKeys: () => this.replica.getSessionKeys(), clock });
     this.claims = new ClaimJournal({
       store: this.store,
@@ -103,6 +111,15 @@
       incarnation,
       maxBufferedBills: settings.limits.unflushedBills,
     });
+    this.quotas = new QuotaLease({
+      store: this.store,
+      clock,
+      random,
+      lifecycle,
+      instance: id,
+      incarnation,
+      getInstanceCount: () => this.countInstances(),
+    });
   }
 
   /** Instances that are known to be alive, this one included. */
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -1,11 +1,6 @@
 import type { Failure } from '@cactusstair/protocol';
 import { createFailure, OperatorService, PeerService } from '@cactusstair/protocol';
-import {
-  CascadePolicy,
-  CrashQuarantine,
-  RetryBudget,
-  VersionStatsRecorder,
-} from '@cactusstair/routing';
+import { CascadePolicy, CrashQuarantine, VersionStatsRecorder } from '@cactusstair/routing';
 import type { Logger } from '@cactusstair/utils';
 import {
   createLogger,
@@ -18,32 +13,32 @@
 
 import { CallerServer } from './callers/callerServer.js';
 import { Coordination } from './coordination.js';
-import { createChannelCredentials, createServerCredentials } from './credentials.js';
+import {
+  CertificateFiles,
+  createChannelCredentials,
+  createServerCredentials,
+} from './credentials.js';
 import { GrpcServer } from './grpcServer.js';
 import { ConfigEditor } from './operators/configEditor.js';
 import { createOperatorService } from './operators/operatorService.js';
 import { EntryMetrics } from './ops/metrics.js';
 import { OpsServer } from './ops/opsServer.js';
 import { ConfigFeed } from './peers/configFeed.js';
+import { EvidenceSharing } from './peers/evidenceSharing.js';
 import { PeerLinks } from './peers/peerLinks.js';
 import { createPeerService } from './peers/peerService.js';
-import { ChatHandler } from './requests/chatHandler.js';
-import { RatingClient } from './requests/ratingClient.js';
-import { RungRunner } from './requests/rungRunner.js';
-import { ServiceHandler } from './requests/serviceHandler.js';
-import { SessionBinder } from './requests/sessionBinder.js';
+import { createRequestHandlers } from './requests/requestHandlers.js';
 import { RolloutController } from './rollouts/rolloutController.js';
 import { RolloutEditor } from './rollouts/rolloutEditor.js';
 import type { EntrySettings } from './settings.js';
-import { EngineClient } from './upstreams/engineClient.js';
-import { ServiceClient } from './upstreams/serviceClient.js';
+import { fetchLeavingInstances } from './upstreams/instanceList.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
-import { VersionResolver } from './workspaces/versionResolver.js';
 
 type InstanceState = 'starting' | 'serving' | 'stopping';
 
 const CALL_GRACE_MS = 2000;
 const DRAIN_POLL_MS = 20;
+const LIST_TIMEOUT_MS = 1000;
 
 /**
  * One entry instance: everything between callers and upstreams in one process.
@@ -72,12 +67,16 @@
   /** Tasks and connections that a graceful shutdown needs until its end. */
   private readonly lifecycle: LifecycleManager;
 
+  private readonly certificates: CertificateFiles | undefined;
+
   private readonly links: PeerLinks;
 
   private readonly coordination: Coordination;
 
   private readonly counters: VersionStatsRecorder;
 
+  private readonly cascades: CascadePolicy;
+
   private readonly quarantine = new CrashQuarantine({ clock: this.clock });
 
   private readonly directory: UpstreamDirectory;
@@ -91,6 +90,12 @@
       fields: { instance: id, zone },
     });
     this.counters = new VersionStatsRecorder({ instance: id, incarnation: this.incarnation });
+    this.cascades = new CascadePolicy({
+      clock: this.clock,
+      random: this.random,
+      instance: id,
+      incarnation: this.incarnation,
+    });
     this.invariants = new Invariants(
       this.registry,
       settings.invariants.fatal,
@@ -99,10 +104,11 @@
     this.lifecycle = new LifecycleManager((task, error) =>
       this.logger.error('task failed', { task, error: String(error) }),
     );
+    this.certificates = settings.tls && new CertificateFiles(settings.tls, this.logger);
     this.links = new PeerLinks({
       zone,
       getAddressBook: () => this.coordination.addresses,
-      credentials: createChannelCredentials(settings.tls),
+      credentials: createChannelCredentials(this.certificates),
       random: this.random,
     });
     this.coordination = new Coordination({
@@ -123,6 +129,7 @@
       logger: this.logger,
       zone,
       connectMs: settings.limits.connectMs,
+      fetchLeaving: () => fetchLeavingInstances(settings.platform.objectApi, LIST_TIMEOUT_MS),
     });
   }
 
@@ -157,6 +164,7 @@
     await this.lifecycle.close();
     await this.directory.close();
     this.links.close();
+    this.certificates?.close();
     this.logger.info('instance has stopped');
   }
 
@@ -166,6 +174,7 @@
     await this.lifecycle.close();
     await this.directory.close();
     this.links.close();
+    this.certificates?.close();
   }
 
   private checkReadiness(): string | undefined {
@@ -198,13 +207,21 @@
 
   private async startGrpcServers(): Promise<void> {
     const { replica, claims, billing, membership, membershipTask, store } = this.coordination;
-    const { settings, clock, counters } = this;
+    const { settings, clock, counters, cascades } = this;
     const editor = new ConfigEditor(store, clock);
     const rollouts = new RolloutEditor(editor, clock);
-    const credentials = createServerCredentials(settings.tls);
+    const credentials = createServerCredentials(this.certificates);
     const peers = new GrpcServer(
       PeerService,
-      createPeerService({ membership: membershipTask, replica, claims, billing, counters, clock }),
+      createPeerService({
+        membership: membershipTask,
+        replica,
+        claims,
+        billing,
+        counters,
+        cascades,
+        clock,
+      }),
       credentials,
     );
     const operators = new GrpcServer(
@@ -263,66 +280,34 @@
       });
     });
     membershipTask.start();
+    const sharing = new EvidenceSharing(this.cascades, addresses, this.links, this.clock);
     this.lifecycle.startTask('addresses', (signal) => addresses.run(signal));
+    this.lifecycle.startTask('cascade evidence', (signal) => sharing.run(signal));
     this.lifecycle.startTask('upstreams', (signal) => this.directory.run(signal));
+    this.lifecycle.startTask('instance list', (signal) => this.directory.followList(signal));
   }
 
   private createCallerServer(): Promise<CallerServer> {
-    const { settings, clock, metrics, invariants, directory, quarantine, random } = this;
-    const { replica, sessions, billing, claims } = this.coordination;
-    const { limits } = settings;
-    const resolver = new VersionResolver(replica, settings.permits);
-    const retryBudget = new RetryBudget({ clock });
-    const rungs = new RungRunner({
-      directory,
-      resolver,
-      engines: new EngineClient(),
-      quarantine,
-      retryBudget,
-      metrics,
-      invariants,
-      clock,
-      firstTokenMs: limits.firstTokenMs,
-      interTokenMs: limits.interTokenMs,
-      queueMs: { short: limits.queueShortMs, long: limits.queueLongMs },
-    });
-    const chat = new ChatHandler({
-      resolver,
-      sessions: new SessionBinder({
-        sessions,
-        resolver,
-        clock,
-        lifetimeMs: settings.sessions.lifetimeMs,
-      }),
-      billing,
-      quarantine,
-      cascades: new CascadePolicy({ clock, random, instance: settings.instance.id }),
-      rungs,
-      ratings: new RatingClient(settings.platform.rating),
+    const { replica } = this.coordination;
+    const { limits } = this.settings;
+    const handlers = createRequestHandlers({
+      settings: this.settings,
+      coordination: this.coordination,
+      directory: this.directory,
+      links: this.links,
+      quarantine: this.quarantine,
+      cascades: this.cascades,
       counters: this.counters,
-      metrics,
-      invariants,
-      clock,
-      random,
-      requestMs: limits.requestMs,
-      ratingSampleShare: settings.ratings.sampleShare,
-    });
-    const services = new ServiceHandler({
-      directory,
-      services: new ServiceClient(),
-      claims,
-      peers: this.links,
-      billing,
-      retryBudget,
-      metrics,
-      invariants,
-      clock,
-      answerMs: limits.serviceAnswerMs,
+      metrics: this.metrics,
+      invariants: this.invariants,
+      clock: this.clock,
+      random: this.random,
     });
     return CallerServer.create({
-      context: { replica, chat, services, limits, checkAdmission: () => this.checkAdmission() },
+      context: { replica, ...handlers, limits, checkAdmission: () => this.checkAdmission() },
       bodyBytes: limits.bodyBytes,
       headerBytes: limits.headerBytes,
+      receiveMs: limits.receiveMs,
       onError: (error) => this.logger.error('request failed', { error: String(error) }),
     });
   }
--- a/packages/server/src/peers/addressBook.ts
+++ b/packages/server/src/peers/addressBook.ts
@@ -14,11 +14,15 @@
 export interface AddressBookOptions {
   membership: Membership;
   store: ObjectStore;
+  /** Peer addresses to use before any instance is known. */
+  seeds: readonly string[];
   clock: Clock;
 }
 
 const LIST_INTERVAL_MS = 60_000;
 const RETRY_INTERVAL_MS = 3000;
+const LOCATE_TIMEOUT_MS = 3000;
+const LOCATE_INTERVAL_MS = 300;
 
 /**
  * The addresses of the other instances.
@@ -38,19 +42,38 @@
   /** Reads the records again and again until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const records = await this.directory.listInstances();
-      if (records.length > 0) this.listed = records;
-      const known = records.length > 1 ? LIST_INTERVAL_MS : RETRY_INTERVAL_MS;
-      await this.options.clock.sleep(known, signal);
+      await this.readRecords();
+      const intervalMs = this.listed.length > 1 ? LIST_INTERVAL_MS : RETRY_INTERVAL_MS;
+      await this.options.clock.sleep(intervalMs, signal);
     }
   }
 
+  /**
+   * Finds an instance, and looks for it in the object API while it is not known. An instance serves
+   * requests before its record is written and before its peers have exchanged with it.
+   */
+  async locate(id: string): Promise<PeerAddress | undefined> {
+    const { clock } = this.options;
+    const deadlineMs = clock.monotonicMs() + LOCATE_TIMEOUT_MS;
+    for (;;) {
+      const found = this.find(id);
+      if (found || clock.monotonicMs() >= deadlineMs) return found;
+      await this.readRecords();
+      if (!this.find(id)) await clock.sleep(LOCATE_INTERVAL_MS);
+    }
+  }
+
+  private async readRecords(): Promise<void> {
+    const records = await this.directory.listInstances();
+    if (records.length > 0) this.listed = records;
+  }
+
   /** Finds an instance by id; its address may be out of date. */
   find(id: string): PeerAddress | undefined {
     return this.options.membership.findMember(id) ?? this.listed.find((record) => record.id === id);
   }
 
-  /** Lists all other instances that are not known to have gone. */
+  /** Lists all other instances that are not known to have gone, or the seeds if none is known. */
   listOthers(): PeerAddress[] {
     const { membership } = this.options;
     const self = membership.getSelf();
@@ -64,6 +87,10 @@
       else others.delete(member.id);
     }
     others.delete(self.id);
-    return [...others.values()];
+    if (others.size > 0) return [...others.values()];
+    // An instance that starts during an outage of the object API serves before its first exchange.
+    return this.options.seeds
+      .filter((peersAddress) => peersAddress !== self.peersAddress)
+      .map((peersAddress) => ({ id: '', zone: '', peersAddress }));
   }
 }
--- a/packages/server/src/peers/peerLinks.ts
+++ b/packages/server/src/peers/peerLinks.ts
@@ -3,6 +3,7 @@
   AwaitClaimReply,
   AwaitClaimRequest,
   Bill,
+  CascadeEvidence,
   ConfigDelta,
   ExchangeReply,
   ExchangeRequest,
@@ -58,12 +59,17 @@
     return call(client.getVersionStats.bind(client), {}, EXCHANGE_TIMEOUT_MS);
   }
 
+  getCascadeEvidence(address: string): Promise<CascadeEvidence> {
+    const client = this.getClient(address);
+    return call(client.getCascadeEvidence.bind(client), {}, EXCHANGE_TIMEOUT_MS);
+  }
+
   /** Asks the owner of a claim for its outcome; undefined when the owner does not answer. */
   async awaitClaim(
     owner: string,
     request: AwaitClaimRequest,
   ): Promise<AwaitClaimReply | undefined> {
-    const peer = this.options.getAddressBook().find(owner);
+    const peer = await this.options.getAddressBook().locate(owner);
     if (!peer) return undefined;
     try {
       const client = this.getClient(peer.peersAddress);
--- a/packages/server/src/requests/chatHandler.ts
+++ b/packages/server/src/requests/chatHandler.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 
-import type { BillingJournal } from '@cactusstair/coordination';
+import type { BillingJournal, QuotaLease } from '@cactusstair/coordination';
 import type { BillStep, Failure, Workspace } from '@cactusstair/protocol';
 import { createFailure, getResultCode } from '@cactusstair/protocol';
 import type {
@@ -10,7 +10,7 @@
   RungInfo,
   VersionStatsRecorder,
 } from '@cactusstair/routing';
-import type { Clock, Invariants, Random } from '@cactusstair/utils';
+import type { Clock, Invariants } from '@cactusstair/utils';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 
@@ -21,8 +21,8 @@
 import type { EntryMetrics } from '../ops/metrics.js';
 import { computePrefixHashes } from '../upstreams/prefixHashes.js';
 import type { ResolvedVersion, Target, VersionResolver } from '../workspaces/versionResolver.js';
+import type { AnswerRater } from './answerRater.js';
 import { computeCostMicros, sumSteps } from './pricing.js';
-import type { RatingClient } from './ratingClient.js';
 import type { ChatCall, RungAnswer, RungRunner } from './rungRunner.js';
 import type { BoundSession, SessionBinder } from './sessionBinder.js';
 import { VersionLatencies } from './versionLatencies.js';
@@ -32,18 +32,16 @@
   resolver: VersionResolver;
   sessions: SessionBinder;
   billing: BillingJournal;
+  quotas: QuotaLease;
   quarantine: CrashQuarantine;
   cascades: CascadePolicy;
   rungs: RungRunner;
-  ratings: RatingClient;
+  rater: AnswerRater;
   counters: VersionStatsRecorder;
   metrics: EntryMetrics;
   invariants: Invariants;
   clock: Clock;
-  random: Random;
   requestMs: number;
-  /** Share of answers that are sent to the rating service, in 0..1. */
-  ratingSampleShare: number;
 }
 
 /** A chat request of an authenticated caller. */
@@ -64,7 +62,6 @@
   rungs: ResolvedVersion[];
 }
 
-const RATING_TIMEOUT_MS = 500;
 const CHARACTERS_PER_TOKEN = 4;
 const MS_PER_SECOND = 1000;
 
@@ -95,8 +92,14 @@
     const prepared = await this.prepare(request);
     if (prepared.isErr()) return err(prepared.error);
     const { call } = prepared.value;
-    const { invariants } = this.options;
+    const { quotas, invariants } = this.options;
+    const { name, tokensPerMinute } = call.workspace;
+    const reserved = estimateTokens(call);
+    const quota = quotas.tryConsume(name, tokensPerMinute, reserved);
+    if (quota.isErr()) return err(quota.error);
     const result = await this.climb(prepared.value, sink);
+    const used = result.isOk() ? result.value : 0;
+    quotas.refund(name, Math.max(0, reserved - used));
     if (result.isErr()) {
       invariants.check(
         'not_run_means_not_dispatched',
@@ -104,7 +107,7 @@
         () => `request ${call.requestId} was dispatched and answered ${result.error.name}`,
       );
     }
-    return result;
+    return result.map(() => undefined);
   }
 
   private async prepare(request: ChatRequest): Promise<Result<PreparedChat, Failure>> {
@@ -141,18 +144,24 @@
       workspace,
       body,
       requestClass: classifyRequest(body),
+      promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
       expectedTokens: estimateCompletionTokens(body),
       prefixHashes: computePrefixHashes(prompt),
       fingerprint: createHash('sha256').update(`${workspace.name}\n${prompt}`).digest('hex'),
       deadlineMs: this.options.clock.monotonicMs() + this.options.requestMs,
       signal: request.signal,
       dispatched: false,
+      sawCrash: false,
       attempts: 0,
     };
   }
 
-  /** Runs rungs from the start rung upwards until an answer is good enough, and delivers it. */
-  private async climb(prepared: PreparedChat, sink: AnswerSink): Promise<Result<void, Failure>> {
+  /**
+   * Runs rungs from the start rung upwards until an answer is good enough, and delivers it.
+   *
+   * @returns the tokens of all rungs that ran.
+   */
+  private async climb(prepared: PreparedChat, sink: AnswerSink): Promise<Result<number, Failure>> {
     const { call, bound, rungs } = prepared;
     const steps: BillStep[] = [];
     let rung = this.chooseStart(prepared, sink.streaming);
@@ -168,7 +177,11 @@
       const answer = await this.runRung(call, resolved, sink);
       if (answer.isErr()) return err(answer.error);
       steps.push(createStep(answer.value));
-      const next = await this.findNextRung(prepared, rung, answer.value, sink.streaming);
+      const escalated = steps.length > 1;
+      const next = await this.findNextRung(prepared, rung, answer.value, {
+        escalated,
+        streaming: sink.streaming,
+      });
       if (next === undefined) return this.deliver(call, answer.value, steps, sink);
       this.options.metrics.escalations.inc({
         workspace: call.workspace.name,
@@ -213,18 +226,15 @@
     prepared: PreparedChat,
     rung: number,
     answer: RungAnswer,
-    streaming: boolean,
+    { escalated, streaming }: { escalated: boolean; streaming: boolean },
   ): Promise<number | undefined> {
     const { call, rungs } = prepared;
     const request = this.createCascadeRequest(prepared, streaming);
     if (!request || streaming || rung + 1 >= rungs.length) {
-      if (this.options.random.next() < this.options.ratingSampleShare) {
-        // The caller does not wait for a rating that cannot change its answer.
-        this.rateAnswer(call, answer).catch(() => {});
-      }
+      this.options.rater.rateSample(call, answer, escalated);
       return undefined;
     }
-    const rating = await this.rateAnswer(call, answer);
+    const rating = await this.options.rater.rate(call, answer, escalated);
     const remainingMs = call.deadlineMs - this.options.clock.monotonicMs();
     const escalate = this.options.cascades.shouldEscalate({
       ...request,
@@ -254,7 +264,7 @@
 
   private createRungInfo(call: ChatCall, { model, version }: ResolvedVersion): RungInfo {
     const usage = {
-      promptTokens: Math.ceil(getPromptText(call.body).length / CHARACTERS_PER_TOKEN),
+      promptTokens: call.promptTokens,
       completionTokens: call.expectedTokens,
     };
     return {
@@ -265,31 +275,13 @@
     };
   }
 
-  private async rateAnswer(call: ChatCall, answer: RungAnswer): Promise<number | undefined> {
-    const { ratings, counters, cascades } = this.options;
-    const model = answer.resolved.model.name;
-    const version = answer.resolved.version.version;
-    const question = { requestId: call.requestId, model, version, quality: answer.quality };
-    const rating = await ratings.rate(question, RATING_TIMEOUT_MS);
-    if (rating === undefined) return undefined;
-    counters.recordRating({ model, version, rating });
-    cascades.recordRating({
-      workspace: call.workspace.name,
-      requestClass: call.requestClass,
-      model,
-      version,
-      rating,
-    });
-    return rating;
-  }
-
   /** Stores the bill and then sends the last bytes, so that no whole answer is without a bill. */
   private async deliver(
     call: ChatCall,
     answer: RungAnswer,
     steps: BillStep[],
     sink: AnswerSink,
-  ): Promise<Result<void, Failure>> {
+  ): Promise<Result<number, Failure>> {
     const { billing, metrics, clock } = this.options;
     const sum = sumSteps(steps);
     const billed = await billing.record({
@@ -315,7 +307,7 @@
       usage: answer.usage,
       costMicros: sum.costMicros,
     });
-    return ok(undefined);
+    return ok(sum.promptTokens + sum.completionTokens);
   }
 }
 
@@ -329,3 +321,8 @@
     costMicros: computeCostMicros(resolved.version, usage),
   };
 }
+
+/** Tokens that are reserved before the answer is known. */
+function estimateTokens({ promptTokens, expectedTokens }: ChatCall): number {
+  return promptTokens + expectedTokens;
+}
--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -19,6 +19,8 @@
   workspace: Workspace;
   body: ChatBody;
   requestClass: RequestClass;
+  /** Estimated tokens of the prompt and of the answer. */
+  promptTokens: number;
   expectedTokens: number;
   /** Cumulative hashes of the prompt's blocks, for prefix-cache affinity. */
   prefixHashes: string[];
@@ -29,6 +31,8 @@
   signal: AbortSignal;
   /** Whether bytes of the request may have reached an upstream. */
   dispatched: boolean;
+  /** Whether the request was in flight at a crash of its upstream. */
+  sawCrash: boolean;
   /** Calls to upstreams so far, over all rungs. */
   attempts: number;
 }
@@ -67,12 +71,18 @@
   text: string;
   startedAtMs: number;
   firstTokenAtMs: number | undefined;
+  /** Time from the start of the current attempt to its first token. */
+  attemptFirstTokenMs: number | undefined;
 }
 
 const MAX_ATTEMPTS_PER_RUNG = 4;
 const PRIORITY: Record<RequestClass, number> = { short: 1, long: 0 };
 const RETRY_AFTER_MS = 1000;
 const EXCLUSIVE_POLL_MS = 50;
+const FIRST_PAUSE_MS = 10;
+const LONGEST_PAUSE_MS = 320;
+// A crashing request often takes down all upstreams of its pool, one after the other.
+const RESTART_WAIT_MS = 15_000;
 const MS_PER_SECOND = 1000;
 
 /** Gets the answer of one model version, over as many attempts as the retry budget allows. */
@@ -101,7 +111,7 @@
       weight: call.workspace.weight || 1,
       requestClass: call.requestClass,
       cost: call.expectedTokens,
-      deadlineMs: Math.min(clock.monotonicMs() + queueMs[call.requestClass], call.deadlineMs),
+      deadlineMs: Math.min(queueMs[call.requestClass], call.deadlineMs - clock.monotonicMs()),
       signal: call.signal,
     });
   }
@@ -117,25 +127,73 @@
       text: '',
       startedAtMs: this.options.clock.monotonicMs(),
       firstTokenAtMs: undefined,
+      attemptFirstTokenMs: undefined,
     };
     const exclude = new Set<string>();
+    const wait = this.createUpstreamWait(call);
     let lastFailure: LinkFailure | undefined;
+    let end = `${MAX_ATTEMPTS_PER_RUNG} attempts failed`;
+    let needsBudget = false;
     this.options.retryBudget.recordRequest();
-    for (let attempt = 1; attempt <= MAX_ATTEMPTS_PER_RUNG; attempt += 1) {
-      if (attempt > 1 && !this.options.retryBudget.tryTake()) break;
+    for (let calls = 0; calls < MAX_ATTEMPTS_PER_RUNG;) {
+      if (needsBudget && !this.canRetry(call)) {
+        end = 'the retry budget is used up';
+        break;
+      }
+      needsBudget = false;
+      const upstream = await this.chooseUpstream(call, resolved, pool, exclude);
+      // Checked after the choice, for which a suspect may have waited long.
       const refusal = this.checkBeforeAttempt(call, resolved);
       if (refusal) return err(refusal);
-      const upstream = await this.chooseUpstream(call, pool, exclude);
-      if (!upstream) break;
+      if (!upstream) {
+        if (lastFailure && (await wait())) continue;
+        end = 'no upstream is available for another attempt';
+        break;
+      }
       try {
         return ok(await this.runAttempt(call, resolved, upstream, progress, onToken));
       } catch (error) {
         lastFailure = error as LinkFailure;
         exclude.add(upstream.name);
-        if (lastFailure.kind === 'aborted') break;
+        if (lastFailure.kind === 'aborted') {
+          end = 'the caller went away';
+          break;
+        }
+        // A refused connection costs no upstream any work; the engine may be restarting.
+        if (lastFailure.kind === 'connect') {
+          if (await wait()) continue;
+          end = 'no upstream accepts a connection';
+          break;
+        }
+        calls += 1;
+        needsBudget = true;
       }
     }
-    return err(this.createFailure(call, resolved, lastFailure));
+    return err(this.createFailure(call, resolved, lastFailure, end));
+  }
+
+  /**
+   * A request that was in flight at a crash is retried outside the budget: one crash fails more
+   * requests at once than the budget holds, and isolation bounds their retries. The quarantine
+   * does not tell: it merges crashes of one upstream that follow each other closely.
+   */
+  private canRetry(call: ChatCall): boolean {
+    return call.sawCrash || this.options.retryBudget.tryTake();
+  }
+
+  /** Creates a function that pauses between tries; it returns false when no more is allowed. */
+  private createUpstreamWait(call: ChatCall): () => Promise<boolean> {
+    const { clock, queueMs } = this.options;
+    let endsAtMs: number | undefined;
+    let pauseMs = FIRST_PAUSE_MS;
+    return async () => {
+      const longestMs = call.sawCrash ? RESTART_WAIT_MS : queueMs[call.requestClass];
+      endsAtMs ??= Math.min(clock.monotonicMs() + longestMs, call.deadlineMs);
+      if (call.signal.aborted || clock.monotonicMs() >= endsAtMs) return false;
+      await clock.sleep(pauseMs, call.signal);
+      pauseMs = Math.min(pauseMs * 2, LONGEST_PAUSE_MS);
+      return true;
+    };
   }
 
   /** Configuration may have changed while the request was queued or between two attempts. */
@@ -154,6 +212,7 @@
   /** A crash suspect runs alone; it waits for its turn as long as its deadline allows. */
   private async chooseUpstream(
     call: ChatCall,
+    resolved: ResolvedVersion,
     pool: ModelPool,
     exclude: Set<string>,
   ): Promise<Upstream | undefined> {
@@ -164,6 +223,7 @@
       const upstream = pool.choose(request) ?? pool.choose({ ...request, exclude: new Set() });
       if (upstream || !exclusive) return upstream;
       if (call.signal.aborted || clock.monotonicMs() >= call.deadlineMs) return undefined;
+      if (this.checkBeforeAttempt(call, resolved)) return undefined;
       await clock.sleep(EXCLUSIVE_POLL_MS, call.signal);
     }
   }
@@ -181,20 +241,24 @@
     const attempt = call.attempts;
     const release = upstream.startCall(quarantine.classify(call.fingerprint) === 'suspect');
     const endSuspicion = quarantine.recordStart(upstream.name, call.fingerprint);
-    const startedAtMs = this.options.clock.monotonicMs();
     try {
       const answer = await this.readAnswer(call, resolved, upstream, progress, attempt, onToken);
-      upstream.recordSuccess(this.options.clock.monotonicMs() - startedAtMs);
+      call.dispatched = true;
+      upstream.recordSuccess(progress.attemptFirstTokenMs ?? 0, call.requestClass);
       metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: 'success' });
+      endSuspicion('completed');
       return answer;
     } catch (error) {
       const failure = error as LinkFailure;
+      // Only a connection that was not made is proof that no byte has left.
+      call.dispatched ||= failure.dispatched ?? true;
       metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: failure.kind ?? 'internal' });
       if (failure.kind === 'aborted') await engines.cancel(upstream.link, call.requestId, attempt);
-      else await upstream.recordFailure(failure);
+      else if (await upstream.recordFailure(failure)) call.sawCrash = true;
       throw error;
     } finally {
-      endSuspicion();
+      // Without effect after a complete answer; a failed call proves nothing about the request.
+      endSuspicion('abandoned');
       release();
     }
   }
@@ -209,7 +273,9 @@
   ): Promise<RungAnswer> {
     const { clock, engines, metrics, firstTokenMs, interTokenMs } = this.options;
     const labels = { workspace: call.workspace.name, class: call.requestClass };
-    let lastTokenAtMs = clock.monotonicMs();
+    const startedAtMs = clock.monotonicMs();
+    let lastTokenAtMs = startedAtMs;
+    progress.attemptFirstTokenMs = undefined;
     const events = engines.streamChat(upstream.link, {
       requestId: call.requestId,
       attempt,
@@ -223,8 +289,6 @@
       interTokenTimeoutMs: interTokenMs,
       signal: call.signal,
     });
-    // From here on bytes may reach the upstream, whatever the outcome of the call.
-    call.dispatched = true;
     for await (const event of events) {
       if (event.type === 'done') {
         const nowMs = clock.monotonicMs();
@@ -241,6 +305,7 @@
         };
       }
       const nowMs = clock.monotonicMs();
+      progress.attemptFirstTokenMs ??= nowMs - startedAtMs;
       if (progress.firstTokenAtMs === undefined) progress.firstTokenAtMs = nowMs;
       else metrics.tokenGapSeconds.observe(labels, (nowMs - lastTokenAtMs) / MS_PER_SECOND);
       lastTokenAtMs = nowMs;
@@ -264,10 +329,11 @@
     call: ChatCall,
     resolved: ResolvedVersion,
     lastFailure: LinkFailure | undefined,
+    end: string,
   ): Failure {
     const fullName = `${resolved.model.name}@${resolved.version.version}`;
     if (call.dispatched) {
-      const reason = lastFailure?.message ?? 'no upstream is available for another attempt';
+      const reason = lastFailure ? `${lastFailure.message}; ${end}` : end;
       return createFailure('answer_incomplete', `the answer of ${fullName} broke off: ${reason}`);
     }
     return createFailure('no_upstream', `no upstream of ${fullName} is available`, RETRY_AFTER_MS);
--- a/packages/server/src/settings.ts
+++ b/packages/server/src/settings.ts
@@ -54,6 +54,8 @@
       peers: address,
       metrics: address,
     }),
+    // Where peers reach this instance if that is not `listen.peers`, for example behind a proxy.
+    advertise: z.strictObject({ peers: address }).optional(),
     platform: z.strictObject({
       objectApi: httpUrl,
       weightStore: httpUrl.optional(),
@@ -80,6 +82,7 @@
         connectMs: milliseconds.default(1000),
         firstTokenMs: milliseconds.default(10_000),
         interTokenMs: milliseconds.default(5000),
+        receiveMs: milliseconds.default(30_000),
         serviceAnswerMs: milliseconds.default(10_000),
         queueShortMs: milliseconds.default(2000),
         queueLongMs: milliseconds.default(10_000),
@@ -88,7 +91,14 @@
       })
       .prefault({}),
     sessions: z.strictObject({ lifetimeMs: milliseconds.default(86_400_000) }).prefault({}),
-    ratings: z.strictObject({ sampleShare: z.number().min(0).max(1).default(0.2) }).prefault({}),
+    ratings: z
+      .strictObject({
+        sampleShare: z.number().min(0).max(1).default(0.2),
+        // Ratings of a version under rollout decide its withdrawal: with 25% instead of 5% rated, a
+        // version that is worse by 0.3 answered 120 instead of 339 requests (docs/rollouts.md).
+        candidateShare: z.number().min(0).max(1).default(0.5),
+      })
+      .prefault({}),
     shutdown: z
       .strictObject({
         unreadyMs: z.number().nonnegative().default(1000),
