End a chat request when its time is over

Cause: limits.requestMs was checked before attempts and escalations only, so that an answer that kept coming had no end. The caller's signal now also aborts at that time.

--- a/packages/server/src/requests/chatHandler.ts
+++ b/packages/server/src/requests/chatHandler.ts
@@ -149,7 +149,7 @@
       prefixHashes: computePrefixHashes(prompt),
       fingerprint: createHash('sha256').update(`${workspace.name}\n${prompt}`).digest('hex'),
       deadlineMs: this.options.clock.monotonicMs() + this.options.requestMs,
-      signal: request.signal,
+      signal: AbortSignal.any([request.signal, AbortSignal.timeout(this.options.requestMs)]),
       dispatched: false,
       sawCrash: false,
       attempts: 0,
--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -156,7 +156,7 @@
         lastFailure = error as LinkFailure;
         exclude.add(upstream.name);
         if (lastFailure.kind === 'aborted') {
-          end = 'the caller went away';
+          end = 'the caller went away or the time for the request is over';
           break;
         }
         // A refused connection costs no upstream any work; the engine may be restarting.
--- /dev/null
+++ b/tests/requests/requestTime.test.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+
+import { Place } from '@cactusstair/place';
+import { fetch } from 'undici';
+
+describe('time of a request', () => {
+  let place: Place;
+
+  before(async () => {
+    place = await Place.start({
+      zones: [
+        { name: 'riga-a', engines: [{ versions: ['small@1'], options: { tokenMs: 50 } }] },
+        { name: 'riga-b' },
+      ],
+      models: [{ name: 'small', versions: [{ version: '1' }] }],
+      workspaces: [{ name: 'ladders', apiKey: 'ladders-key' }],
+      entrySettings: { limits: { requestMs: 1000 } },
+    });
+  });
+
+  after(() => place.close());
+
+  it('ends a request whose answer keeps coming, which once ran without end', async () => {
+    const answer = await fetch(`${place.entries[0]?.callers}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: 'Bearer ladders-key', 'content-type': 'application/json' },
+      body: JSON.stringify({
+        model: 'small',
+        messages: [{ role: 'user', content: 'a very long review' }],
+        max_tokens: 10_000,
+      }),
+    });
+    assert.equal(answer.status, 502);
+    assert.equal(answer.headers.get('x-cactusstair-code'), '3102');
+    assert.equal(answer.headers.get('x-cactusstair-ran'), 'unknown');
+  });
+});
