--- a/packages/server/src/operators/operatorService.ts
+++ b/packages/server/src/operators/operatorService.ts
@@ -8,7 +8,7 @@
   VersionPermits,
 } from '@cactusstair/coordination';
 import { exportBills } from '@cactusstair/coordination';
-import type { Change, Failure, OperatorServer } from '@cactusstair/protocol';
+import type { Change, Failure, GetRequest, OperatorServer } from '@cactusstair/protocol';
 import {
   Cascade,
   createFailure,
@@ -70,69 +70,57 @@
   };
 }
 
-function withVersion<T>(object: StoredObject, value: T) {
-  return { value, version: object.version, revision: object.revision };
+/** Decodes the JSON of a stored object. */
+interface ObjectCodec<T> {
+  fromJSON(json: unknown): T;
+}
+
+/** Creates the handlers that read objects of one kind, which is also their field's name. */
+function createReaders<Kind extends string, T>(
+  editor: ConfigEditor,
+  kind: Kind,
+  codec: ObjectCodec<T>,
+) {
+  const decode = ({ value, version, revision }: StoredObject) => {
+    const field = { [kind]: codec.fromJSON(value) } as Record<Kind, T>;
+    return { ...field, version, revision };
+  };
+  return {
+    get: serve(async ({ name }: GetRequest) => (await editor.get(kind, name)).map(decode)),
+    list: serve(async () =>
+      (await editor.list(kind)).map((objects) => ({ items: objects.map(decode) })),
+    ),
+  };
 }
 
 /** Creates the handlers of the operators' calls. */
 export function createOperatorService(options: OperatorServiceOptions): OperatorServer {
   const { editor, rollouts, replica, membership, permits, store } = options;
+  const workspaces = createReaders(editor, 'workspace', Workspace);
+  const models = createReaders(editor, 'model', Model);
+  const upstreams = createReaders(editor, 'upstream', Upstream);
+  const cascades = createReaders(editor, 'cascade', Cascade);
+  const rolloutReaders = createReaders(editor, 'rollout', Rollout);
   return {
     putWorkspace: serve(({ workspace, expectedVersion }) =>
       putChecked(editor, 'workspace', workspace, expectedVersion, Workspace.toJSON, checkWorkspace),
     ),
-    getWorkspace: serve(async ({ name }) =>
-      (await editor.get('workspace', name)).map((object) => {
-        const { value: workspace, ...rest } = withVersion(object, Workspace.fromJSON(object.value));
-        return { workspace, ...rest };
-      }),
-    ),
-    listWorkspaces: serve(async () =>
-      (await editor.list('workspace')).map((objects) => ({
-        items: objects.map((object) => {
-          const { value, ...rest } = withVersion(object, Workspace.fromJSON(object.value));
-          return { workspace: value, ...rest };
-        }),
-      })),
-    ),
+    getWorkspace: workspaces.get,
+    listWorkspaces: workspaces.list,
     putModel: serve(async ({ model, expectedVersion }) => {
       const stored = model && (await rollouts.readModel(model.name));
       return putChecked(editor, 'model', model, expectedVersion, Model.toJSON, (value) =>
         checkModel(value, stored?.isOk() ? stored.value.value : undefined),
       );
     }),
-    getModel: serve(async ({ name }) =>
-      (await editor.get('model', name)).map((object) => {
-        const { value: model, ...rest } = withVersion(object, Model.fromJSON(object.value));
-        return { model, ...rest };
-      }),
-    ),
-    listModels: serve(async () =>
-      (await editor.list('model')).map((objects) => ({
-        items: objects.map((object) => {
-          const { value, ...rest } = withVersion(object, Model.fromJSON(object.value));
-          return { model: value, ...rest };
-        }),
-      })),
-    ),
+    getModel: models.get,
+    listModels: models.list,
     withdrawVersion: serve((request) => withdrawVersion(options, request)),
     putUpstream: serve(({ upstream, expectedVersion }) =>
       putChecked(editor, 'upstream', upstream, expectedVersion, Upstream.toJSON, checkUpstream),
     ),
-    getUpstream: serve(async ({ name }) =>
-      (await editor.get('upstream', name)).map((object) => {
-        const { value: upstream, ...rest } = withVersion(object, Upstream.fromJSON(object.value));
-        return { upstream, ...rest };
-      }),
-    ),
-    listUpstreams: serve(async () =>
-      (await editor.list('upstream')).map((objects) => ({
-        items: objects.map((object) => {
-          const { value, ...rest } = withVersion(object, Upstream.fromJSON(object.value));
-          return { upstream: value, ...rest };
-        }),
-      })),
-    ),
+    getUpstream: upstreams.get,
+    listUpstreams: upstreams.list,
     putCascade: serve(({ cascade, expectedVersion }) =>
       putChecked(
         editor,
@@ -143,20 +131,8 @@
         (value) => checkCascade(value, replica),
       ),
     ),
-    getCascade: serve(async ({ name }) =>
-      (await editor.get('cascade', name)).map((object) => {
-        const { value: cascade, ...rest } = withVersion(object, Cascade.fromJSON(object.value));
-        return { cascade, ...rest };
-      }),
-    ),
-    listCascades: serve(async () =>
-      (await editor.list('cascade')).map((objects) => ({
-        items: objects.map((object) => {
-          const { value, ...rest } = withVersion(object, Cascade.fromJSON(object.value));
-          return { cascade: value, ...rest };
-        }),
-      })),
-    ),
+    getCascade: cascades.get,
+    listCascades: cascades.list,
     startRollout: serve(({ rollout }) => {
       if (!rollout) return err(createFailure('invalid_change', 'rollout: is missing'));
       const violation = checkRollout(rollout);
@@ -165,21 +141,8 @@
     controlRollout: serve(({ name, action, expectedVersion }) =>
       rollouts.control(name, action, expectedVersion),
     ),
-    getRollout: serve(async ({ name }) =>
-      (await rollouts.read(name)).map(({ object, value }) => ({
-        rollout: value,
-        version: object.version,
-        revision: object.revision,
-      })),
-    ),
-    listRollouts: serve(async () =>
-      (await editor.list('rollout')).map((objects) => ({
-        items: objects.map((object) => {
-          const { value, ...rest } = withVersion(object, Rollout.fromJSON(object.value));
-          return { rollout: value, ...rest };
-        }),
-      })),
-    ),
+    getRollout: rolloutReaders.get,
+    listRollouts: rolloutReaders.list,
     deleteObject: serve(({ kind, name, expectedVersion }) => {
       if (!DELETABLE_KINDS.includes(kind)) {
         const message = `kind: must be one of ${DELETABLE_KINDS.join(', ')}`;
