Share blame between different requests and spare those that run elsewhere

Cause: in tests/guarantees/crashingRequest the 12 innocent requests have one prompt and so one fingerprint; their shares added up over four engines to 2.0, and one of them was refused. Ruled out: a second crash while the engine was down (now not blamed either). Blame is now shared by different fingerprints, one request of other instances counts as a sharer, and a fingerprint that runs on upstreams that have not crashed gets 0.05.

--- a/packages/routing/src/crashQuarantine.ts
+++ b/packages/routing/src/crashQuarantine.ts
@@ -10,6 +10,12 @@
 /** How a call ended. Only `completed` proves that the request does not crash its upstream. */
 export type RunOutcome = 'completed' | 'abandoned';
 
+/**
+ * Blame of a request that runs on other upstreams too, which have not crashed. Many callers ask the
+ * same; with full shares, 12 equal innocent requests on 4 engines reached 2.0 together.
+ */
+const ELSEWHERE_SHARE = 0.05;
+
 /** Options of `CrashQuarantine`. */
 export interface CrashQuarantineOptions {
   clock?: Clock;
@@ -101,8 +107,14 @@
     };
   }
 
-  /** Blames the requests in flight on an upstream that crashed. Safe to call for each of them. */
-  recordCrash(upstream: string): void {
+  /**
+   * Blames the requests in flight on an upstream that crashed. Safe to call for each of them.
+   *
+   * @param reportedInFlight requests of all instances in the last load report. If other instances
+   * had requests there, one of them shares the blame. It is not divided further, since a crashing
+   * request on a busy upstream would then need too many crashes to be found.
+   */
+  recordCrash(upstream: string, reportedInFlight = 0): void {
     const nowMs = this.options.clock.monotonicMs();
     this.forgetOldCrashes(nowMs);
     // The calls in flight report one crash each. Without this check a request that was sent after
@@ -112,7 +124,12 @@
     if (!runs) return;
     this.crashedAtMs.set(upstream, nowMs);
     this.runs.delete(upstream);
-    for (const run of runs) this.addBlame(run.fingerprint, 1 / runs.size, nowMs);
+    const fingerprints = new Set([...runs].map(({ fingerprint }) => fingerprint));
+    const sharers = fingerprints.size + (reportedInFlight > runs.size ? 1 : 0);
+    for (const fingerprint of fingerprints) {
+      const share = this.isRunning(fingerprint) ? ELSEWHERE_SHARE : 1 / sharers;
+      this.addBlame(fingerprint, share, nowMs);
+    }
   }
 
   /** Says how a request may run. */
@@ -179,6 +196,12 @@
     this.put(fingerprint, { blame, expiresAtMs, exportedAtMs: known?.exportedAtMs ?? -Infinity });
   }
 
+  private isRunning(fingerprint: string): boolean {
+    return [...this.runs.values()].some((runs) =>
+      [...runs].some((run) => run.fingerprint === fingerprint),
+    );
+  }
+
   private addBlame(fingerprint: string, share: number, nowMs: number): void {
     const known = this.getSuspicion(fingerprint);
     const blame = (known?.blame ?? 0) + share;
--- a/packages/server/src/upstreams/upstream.ts
+++ b/packages/server/src/upstreams/upstream.ts
@@ -41,6 +41,9 @@
 
   private report: LoadReport | undefined;
 
+  /** Whether the upstream did not answer the last probe. */
+  private isDown = false;
+
   private reportedAtMs = 0;
 
   private sentSinceReport = 0;
@@ -130,11 +133,18 @@
     if (failure.kind === 'timeout') {
       this.limit.recordSample({ latencyMs: 0, inFlight: this.outstanding, failed: true });
     }
+    const wasDown = this.isDown;
     const before = this.report?.incarnation;
     const probed = failure.kind === 'status' ? this.report : await this.probe(true);
     const restarted = probed !== undefined && probed.incarnation !== before;
     const crashed = failure.kind === 'crash' && (probed === undefined || restarted);
-    if (crashed) this.context.quarantine.recordCrash(this.name);
+    // While the upstream is down, a proxy in front of it can accept and reset connections; nothing
+    // runs then, so nothing is to blame.
+    if (crashed && !wasDown) {
+      const { active = 0, queued = 0 } = this.report ?? {};
+      this.context.quarantine.recordCrash(this.name, active + queued);
+    }
+    this.isDown = probed === undefined;
     if (failure.kind === 'timeout' && probed) this.link.replace();
     this.health.recordFailure(failure.kind === 'mismatch' ? 'status' : failure.kind);
     return crashed;
@@ -171,6 +181,7 @@
 
   private recordProbe(report: LoadReport | undefined): void {
     const before = this.health.getAvailability();
+    this.isDown = report === undefined;
     this.health.recordProbe(report !== undefined);
     if (report) {
       if (report.incarnation !== this.report?.incarnation) {
--- a/tests/routing/crashQuarantine.test.ts
+++ b/tests/routing/crashQuarantine.test.ts
@@ -57,6 +57,38 @@
     });
   });
 
+  it('shares the blame with other instances, whose request may be the guilty one', async () => {
+    const clock = new ManualClock();
+    const quarantine = new CrashQuarantine({ clock });
+    const crash = async (upstream: string, reportedInFlight: number) => {
+      quarantine.recordStart(upstream, 'alone here');
+      quarantine.recordCrash(upstream, reportedInFlight);
+      await clock.advance(2000);
+    };
+    await crash('u1', 5);
+    await crash('u2', 5);
+    assert.equal(quarantine.classify('alone here'), 'suspect');
+    await crash('u3', 5);
+    await crash('u4', 5);
+    assert.equal(quarantine.classify('alone here'), 'guilty');
+  });
+
+  it('does not add up the blame of equal requests that run on other upstreams as well', async () => {
+    const clock = new ManualClock();
+    const quarantine = new CrashQuarantine({ clock });
+    const upstreams = ['u1', 'u2', 'u3', 'u4'];
+    for (const upstream of upstreams) {
+      for (let copy = 0; copy < 3; copy += 1) quarantine.recordStart(upstream, 'common question');
+    }
+    for (const upstream of upstreams) {
+      quarantine.recordStart(upstream, 'bad');
+      quarantine.recordCrash(upstream);
+      await clock.advance(2000);
+    }
+    assert.equal(quarantine.classify('bad'), 'guilty');
+    assert.equal(quarantine.classify('common question'), 'suspect');
+  });
+
   it('counts one crash once although each call in flight reports it', () => {
     const quarantine = new CrashQuarantine({ clock: new ManualClock() });
     quarantine.recordStart('u1', 'a');
