--- a/packages/server/src/requests/chatHandler.ts
+++ b/packages/server/src/requests/chatHandler.ts
@@ -97,7 +97,7 @@
     const reserved = estimateTokens(call);
     const quota = quotas.tryConsume(name, tokensPerMinute, reserved);
     if (quota.isErr()) return err(quota.error);
-    const result = await this.climb(prepared.value, sink);
+    const result = await this.runRungs(prepared.value, sink);
     const used = result.isOk() ? result.value : 0;
     quotas.refund(name, Math.max(0, reserved - used));
     if (result.isErr()) {
@@ -161,7 +161,10 @@
    *
    * @returns the tokens of all rungs that ran.
    */
-  private async climb(prepared: PreparedChat, sink: AnswerSink): Promise<Result<number, Failure>> {
+  private async runRungs(
+    prepared: PreparedChat,
+    sink: AnswerSink,
+  ): Promise<Result<number, Failure>> {
     const { call, bound, rungs } = prepared;
     const steps: BillStep[] = [];
     let rung = this.chooseStart(prepared, sink.streaming);
