--- a/packages/bench/src/soak/operatorDesk.ts
+++ b/packages/bench/src/soak/operatorDesk.ts
@@ -1,18 +1,10 @@
-import type { Bill, Change } from '@cactusstair/protocol';
-import { OperatorClient, RolloutPhase, Rollout, Workspace } from '@cactusstair/protocol';
+import type { Bill, Change, UnaryMethod } from '@cactusstair/protocol';
+import { callUnary, OperatorClient, RolloutPhase, Rollout, Workspace } from '@cactusstair/protocol';
 import { systemClock } from '@cactusstair/utils';
-import type { CallOptions, Metadata, ServiceError } from '@grpc/grpc-js';
-import { credentials, Metadata as GrpcMetadata } from '@grpc/grpc-js';
+import { credentials } from '@grpc/grpc-js';
 
 import type { OperatorRecord } from './recording.js';
 
-type UnaryCall<Request, Reply> = (
-  request: Request,
-  metadata: Metadata,
-  options: Partial<CallOptions>,
-  callback: (error: ServiceError | null, reply: Reply) => void,
-) => unknown;
-
 const CALL_TIMEOUT_MS = 5000;
 const RETRY_INTERVAL_MS = 500;
 
@@ -147,16 +139,10 @@
 
   private call<Request, Reply>(
     client: OperatorClient,
-    method: UnaryCall<Request, Reply>,
+    method: UnaryMethod<Request, Reply>,
     request: Request,
   ): Promise<Reply> {
-    return new Promise((resolve, reject) => {
-      const deadline = Date.now() + CALL_TIMEOUT_MS;
-      method.call(client, request, new GrpcMetadata(), { deadline }, (error, reply) => {
-        if (error) reject(error);
-        else resolve(reply);
-      });
-    });
+    return callUnary(client, method, request, CALL_TIMEOUT_MS);
   }
 }
 
--- a/packages/cli/src/operatorConnection.ts
+++ b/packages/cli/src/operatorConnection.ts
@@ -1,8 +1,9 @@
 import { readFileSync } from 'node:fs';
 
-import { OperatorClient } from '@cactusstair/protocol';
-import type { CallOptions, Metadata, ServiceError } from '@grpc/grpc-js';
-import { credentials, Metadata as GrpcMetadata } from '@grpc/grpc-js';
+import type { UnaryMethod } from '@cactusstair/protocol';
+import { callUnary, OperatorClient } from '@cactusstair/protocol';
+import type { ServiceError } from '@grpc/grpc-js';
+import { credentials } from '@grpc/grpc-js';
 
 import { CliError, createCallError, exitCodes } from './cliError.js';
 
@@ -17,13 +18,6 @@
   key?: string;
 }
 
-type UnaryCall<Request, Reply> = (
-  request: Request,
-  metadata: Metadata,
-  options: Partial<CallOptions>,
-  callback: (error: ServiceError | null, reply: Reply) => void,
-) => unknown;
-
 function readPem(file: string): Buffer {
   try {
     return readFileSync(file);
@@ -51,17 +45,18 @@
   }
 
   /** Makes one call. @throws CliError */
-  call<Request, Reply>(method: UnaryCall<Request, Reply>, request: Request): Promise<Reply> {
-    return new Promise((resolve, reject) => {
-      const deadline = Date.now() + this.options.timeoutMs;
-      method.call(this.client, request, new GrpcMetadata(), { deadline }, (error, reply) => {
-        if (error) reject(createCallError(error, this.options.server));
-        else resolve(reply);
-      });
-    });
+  async call<Request, Reply>(
+    method: UnaryMethod<Request, Reply>,
+    request: Request,
+  ): Promise<Reply> {
+    try {
+      return await callUnary(this.client, method, request, this.options.timeoutMs);
+    } catch (error) {
+      throw this.describeError(error);
+    }
   }
 
-  /** Explains an error of a stream. */
+  /** Explains an error of a call or a stream. */
   describeError(error: unknown): CliError {
     return createCallError(error as ServiceError, this.options.server);
   }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,6 +5,8 @@
 export * from './generated/cactusstair/v1/operator.js';
 export * from './generated/cactusstair/v1/peer.js';
 export * from './generated/cactusstair/v1/types.js';
+export type { UnaryMethod } from './callUnary.js';
+export { callUnary } from './callUnary.js';
 export type { Failure } from './failure.js';
 export { createFailure, getResultCode } from './failure.js';
 export type { GrpcStatusName, RanState, ResultCode, ResultCodeName } from './resultCodes.js';
--- a/packages/server/src/peers/peerLinks.ts
+++ b/packages/server/src/peers/peerLinks.ts
@@ -10,11 +10,11 @@
   FetchConfigRequest,
   VersionStatsList,
 } from '@cactusstair/protocol';
-import { PeerClient } from '@cactusstair/protocol';
+import { callUnary, PeerClient } from '@cactusstair/protocol';
 import type { Random } from '@cactusstair/utils';
 import { systemClock } from '@cactusstair/utils';
-import type { CallOptions, ChannelCredentials, Metadata, ServiceError } from '@grpc/grpc-js';
-import { Metadata as GrpcMetadata, status } from '@grpc/grpc-js';
+import type { ChannelCredentials, ServiceError } from '@grpc/grpc-js';
+import { status } from '@grpc/grpc-js';
 
 import type { AddressBook, PeerAddress } from './addressBook.js';
 
@@ -27,13 +27,6 @@
   random: Random;
 }
 
-type UnaryCall<Request, Reply> = (
-  request: Request,
-  metadata: Metadata,
-  options: Partial<CallOptions>,
-  callback: (error: ServiceError | null, reply: Reply) => void,
-) => unknown;
-
 const EXCHANGE_TIMEOUT_MS = 1000;
 const COPY_TIMEOUT_MS = 500;
 const CALL_GRACE_MS = 1000;
@@ -49,22 +42,22 @@
 
   exchange(address: string, request: ExchangeRequest): Promise<ExchangeReply> {
     const client = this.getClient(address);
-    return call(client.exchange.bind(client), request, EXCHANGE_TIMEOUT_MS);
+    return callUnary(client, client.exchange, request, EXCHANGE_TIMEOUT_MS);
   }
 
   fetchConfig(address: string, request: FetchConfigRequest): Promise<ConfigDelta> {
     const client = this.getClient(address);
-    return call(client.fetchConfig.bind(client), request, request.waitMs + CALL_GRACE_MS);
+    return callUnary(client, client.fetchConfig, request, request.waitMs + CALL_GRACE_MS);
   }
 
   getVersionStats(address: string): Promise<VersionStatsList> {
     const client = this.getClient(address);
-    return call(client.getVersionStats.bind(client), {}, EXCHANGE_TIMEOUT_MS);
+    return callUnary(client, client.getVersionStats, {}, EXCHANGE_TIMEOUT_MS);
   }
 
   getCascadeEvidence(address: string): Promise<CascadeEvidence> {
     const client = this.getClient(address);
-    return call(client.getCascadeEvidence.bind(client), {}, EXCHANGE_TIMEOUT_MS);
+    return callUnary(client, client.getCascadeEvidence, {}, EXCHANGE_TIMEOUT_MS);
   }
 
   /** Asks the owner of a claim for its outcome; undefined when the owner does not answer. */
@@ -79,7 +72,7 @@
     const giveUpAtMs = performance.now() + UNAVAILABLE_WAIT_MS;
     for (;;) {
       try {
-        return await call(client.awaitClaim.bind(client), request, timeoutMs);
+        return await callUnary(client, client.awaitClaim, request, timeoutMs);
       } catch (error) {
         // A channel fails its calls at once for up to a second after a failed connection, such as
         // one to an instance that had not started yet.
@@ -95,7 +88,7 @@
     for (const peer of this.listCopyHolders().slice(0, MAX_COPY_ATTEMPTS)) {
       try {
         const client = this.getClient(peer.peersAddress);
-        const reply = await call(client.copyBills.bind(client), { bills }, COPY_TIMEOUT_MS);
+        const reply = await callUnary(client, client.copyBills, { bills }, COPY_TIMEOUT_MS);
         if (reply.held) return true;
       } catch {
         // The next candidate is asked instead.
@@ -109,7 +102,7 @@
     for (const peer of this.listOthers()) {
       const client = this.getClient(peer.peersAddress);
       const request = { origin, incarnation, upToSequence };
-      call(client.releaseBills.bind(client), request, EXCHANGE_TIMEOUT_MS).catch(() => {});
+      callUnary(client, client.releaseBills, request, EXCHANGE_TIMEOUT_MS).catch(() => {});
     }
   }
 
@@ -147,17 +140,3 @@
       .map(({ peer }) => peer);
   }
 }
-
-function call<Request, Reply>(
-  method: UnaryCall<Request, Reply>,
-  request: Request,
-  timeoutMs: number,
-): Promise<Reply> {
-  return new Promise((resolve, reject) => {
-    const options = { deadline: Date.now() + timeoutMs };
-    method(request, new GrpcMetadata(), options, (error, reply) => {
-      if (error) reject(error);
-      else resolve(reply);
-    });
-  });
-}
