--- a/packages/bench/src/soak/report.ts
+++ b/packages/bench/src/soak/report.ts
@@ -1,6 +1,8 @@
 import { readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 
+import { alignColumns } from '@cactusstair/utils';
+
 import type { PropertyResult, Recording, Violation } from './recording.js';
 import { listEngineWork } from './versionChecks.js';
 
@@ -15,18 +17,7 @@
     tested === 0 ? 'not tested' : String(tested),
     String(violations.length),
   ]);
-  const lines = [['PROPERTY', 'TESTED', 'VIOLATIONS'], ...rows];
-  const widths = [0, 1, 2].map((column) =>
-    Math.max(...lines.map((line) => line[column]?.length ?? 0)),
-  );
-  return lines
-    .map((line) =>
-      line
-        .map((cell, column) => cell.padEnd(widths[column] ?? 0))
-        .join('  ')
-        .trimEnd(),
-    )
-    .join('\n');
+  return alignColumns([['PROPERTY', 'TESTED', 'VIOLATIONS'], ...rows]);
 }
 
 function formatTime(recording: Recording, atMs: number): string {
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -1,3 +1,5 @@
+import { alignColumns } from '@cactusstair/utils';
+
 /** A column of a printed table. */
 export interface Column<T> {
   title: string;
@@ -6,21 +8,10 @@
 
 /** Formats rows as a table with aligned columns. */
 export function formatTable<T>(rows: readonly T[], columns: readonly Column<T>[]): string {
-  const cells = [
+  return alignColumns([
     columns.map((column) => column.title),
     ...rows.map((row) => columns.map((column) => String(column.value(row)))),
-  ];
-  const widths = columns.map((_, index) =>
-    Math.max(...cells.map((line) => line[index]?.length ?? 0)),
-  );
-  return cells
-    .map((line) =>
-      line
-        .map((cell, index) => cell.padEnd(widths[index] ?? 0))
-        .join('  ')
-        .trimEnd(),
-    )
-    .join('\n');
+  ]);
 }
 
 /** Prints one line or table on standard output. */
--- a/packages/place/src/smokeMain.ts
+++ b/packages/place/src/smokeMain.ts
@@ -2,7 +2,7 @@
 
 import type { Bill } from '@cactusstair/protocol';
 import { OperatorClient } from '@cactusstair/protocol';
-import { waitFor } from '@cactusstair/utils';
+import { alignColumns, waitFor } from '@cactusstair/utils';
 import { credentials } from '@grpc/grpc-js';
 import OpenAI from 'openai';
 import { fetch } from 'undici';
@@ -189,13 +189,7 @@
       row.holds ? 'yes' : 'NO',
     ]),
   ];
-  const widths = lines[0]?.map((_, column) =>
-    Math.max(...lines.map((line) => line[column]?.length ?? 0)),
-  );
-  for (const line of lines) {
-    const cells = line.map((cell, column) => cell.padEnd(widths?.[column] ?? 0));
-    process.stdout.write(`${cells.join('  ').trimEnd()}\n`);
-  }
+  process.stdout.write(`${alignColumns(lines)}\n`);
 }
 
 async function runSmoke(place: Place): Promise<boolean> {
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,4 +1,5 @@
 /** Small parts that every package uses: time, random numbers, waiting, settings, clean-up, logs. */
+export { alignColumns } from './alignColumns.js';
 export type { Clock } from './clock.js';
 export { systemClock } from './clock.js';
 export { Invariants } from './invariants.js';
