Call what the packages already have in the request handlers and the config editor

- RolloutEditor changes models through editObject, which also settles lost answers, and not with a loop of its own.
- The fingerprint of a chat request comes from computeFingerprint of the routing package.
- Chat and service requests are counted and timed by one method of EntryMetrics.
- An upstream's leaving mark is set by the directory alone; its constructor set it a second time.
- ServiceHandler took invariants and did not use them.

--- a/packages/server/src/operators/configEditor.ts
+++ b/packages/server/src/operators/configEditor.ts
@@ -1,11 +1,15 @@
 import type { JsonObject, ObjectStore, StoredObject } from '@cactusstair/coordination';
-import { writeSettled } from '@cactusstair/coordination';
+import { editObject, writeSettled } from '@cactusstair/coordination';
 import type { Change, Failure } from '@cactusstair/protocol';
 import type { Clock } from '@cactusstair/utils';
 import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 
 import { describeStoreFailure } from './operatorFailure.js';
 
+/** Why an edit wrote nothing. */
+type EditEnd = { type: 'not_found' } | { type: 'unchanged' };
+
 /** Reads and writes configuration objects for operators and for the rollout controller. */
 export class ConfigEditor {
   constructor(
@@ -32,6 +36,28 @@
       .mapErr((failure) => describeStoreFailure(failure, `${kind} ${name}`, expectedVersion));
   }
 
+  /**
+   * Changes an existing object whatever its version is, again after a racing change.
+   *
+   * @param change returns the new value, or undefined to leave the object as it is.
+   */
+  async edit(
+    kind: string,
+    name: string,
+    change: (value: unknown) => unknown,
+  ): Promise<Result<void, Failure>> {
+    const subject = `${kind} ${name}`;
+    let version = 0;
+    const edited = await editObject<EditEnd>(this.store, kind, name, (current) => {
+      if (!current) return err({ type: 'not_found' });
+      version = current.version;
+      const value = change(current.value);
+      return value === undefined ? err({ type: 'unchanged' }) : ok(value as JsonObject);
+    });
+    if (edited.isOk() || edited.error.type === 'unchanged') return ok(undefined);
+    return err(describeStoreFailure(edited.error, subject, version));
+  }
+
   async get(kind: string, name: string): Promise<Result<StoredObject, Failure>> {
     const found = await this.store.get(kind, name);
     return found.mapErr((failure) => describeStoreFailure(failure, `${kind} ${name}`, 0));
--- a/packages/server/src/ops/metrics.ts
+++ b/packages/server/src/ops/metrics.ts
@@ -1,6 +1,10 @@
+import type { Failure } from '@cactusstair/protocol';
+import { getResultCode } from '@cactusstair/protocol';
+import type { Result } from 'neverthrow';
 import type { Registry } from 'prom-client';
 import { collectDefaultMetrics, Counter, Gauge, Histogram } from 'prom-client';
 
+const MS_PER_SECOND = 1000;
 const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 30, 60];
 const TOKEN_GAP_BUCKETS = [0.002, 0.005, 0.01, 0.02, 0.03, 0.045, 0.06, 0.1, 0.2, 0.5, 1, 5];
 
@@ -84,4 +88,22 @@
       registers,
     });
   }
+
+  /** Counts and times a request while `serve` runs, and counts its result code. */
+  async trackRequest<T>(
+    labels: { workspace: string; class: string },
+    serve: () => Promise<Result<T, Failure>>,
+  ): Promise<Result<T, Failure>> {
+    const startedAtMs = performance.now();
+    this.inFlight.inc();
+    try {
+      const result = await serve();
+      const code = result.isErr() ? getResultCode(result.error).code : 0;
+      this.requests.inc({ ...labels, code });
+      return result;
+    } finally {
+      this.inFlight.dec();
+      this.requestSeconds.observe(labels, (performance.now() - startedAtMs) / MS_PER_SECOND);
+    }
+  }
 }
--- a/packages/server/src/requests/chatHandler.ts
+++ b/packages/server/src/requests/chatHandler.ts
@@ -1,5 +1,3 @@
-import { createHash } from 'node:crypto';
-
 import type { BillingJournal, QuotaLease } from '@cactusstair/coordination';
 import type { BillStep, Failure, Workspace } from '@cactusstair/protocol';
 import { createFailure, getResultCode } from '@cactusstair/protocol';
@@ -10,6 +8,7 @@
   RungInfo,
   VersionStatsRecorder,
 } from '@cactusstair/routing';
+import { computeFingerprint } from '@cactusstair/routing';
 import type { Clock, Invariants } from '@cactusstair/utils';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
@@ -73,19 +72,12 @@
 
   /** Answers a request through `sink`, with the answer or with a numbered failure. */
   async handle(request: ChatRequest, sink: AnswerSink): Promise<void> {
-    const { metrics, clock } = this.options;
-    const startedAtMs = clock.monotonicMs();
     const labels = { workspace: request.workspace.name, class: classifyRequest(request.body) };
-    metrics.inFlight.inc();
-    try {
+    await this.options.metrics.trackRequest(labels, async () => {
       const result = await this.serve(request, sink);
       if (result.isErr()) sink.fail(result.error, request.headers.requestId);
-      const code = result.isErr() ? getResultCode(result.error).code : 0;
-      metrics.requests.inc({ ...labels, code });
-    } finally {
-      metrics.inFlight.dec();
-      metrics.requestSeconds.observe(labels, (clock.monotonicMs() - startedAtMs) / MS_PER_SECOND);
-    }
+      return result;
+    });
   }
 
   private async serve(request: ChatRequest, sink: AnswerSink): Promise<Result<void, Failure>> {
@@ -147,7 +139,7 @@
       promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
       expectedTokens: estimateCompletionTokens(body),
       prefixHashes: computePrefixHashes(prompt),
-      fingerprint: createHash('sha256').update(`${workspace.name}\n${prompt}`).digest('hex'),
+      fingerprint: computeFingerprint(workspace.name, prompt),
       deadlineMs: this.options.clock.monotonicMs() + this.options.requestMs,
       signal: AbortSignal.any([request.signal, AbortSignal.timeout(this.options.requestMs)]),
       dispatched: false,
--- a/packages/server/src/requests/requestHandlers.ts
+++ b/packages/server/src/requests/requestHandlers.ts
@@ -103,7 +103,7 @@
   parts: RequestHandlerParts,
   retryBudget: RetryBudget,
 ): ServiceHandler {
-  const { coordination, metrics, invariants, clock } = parts;
+  const { coordination, metrics, clock } = parts;
   return new ServiceHandler({
     directory: parts.directory,
     services: new ServiceClient(),
@@ -112,7 +112,6 @@
     billing: coordination.billing,
     retryBudget,
     metrics,
-    invariants,
     clock,
     answerMs: parts.settings.limits.serviceAnswerMs,
   });
--- a/packages/server/src/requests/serviceHandler.ts
+++ b/packages/server/src/requests/serviceHandler.ts
@@ -4,7 +4,7 @@
 import type { Failure, KeptAnswer, Workspace } from '@cactusstair/protocol';
 import { ClaimOutcome, createFailure, getResultCode, resultCodes } from '@cactusstair/protocol';
 import type { RetryBudget } from '@cactusstair/routing';
-import type { Clock, Invariants } from '@cactusstair/utils';
+import type { Clock } from '@cactusstair/utils';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 
@@ -25,7 +25,6 @@
   billing: BillingJournal;
   retryBudget: RetryBudget;
   metrics: EntryMetrics;
-  invariants: Invariants;
   clock: Clock;
   answerMs: number;
 }
@@ -56,7 +55,6 @@
 const MAX_ATTEMPTS = 3;
 const RETRY_AFTER_MS = 1000;
 const SERVICE_CLASS = 'service';
-const MS_PER_SECOND = 1000;
 const HTTP_SERVER_ERROR = 500;
 /** Marks a kept answer as a failure of the router, so that repeats get its code and headers. */
 const KEPT_FAILURE_TYPE = 'application/vnd.cactusstair.failure+json';
@@ -66,20 +64,9 @@
   constructor(private readonly options: ServiceHandlerOptions) {}
 
   /** Returns the answer of the service or a numbered failure. */
-  async handle(request: ServiceRequest): Promise<Result<ServiceReply, Failure>> {
-    const { metrics, clock } = this.options;
-    const startedAtMs = clock.monotonicMs();
+  handle(request: ServiceRequest): Promise<Result<ServiceReply, Failure>> {
     const labels = { workspace: request.workspace.name, class: SERVICE_CLASS };
-    metrics.inFlight.inc();
-    try {
-      const result = await this.serve(request);
-      const code = result.isErr() ? getResultCode(result.error).code : 0;
-      metrics.requests.inc({ ...labels, code });
-      return result;
-    } finally {
-      metrics.inFlight.dec();
-      metrics.requestSeconds.observe(labels, (clock.monotonicMs() - startedAtMs) / MS_PER_SECOND);
-    }
+    return this.options.metrics.trackRequest(labels, () => this.serve(request));
   }
 
   private async serve(request: ServiceRequest): Promise<Result<ServiceReply, Failure>> {
--- a/packages/server/src/rollouts/rolloutEditor.ts
+++ b/packages/server/src/rollouts/rolloutEditor.ts
@@ -10,7 +10,7 @@
 } from '@cactusstair/protocol';
 import type { Clock } from '@cactusstair/utils';
 import type { Result } from 'neverthrow';
-import { err, ok } from 'neverthrow';
+import { err } from 'neverthrow';
 
 import type { ConfigEditor } from '../operators/configEditor.js';
 
@@ -26,8 +26,6 @@
   RolloutPhase.FAILED,
 ];
 
-const MAX_EDIT_ATTEMPTS = 8;
-
 /** Tells whether a rollout has come to its end. */
 export function isRolloutEnded(rollout: Rollout): boolean {
   return ENDED_PHASES.includes(rollout.phase);
@@ -143,23 +141,15 @@
     });
   }
 
-  /** Reads, changes and conditionally writes a model; `change` returns whether to write. */
-  private async editModel(
+  /** Changes a model; `change` returns whether there is something to write. */
+  private editModel(
     name: string,
     change: (model: Model) => boolean,
   ): Promise<Result<void, Failure>> {
-    let last: Failure = createFailure('conflict', `model ${name} keeps changing`);
-    for (let attempt = 1; attempt <= MAX_EDIT_ATTEMPTS; attempt += 1) {
-      const found = await this.readModel(name);
-      if (found.isErr()) return err(found.error);
-      const { object, value } = found.value;
-      if (!change(value)) return ok(undefined);
-      const written = await this.editor.put('model', name, Model.toJSON(value), object.version);
-      if (written.isOk()) return ok(undefined);
-      last = written.error;
-      if (last.name !== 'conflict') break;
-    }
-    return err(last);
+    return this.editor.edit('model', name, (value) => {
+      const model = Model.fromJSON(value);
+      return change(model) ? Model.toJSON(model) : undefined;
+    });
   }
 
   private async findRunning(model: string): Promise<Result<string | undefined, Failure>> {
--- a/packages/server/src/upstreams/upstream.ts
+++ b/packages/server/src/upstreams/upstream.ts
@@ -54,7 +54,6 @@
     private readonly context: UpstreamContext,
   ) {
     this.link = new Link(config.url, { connectTimeoutMs: context.connectMs });
-    if (config.leaving) health.markLeaving('platform_list');
   }
 
   get name(): string {
