--- a/packages/relay/src/follow/sourceFollower.ts
+++ b/packages/relay/src/follow/sourceFollower.ts
@@ -2,14 +2,16 @@
 
 import type { ClockReading } from './beliefAge.js';
 import { computeAgeMs, readClocks } from './beliefAge.js';
-import type { ChangeSource, SourceChange, SourceItem } from './changeSource.js';
+import type { ChangeSource, SourceChange, SourceFailure, SourceItem } from './changeSource.js';
 
 /** Options of `SourceFollower`. */
 export interface SourceFollowerOptions<T> {
   clock: Clock;
   source: ChangeSource<T>;
-  /** Longest time that one poll waits at the store, in milliseconds. */
+  /** Longest time that one poll for changes waits at the store, in milliseconds. */
   waitMs: number;
+  /** Returns the age above which the state is confirmed by a read of its own, in milliseconds. */
+  getMaxAgeMs: () => number;
   /** Called with the full state after a list. */
   onSnapshot: (items: readonly SourceItem<T>[]) => void;
   onChange: (change: SourceChange<T>) => void;
@@ -20,17 +22,34 @@
 // Refused calls are priced too, so failures are not repeated at full speed.
 const MIN_RETRY_MS = 150;
 const MAX_RETRY_MS = 700;
+const AGE_CHECK_INTERVAL_MS = 100;
 
-/** Keeps a view of one kind of objects current by linearizable polls from the last revision. */
+/**
+ * Keeps a view of one kind of objects current. A long poll brings the changes; since a silent poll
+ * proves nothing, the view is confirmed by short reads from its revision, or by a peer that has
+ * confirmed the same state.
+ */
 export class SourceFollower<T> {
   private confirmed: ClockReading | undefined;
 
+  private revision: number | undefined;
+
   private isAvailable = true;
 
   private disturbed: ClockReading | undefined;
 
   private restored: ClockReading | undefined;
 
+  private confirming: Promise<boolean> | undefined;
+
+  private failedConfirmMs = -Infinity;
+
+  /** Revision of the newest change of each object that was taken in. */
+  private readonly applied = new Map<string, number>();
+
+  /** Revision of the last list; older objects are known not to exist if it lacked them. */
+  private listedRevision = 0;
+
   constructor(private readonly options: SourceFollowerOptions<T>) {}
 
   /** Whether the first list has been read. */
@@ -57,49 +76,106 @@
     return this.restored ? computeAgeMs(this.options.clock, this.restored) : Infinity;
   }
 
+  /** Takes over that a peer confirmed the state that this view has, by a read begun at `since`. */
+  adopt(since: ClockReading): void {
+    if (!this.confirmed) return;
+    const { clock } = this.options;
+    if (computeAgeMs(clock, since) < computeAgeMs(clock, this.confirmed)) this.confirmed = since;
+  }
+
+  /**
+   * Reads once what changed since the last revision. Calls at the same time share one read.
+   *
+   * @returns whether the state is confirmed by a read that began after the call, or by the shared
+   * one that was under way.
+   */
+  confirm(): Promise<boolean> {
+    this.confirming ??= this.readChanges().finally(() => {
+      this.confirming = undefined;
+    });
+    return this.confirming;
+  }
+
+  /** Follows the changes until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     let retryMs = MIN_RETRY_MS;
-    let revision: number | undefined;
     while (!signal.aborted) {
-      const before = readClocks(this.options.clock);
-      const next = await (revision === undefined ? this.load() : this.poll(revision));
-      if (next.type === 'ok') {
-        this.confirmed = before;
-        revision = next.revision;
+      const isOk = await (this.revision === undefined
+        ? this.load()
+        : this.poll(this.revision, this.options.waitMs));
+      if (isOk) {
         retryMs = MIN_RETRY_MS;
-        this.setAvailable(true, '');
-      } else if (next.type === 'history_gone') {
-        revision = undefined;
       } else {
-        this.setAvailable(false, next.message);
         await this.options.clock.sleep(retryMs * (0.7 + Math.random() * 0.6), signal);
         retryMs = Math.min(retryMs * 1.6, MAX_RETRY_MS);
       }
     }
   }
 
-  private async load(): Promise<
-    | { type: 'ok'; revision: number }
-    | { type: 'history_gone' }
-    | { type: 'unavailable'; message: string }
-  > {
+  /** Confirms the state whenever it is older than the age that is asked for. */
+  async keepFresh(signal: AbortSignal): Promise<void> {
+    const { clock, getMaxAgeMs } = this.options;
+    while (!signal.aborted) {
+      await clock.sleep(AGE_CHECK_INTERVAL_MS, signal);
+      const sinceFailureMs = clock.monotonicMs() - this.failedConfirmMs;
+      if (this.isLoaded && this.getAgeMs() >= getMaxAgeMs() && sinceFailureMs >= MAX_RETRY_MS) {
+        await this.confirm();
+      }
+    }
+  }
+
+  private async readChanges(): Promise<boolean> {
+    if (this.revision === undefined) return false;
+    const isOk = await this.poll(this.revision, 0);
+    if (!isOk) this.failedConfirmMs = this.options.clock.monotonicMs();
+    return isOk;
+  }
+
+  private async load(): Promise<boolean> {
+    const before = readClocks(this.options.clock);
     const listed = await this.options.source.list();
-    if (listed.isErr()) return listed.error;
+    if (listed.isErr()) return this.handleFailure(listed.error);
+    this.applied.clear();
+    for (const item of listed.value.items) this.applied.set(item.name, item.revision);
+    this.listedRevision = listed.value.revision;
     this.options.onSnapshot(listed.value.items);
-    return { type: 'ok', revision: listed.value.revision };
+    this.recordRead(before, listed.value.revision);
+    return true;
+  }
+
+  private async poll(revision: number, waitMs: number): Promise<boolean> {
+    const before = readClocks(this.options.clock);
+    const polled = await this.options.source.poll(revision, waitMs);
+    if (polled.isErr()) return this.handleFailure(polled.error);
+    for (const change of polled.value.changes) this.apply(change);
+    this.recordRead(before, polled.value.revision);
+    return true;
+  }
+
+  /** Takes a change in unless a read that overtook this one has brought a newer state. */
+  private apply(change: SourceChange<T>): void {
+    const known = this.applied.get(change.name) ?? 0;
+    // The store may name the object's last change in a deletion, not the deletion itself.
+    const isOld = change.isDeleted
+      ? change.revision < known
+      : change.revision <= Math.max(known, this.listedRevision);
+    if (isOld) return;
+    this.applied.set(change.name, Math.max(known, change.revision));
+    this.options.onChange(change);
+  }
+
+  private recordRead(before: ClockReading, revision: number): void {
+    this.revision = Math.max(this.revision ?? 0, revision);
+    if (!this.confirmed || this.getAgeMs() > computeAgeMs(this.options.clock, before)) {
+      this.confirmed = before;
+    }
+    this.setAvailable(true, '');
   }
 
-  private async poll(
-    revision: number,
-  ): Promise<
-    | { type: 'ok'; revision: number }
-    | { type: 'history_gone' }
-    | { type: 'unavailable'; message: string }
-  > {
-    const polled = await this.options.source.poll(revision, this.options.waitMs);
-    if (polled.isErr()) return polled.error;
-    for (const change of polled.value.changes) this.options.onChange(change);
-    return { type: 'ok', revision: Math.max(revision, polled.value.revision) };
+  private handleFailure(failure: SourceFailure): boolean {
+    if (failure.type === 'history_gone') this.revision = undefined;
+    else this.setAvailable(false, failure.message);
+    return false;
   }
 
   private setAvailable(isAvailable: boolean, reason: string): void {
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -4,12 +4,14 @@
 import type { CrashCounter } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 
+import type { ClockReading } from '../follow/beliefAge.js';
+import { readClocks } from '../follow/beliefAge.js';
 import type { SocketAddress } from '../relayOptions.js';
 import type { RolloutBoard } from '../rollouts/rolloutBoard.js';
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
 import type { PeerLoad } from '../upstreams/upstream.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
-import type { PeerMessage, UpstreamLoad } from './peerMessage.js';
+import type { Echo, PeerMessage, UpstreamLoad, ViewName, ViewState } from './peerMessage.js';
 import { parsePeerMessage } from './peerMessage.js';
 
 /** Options of `PeerExchange`. */
@@ -20,12 +22,17 @@
   directory: UpstreamDirectory;
   rollouts: RolloutBoard;
   crashes: CrashCounter;
+  /** Returns the states that this instance has confirmed. */
+  listViews: () => Partial<Record<ViewName, ViewState>>;
+  /** Called when a peer has confirmed a state by a read that began no earlier than `since`. */
+  onPeerView: (name: ViewName, state: string, since: ClockReading) => void;
   onEvent?: (event: 'peer_seen' | 'peer_lost', name: string) => void;
 }
 
 interface Peer {
   message: PeerMessage;
   heardAtMs: number;
+  heardAtWallMs: number;
 }
 
 const SEND_INTERVAL_MS = 250;
@@ -36,6 +43,8 @@
 /** After this silence a peer counts as gone. */
 const LOST_AFTER_MS = 3000;
 const MAX_CRASH_ENTRIES = 20;
+/** Messages whose sending time is kept; at four a second, echoes older than this prove nothing new. */
+const KEPT_SENDINGS = 32;
 
 /**
  * Exchanges load, evidence and crash counts with the other instances by datagrams. Each message is
@@ -50,6 +59,8 @@
 
   private readonly incarnation: number;
 
+  private readonly sentAt = new Map<number, ClockReading>();
+
   private sequence = 0;
 
   private isLeaving = false;
@@ -140,6 +151,8 @@
       loads[upstream.id] = [upstream.calls.size, Math.round(backlogMs), Math.round(heldTokens)];
     }
     this.sequence += 1;
+    this.sentAt.set(this.sequence, readClocks(this.options.clock));
+    this.sentAt.delete(this.sequence - KEPT_SENDINGS);
     return {
       name: this.options.name,
       incarnation: this.incarnation,
@@ -148,9 +161,43 @@
       loads,
       evidence: this.options.rollouts.exportEvidence(),
       crashes: this.options.crashes.exportEntries(MAX_CRASH_ENTRIES),
+      views: this.options.listViews(),
+      echoes: this.listEchoes(),
     };
   }
 
+  private listEchoes(): Record<string, Echo> {
+    const { monotonicMs, wallMs } = readClocks(this.options.clock);
+    const echoes: Record<string, Echo> = {};
+    for (const [name, { message, heardAtMs, heardAtWallMs }] of this.peers) {
+      if (monotonicMs - heardAtMs > STALE_AFTER_MS) continue;
+      // The smaller time is the safe one: the receiver adds it to its own time of sending.
+      const heldMs = Math.max(0, Math.min(monotonicMs - heardAtMs, wallMs - heardAtWallMs));
+      echoes[name] = [message.incarnation, message.sequence, heldMs];
+    }
+    return echoes;
+  }
+
+  /**
+   * Passes on what a peer has confirmed. The peer heard our message no earlier than it was sent,
+   * held it for `heldMs` and confirmed its view `ageMs` before it answered, so the read began no
+   * earlier than these say, whatever time the datagrams took.
+   */
+  private applyViews(message: PeerMessage): void {
+    const echo = message.echoes[this.options.name];
+    if (!echo) return;
+    const [incarnation, sequence, heldMs] = echo;
+    const sentAt = incarnation === this.incarnation ? this.sentAt.get(sequence) : undefined;
+    if (!sentAt) return;
+    for (const [name, [state, ageMs]] of Object.entries(message.views)) {
+      const shiftMs = heldMs - ageMs;
+      this.options.onPeerView(name as ViewName, state, {
+        monotonicMs: sentAt.monotonicMs + shiftMs,
+        wallMs: sentAt.wallMs + shiftMs,
+      });
+    }
+  }
+
   private chooseReceivers(): SocketAddress[] {
     const all = [...this.addresses.values()];
     if (all.length <= MAX_RECEIVERS) return all;
@@ -168,8 +215,10 @@
     if (known && !isNewer(message, known.message)) return;
     if (!known) this.options.onEvent?.('peer_seen', message.name);
     this.addAddress(sender);
-    this.peers.set(message.name, { message, heardAtMs: this.options.clock.monotonicMs() });
+    const { monotonicMs, wallMs } = readClocks(this.options.clock);
+    this.peers.set(message.name, { message, heardAtMs: monotonicMs, heardAtWallMs: wallMs });
     this.options.crashes.importEntries(message.crashes);
+    this.applyViews(message);
   }
 
   /** Sums the peers' loads into the upstreams. */
--- a/packages/relay/src/peers/peerMessage.ts
+++ b/packages/relay/src/peers/peerMessage.ts
@@ -5,6 +5,15 @@
 /** Load of one instance at one upstream: requests, prompt work in ms, tokens held. */
 export type UpstreamLoad = [running: number, backlogMs: number, heldTokens: number];
 
+/** State that an instance follows in the store, which peers can confirm for each other. */
+export type ViewName = 'config' | 'upstreams' | 'rollouts';
+
+/** A view's state, and the age of the read that confirmed it when the message was sent. */
+export type ViewState = [state: string, ageMs: number];
+
+/** The last message heard from a peer, and how long before this one it came. */
+export type Echo = [incarnation: number, sequence: number, heldMs: number];
+
 /** What an instance tells its peers. Each message replaces the one before it. */
 export interface PeerMessage {
   name: string;
@@ -16,6 +25,9 @@
   /** Evidence by service and version. */
   evidence: Record<string, EvidenceSums>;
   crashes: CrashEntry[];
+  views: Partial<Record<ViewName, ViewState>>;
+  /** By name of the peer. */
+  echoes: Record<string, Echo>;
 }
 
 /** Parses a datagram; undefined for bytes that are no message of a peer. */
@@ -36,6 +48,10 @@
     message.loads !== null &&
     typeof message.evidence === 'object' &&
     message.evidence !== null &&
-    Array.isArray(message.crashes);
+    Array.isArray(message.crashes) &&
+    typeof message.views === 'object' &&
+    message.views !== null &&
+    typeof message.echoes === 'object' &&
+    message.echoes !== null;
   return isValid ? (message as PeerMessage) : undefined;
 }
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -14,6 +14,8 @@
 import { SourceFollower } from './follow/sourceFollower.js';
 import type { EventLog } from './observe/eventLog.js';
 import { PeerExchange } from './peers/peerExchange.js';
+import type { ViewName } from './peers/peerMessage.js';
+import { SharedViews } from './peers/sharedViews.js';
 import type { PeerRecord, RelayBounds, SocketAddress } from './relayOptions.js';
 import type { Exchange } from './requests/exchange.js';
 import type { RelayContext } from './requests/relayContext.js';
@@ -58,11 +60,8 @@
   clock?: Clock;
 }
 
-// Keys and drains are confirmed by polls that wait this long; the age of a belief is then at most
-// a little above it.
-const CONFIG_POLL_WAIT_MS = 1000;
-const UPSTREAM_POLL_WAIT_MS = 1000;
-const ROLLOUT_POLL_WAIT_MS = 2500;
+/** Polls for changes wait this long; the bound of the store is 30 s. */
+const POLL_WAIT_MS = 20_000;
 /** Time kept back from the bound on revoked keys for what is between the check and the run. */
 const KEY_AGE_MARGIN_MS = 500;
 const ABSENCE_AGE_MARGIN_MS = 200;
@@ -134,12 +133,15 @@
       directory: this.directory,
       rollouts: this.rollouts,
       crashes: this.crashes,
+      listViews: () => views.listStates(),
+      onPeerView: (name, state, since) => views.applyPeerState(name, state, since),
       onEvent: (event, name) => log.write(event, { peer: name }),
     });
     this.configFollower = new SourceFollower({
       clock: this.clock,
       source: store.config,
-      waitMs: CONFIG_POLL_WAIT_MS,
+      waitMs: POLL_WAIT_MS,
+      getMaxAgeMs: () => this.getMaxAgeMs('config'),
       onSnapshot: (items) => items.forEach((item) => this.applyConfig(item)),
       onChange: (change) => this.applyConfig(change),
       onAvailability: (isAvailable, reason) =>
@@ -148,23 +150,37 @@
     this.upstreamFollower = new SourceFollower({
       clock: this.clock,
       source: store.upstreams,
-      waitMs: UPSTREAM_POLL_WAIT_MS,
+      waitMs: POLL_WAIT_MS,
+      getMaxAgeMs: () => this.getMaxAgeMs('upstreams'),
       onSnapshot: (items) => this.directory.applySnapshot(items),
       onChange: (change) => this.directory.applyChange(change),
     });
     this.rolloutFollower = new SourceFollower({
       clock: this.clock,
       source: store.rollouts,
-      waitMs: ROLLOUT_POLL_WAIT_MS,
+      waitMs: POLL_WAIT_MS,
+      getMaxAgeMs: () => this.getMaxAgeMs('rollouts'),
       onSnapshot: (items) => this.rollouts.applySnapshot(items),
       onChange: (change) => {
         this.rollouts.applyChange(change);
         log.write('rollout_order', { name: change.name, ...change.value });
       },
     });
+    const views = new SharedViews(this.clock, {
+      config: {
+        follower: this.configFollower,
+        formatState: () => String(this.config?.config.version ?? ''),
+      },
+      upstreams: {
+        follower: this.upstreamFollower,
+        formatState: () => this.directory.formatState(),
+      },
+      rollouts: { follower: this.rolloutFollower, formatState: () => this.rollouts.formatState() },
+    });
     const handler = new RequestHandler({
       context: this.createContext(),
       getConfigAgeMs: () => this.configFollower.getAgeMs(),
+      confirmConfig: () => this.configFollower.confirm(),
       maxKeyAgeMs: bounds.isRevocationStrict ? bounds.revokeMs - KEY_AGE_MARGIN_MS : Infinity,
       maxAbsenceAgeMs: bounds.configApplyMs - ABSENCE_AGE_MARGIN_MS,
       isStopping: () => this.isStopping,
@@ -202,6 +218,9 @@
     lifecycle.startTask('follow configuration', (signal) => this.configFollower.run(signal));
     lifecycle.startTask('follow upstreams', (signal) => this.upstreamFollower.run(signal));
     lifecycle.startTask('follow rollouts', (signal) => this.rolloutFollower.run(signal));
+    lifecycle.startTask('confirm configuration', (signal) => this.configFollower.keepFresh(signal));
+    lifecycle.startTask('confirm upstreams', (signal) => this.upstreamFollower.keepFresh(signal));
+    lifecycle.startTask('confirm rollouts', (signal) => this.rolloutFollower.keepFresh(signal));
     await this.peers.start();
     await this.readinessServer.listen(options.readiness);
     await this.callerServer.listen(options.callers);
@@ -235,6 +254,10 @@
     return bounds.isRevocationStrict ? bounds.revokeMs - KEY_AGE_MARGIN_MS : Infinity;
   }
 
+  private getMaxAgeMs(name: ViewName): number {
+    return SharedViews.getMaxAgeMs(name, this.peers.getRank());
+  }
+
   private createContext(): RelayContext {
     return {
       clock: this.clock,
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -85,6 +85,7 @@
       connectTimeoutMs: Math.max(1, Math.min(CONNECT_TIMEOUT_MS, exchange.timeLeftMs)),
       maxBodyBytes: MAX_ANSWER_BYTES,
     });
+    exchange.attempt = this;
     exchange.onCancel(this.cancelListener);
     if (model !== undefined) {
       for (const part of request.promptParts) upstream.recordCachedPart(model, part.id);
@@ -120,6 +121,7 @@
   close(): void {
     this.upstream.calls.delete(this.running);
     this.job.exchange.offCancel(this.cancelListener);
+    this.job.exchange.attempt = undefined;
     this.call.cancel('closed');
   }
 }
--- a/packages/relay/src/requests/exchange.ts
+++ b/packages/relay/src/requests/exchange.ts
@@ -33,9 +33,12 @@
 
   end: ExchangeEnd | undefined;
 
-  /** Whether an upstream may have run the request. */
+  /** Whether an upstream may have run the request in an attempt that is over. */
   mayHaveRun = false;
 
+  /** The attempt under way; undefined between attempts. */
+  attempt: { readonly hasLeft: boolean } | undefined;
+
   readonly steps: ExchangeStep[] = [];
 
   private readonly cancelListeners = new Set<() => void>();
@@ -130,6 +133,12 @@
       this.breakStream(message);
       return;
     }
+    // A refusal promises that the request has not run and never will.
+    const mayRun = this.mayHaveRun || this.attempt?.hasLeft === true;
+    if (mayRun && resultCodes[name].ran === 'no') {
+      this.sendFailure('outcome_unknown', message);
+      return;
+    }
     const row = resultCodes[name];
     this.code = name;
     this.addStep('failure', { code: row.code, message });
@@ -163,7 +172,8 @@
 
   private handleDeadline(): void {
     if (this.isOver) return;
-    const name = this.mayHaveRun ? 'time_over' : 'queue_timeout';
+    const mayRun = this.mayHaveRun || this.attempt?.hasLeft === true;
+    const name = mayRun ? 'time_over' : 'queue_timeout';
     const message = `no whole answer in ${Math.round(this.getNowMs() - this.arrivedMs)} ms`;
     this.sendFailure(name, message);
     this.notifyCancelled();
--- a/packages/relay/src/requests/requestHandler.ts
+++ b/packages/relay/src/requests/requestHandler.ts
@@ -15,6 +15,8 @@
   context: RelayContext;
   /** Age of the last confirmed read of the configuration; Infinity before the first. */
   getConfigAgeMs: () => number;
+  /** Reads what changed in the configuration; false when the store did not answer. */
+  confirmConfig: () => Promise<boolean>;
   /** Age up to which a key may be taken for valid. */
   maxKeyAgeMs: number;
   /** Age up to which a route or key may be taken for absent. */
@@ -113,7 +115,12 @@
       body: body === 'too_long' ? Buffer.alloc(0) : body,
     };
     exchange.request = request;
-    const config = context.getConfig();
+    let config = context.getConfig();
+    if (config && this.needsConfirmation(config, request)) {
+      // What looks absent may be new; one read tells.
+      await this.options.confirmConfig();
+      config = context.getConfig();
+    }
     if (!config) {
       exchange.sendFailure('not_ready', 'no configuration is known yet', RETRY_AFTER_MS);
       return;
@@ -130,6 +137,18 @@
     if (route) await this.relay(exchange, config, route, request);
   }
 
+  /** Whether a denial is due that the age of the configuration does not allow. */
+  private needsConfirmation(config: ConfigIndex, request: RelayRequest): boolean {
+    const ageMs = this.options.getConfigAgeMs();
+    if (ageMs <= this.options.maxAbsenceAgeMs) return false;
+    const route = config.findRoute(request.host, request.path);
+    if (!route) return true;
+    if (route.isPublic || !config.needsKeys) return false;
+    return (
+      ageMs > this.options.maxKeyAgeMs || config.findWorkspace(request.apiKey ?? '') === undefined
+    );
+  }
+
   /** Resolves the route and the workspace, or answers why the request may not pass. */
   private checkRoute(
     exchange: Exchange,
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -80,6 +80,7 @@
       if (end.type === 'escalated') {
         exchange.addStep('escalated', { upstream: attempt.upstream.id });
         this.sizeIndex = end.sizeIndex;
+        exchange.mayHaveRun = true;
         runs += 1;
         continue;
       }
--- a/packages/relay/src/rollouts/rolloutBoard.ts
+++ b/packages/relay/src/rollouts/rolloutBoard.ts
@@ -77,6 +77,14 @@
     return [...this.orders.values()];
   }
 
+  /** Describes the orders, so that instances can tell whether they hold the same ones. */
+  formatState(): string {
+    return this.listOrders()
+      .map(({ name, revision }) => `${name}@${revision}`)
+      .sort()
+      .join();
+  }
+
   /** Returns the upstreams that a request of `session` may run on. */
   filterUpstreams(
     service: string,
--- a/packages/relay/src/upstreams/upstreamDirectory.ts
+++ b/packages/relay/src/upstreams/upstreamDirectory.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@cactusstair/utils';
+import { hashText } from '@cactusstair/utils';
 
 import type { SourceChange, SourceItem } from '../follow/changeSource.js';
 import { Upstream } from './upstream.js';
@@ -23,6 +24,8 @@
 
   private readonly byService = new Map<string, Set<Upstream>>();
 
+  private state: string | undefined;
+
   constructor(private readonly options: UpstreamDirectoryOptions) {}
 
   /** Replaces the whole list. */
@@ -63,11 +66,27 @@
     return [...this.byId.values()];
   }
 
+  /** Describes the list, so that instances can tell whether they hold the same one. */
+  formatState(): string {
+    if (this.state !== undefined) return this.state;
+    let count = 0;
+    let sum = 0;
+    for (const { record, missingSinceMs } of this.byId.values()) {
+      if (missingSinceMs !== undefined) continue;
+      count += 1;
+      const { id, version, isDraining, startedAtMs } = record;
+      sum = (sum + hashText(`${id} ${version} ${isDraining} ${startedAtMs}`)) >>> 0;
+    }
+    this.state = `${count}.${sum}`;
+    return this.state;
+  }
+
   find(id: string): Upstream | undefined {
     return this.byId.get(id);
   }
 
   private put(record: UpstreamRecord): void {
+    this.state = undefined;
     const known = this.byId.get(record.id);
     if (!known) {
       const upstream = new Upstream(record, this.options.clock);
@@ -89,6 +108,7 @@
   }
 
   private handleMissing(upstream: Upstream): void {
+    this.state = undefined;
     if (!this.options.isStoreDisturbed() || upstream.record.isDraining) {
       this.remove(upstream);
       return;
@@ -104,6 +124,7 @@
   }
 
   private remove(upstream: Upstream): void {
+    this.state = undefined;
     this.byId.delete(upstream.id);
     this.byService.get(upstream.record.service)?.delete(upstream);
     this.options.onEvent?.('gone', upstream.record);
