Start every size-free request at the smallest model and keep its answer by confidence

The accepted confidence now rises with the share of generated text and falls with the load of the engines.

--- a/packages/relay/src/requests/sizePolicy.ts
+++ b/packages/relay/src/requests/sizePolicy.ts
@@ -1,49 +1,83 @@
-import type { Route } from '../config/relayConfig.js';
+import type { Upstream } from '../upstreams/upstream.js';
 import type { RelayRequest } from './relayRequest.js';
 
-/** Options of the choice of model size. */
+/**
+ * Options of the choice of model size. The engines' confidence is a number that says nothing by
+ * itself; these values come from docs/cascades.md, where the share of adequate answers is measured
+ * against it.
+ */
 export interface SizePolicyOptions {
-  /** Answers expected to be at most this long start at the smallest model. */
-  shortAnswerTokens: number;
-  /** Confidence from which the answer of a model below the largest is kept, from 0 to 1. */
-  acceptConfidence: number;
+  /** Confidence from which a smaller model's answer is kept when it is mostly prompt, 0 to 1. */
+  promptHeavyConfidence: number;
+  /** The same for an answer that is mostly generated text. */
+  outputHeavyConfidence: number;
+  /** Lowering of both when the engines are fully loaded. */
+  loadedDrop: number;
 }
 
 export const defaultSizePolicy: SizePolicyOptions = {
-  shortAnswerTokens: 60,
-  acceptConfidence: 0.6,
+  promptHeavyConfidence: 0.57,
+  outputHeavyConfidence: 0.78,
+  loadedDrop: 0.6,
 };
 
+/** Share of generated tokens in the priced tokens from which an answer counts as output-heavy. */
+const OUTPUT_HEAVY_SHARE = 0.4;
+/** Tokens read count as a quarter of tokens generated. */
+const READ_TOKEN_SHARE = 0.25;
+// Prompt work that waits at the average engine: below the first figure there is no pressure, above
+// the second new prompts wait longer than most latency goals allow.
+const CALM_BACKLOG_MS = 250;
+const FULL_BACKLOG_MS = 1200;
+/** Share of the places that are taken, with the same meaning. */
+const CALM_RUNNING_SHARE = 0.35;
+const FULL_RUNNING_SHARE = 0.8;
+
 /** Estimates the tokens that an answer will have. */
 export function estimateOutputTokens(request: RelayRequest): number {
   const hint = request.outputTokensHint ?? request.maxOutputTokens;
   return request.maxOutputTokens > 0 ? Math.min(hint, request.maxOutputTokens) : hint;
 }
 
-/** Chooses the index of the model size to begin with. */
-export function chooseStartSize(
-  route: Route,
-  request: RelayRequest,
-  options: SizePolicyOptions = defaultSizePolicy,
-): number {
-  const largest = route.modelSizes.length - 1;
-  return estimateOutputTokens(request) <= options.shortAnswerTokens ? 0 : largest;
+/** Places `value` between `low` and `high` as a number from 0 to 1. */
+function scale(value: number, low: number, high: number): number {
+  return Math.min(1, Math.max(0, (value - low) / (high - low)));
+}
+
+/** Estimates how loaded the engines are together, from 0 to 1. */
+export function estimatePressure(upstreams: readonly Upstream[]): number {
+  if (upstreams.length === 0) return 1;
+  let backlogMs = 0;
+  let running = 0;
+  let slots = 0;
+  for (const upstream of upstreams) {
+    backlogMs += upstream.backlogMs;
+    running += upstream.running;
+    slots += upstream.record.slots;
+  }
+  return Math.max(
+    scale(backlogMs / upstreams.length, CALM_BACKLOG_MS, FULL_BACKLOG_MS),
+    scale(running / slots, CALM_RUNNING_SHARE, FULL_RUNNING_SHARE),
+  );
 }
 
 /**
- * Chooses the size to which an answer is escalated, or undefined when it is kept. Sizes between
- * are skipped: by the platform's sheets the middle one costs half of the largest and is right
- * little more often than the smallest.
+ * Returns the confidence from which the answer of a smaller model is kept. A wrong answer loses
+ * nearly its whole value and a larger model costs a share of it; that share is smallest for
+ * answers that are mostly generated text.
  */
-export function chooseEscalation(
-  route: Route,
-  sizeIndex: number,
-  confidence: number | undefined,
+export function computeAcceptConfidence(
+  request: RelayRequest,
+  pressure: number,
   options: SizePolicyOptions = defaultSizePolicy,
-): number | undefined {
-  const largest = route.modelSizes.length - 1;
-  if (sizeIndex >= largest || confidence === undefined) return undefined;
-  return confidence >= options.acceptConfidence ? undefined : largest;
+): number {
+  const output = estimateOutputTokens(request);
+  const outputShare = output / Math.max(1, request.promptTokens * READ_TOKEN_SHARE + output);
+  const weight = Math.min(1, outputShare / OUTPUT_HEAVY_SHARE);
+  const base =
+    options.promptHeavyConfidence +
+    weight * (options.outputHeavyConfidence - options.promptHeavyConfidence);
+  return base - pressure * options.loadedDrop;
 }
 
 /**
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -6,7 +6,7 @@
 import { EventSplitter } from './eventSplitter.js';
 import type { RelayContext } from './relayContext.js';
 import type { WatchedCall } from './stallWatch.js';
-import { chooseEscalation, chooseStartSize } from './sizePolicy.js';
+import { computeAcceptConfidence, estimatePressure } from './sizePolicy.js';
 
 /** How one attempt at a stream ended. */
 type StreamEnd =
@@ -45,7 +45,8 @@
     const route = exchange.route!;
     this.lastEventId = request.lastEventId;
     if (request.model === '*' && route.modelSizes.length > 0) {
-      this.sizeIndex = chooseStartSize(route, request);
+      // The smallest model answers most requests, at a tenth of the largest's time.
+      this.sizeIndex = 0;
     }
   }
 
@@ -177,15 +178,28 @@
       const headers = context.dialect.listAnswerHeaders(answer.rawHeaders);
       return { type: 'failed_answer', status, headers, body: body.value };
     }
-    if (!this.hasStarted && this.sizeIndex !== undefined && runs + 1 < route.maxAttempts) {
-      const larger = chooseEscalation(route, this.sizeIndex, head.confidence);
-      if (larger !== undefined && context.getBudget(job.service).tryTake()) {
-        return { type: 'escalated', sizeIndex: larger };
-      }
+    if (!this.hasStarted && runs + 1 < route.maxAttempts) {
+      const sizeIndex = this.chooseEscalation(head.confidence);
+      if (sizeIndex !== undefined) return { type: 'escalated', sizeIndex };
     }
     return this.copyEvents(attempt, answer, watch);
   }
 
+  /**
+   * Returns the size to which the answer is escalated, or undefined when it is kept. Sizes between
+   * are skipped: they cost half of the largest and are right little more often than the smallest.
+   */
+  private chooseEscalation(confidence: number | undefined): number | undefined {
+    const { context, job } = this;
+    const largest = job.exchange.route!.modelSizes.length - 1;
+    if (this.sizeIndex === undefined || this.sizeIndex >= largest || confidence === undefined) {
+      return undefined;
+    }
+    const pressure = estimatePressure(context.directory.listUsable(job.service));
+    if (confidence >= computeAcceptConfidence(job.request, pressure)) return undefined;
+    return context.getBudget(job.service).tryTake() ? largest : undefined;
+  }
+
   /** Passes whole events on as they come. */
   private copyEvents(
     attempt: Attempt,
