Test the relay with scripted upstreams; take a reset answer without a length for cut

The new test failed first: Node.js reports an answer without a length as complete when its connection is reset, because its parser ends the message at any end of the connection.

--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -254,6 +254,14 @@
     return bounds.isRevocationStrict ? bounds.revokeMs - KEY_AGE_MARGIN_MS : Infinity;
   }
 
+  /** Ends all tasks and connections at once. */
+  async close(): Promise<void> {
+    await this.callerServer.close();
+    await this.readinessServer.close();
+    await this.lifecycle.close();
+    this.peers.close();
+  }
+
   private getMaxAgeMs(name: ViewName): number {
     return SharedViews.getMaxAgeMs(name, this.peers.getRank());
   }
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -104,6 +104,10 @@
     return this.call.readBody(answer);
   }
 
+  isWhole(answer: IncomingMessage): boolean {
+    return this.call.isWhole(answer);
+  }
+
   cancel(reason: string): void {
     this.call.cancel(reason);
   }
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -230,7 +230,7 @@
       });
       answer.on('close', () => resolve(attempt.describeLoss('the stream was cut off')));
       answer.on('end', () => {
-        if (!answer.complete || splitter.hasRest) {
+        if (!attempt.isWhole(answer) || splitter.hasRest) {
           resolve(attempt.describeLoss('the stream was cut off'));
         } else if (!isFramed) {
           // Without a length a cut stream looks like a whole one; the rest is asked for elsewhere.
--- a/packages/relay/src/upstreams/upstreamCall.ts
+++ b/packages/relay/src/upstreams/upstreamCall.ts
@@ -44,6 +44,9 @@
 
   private cancelReason: string | undefined;
 
+  /** Whether the connection ended with an error. */
+  private hasFailed = false;
+
   constructor(private readonly options: CallOptions) {
     const { upstream, method, path, headers } = options;
     this.outgoing = request({
@@ -86,12 +89,20 @@
       answer.on('error', (error) => resolve(err(this.describeLoss(error.message))));
       answer.on('close', () => resolve(err(this.describeLoss('the answer was cut off'))));
       answer.on('end', () => {
-        if (answer.complete) resolve(ok(Buffer.concat(chunks)));
+        if (this.isWhole(answer)) resolve(ok(Buffer.concat(chunks)));
         else resolve(err(this.describeLoss('the answer was cut off')));
       });
     });
   }
 
+  /**
+   * Whether an answer that ended is whole. Node.js takes an answer without a length for complete
+   * also when its connection was reset.
+   */
+  isWhole(answer: IncomingMessage): boolean {
+    return answer.complete && !this.hasFailed;
+  }
+
   /** Ends the call; the upstream sees its connection close. */
   cancel(reason: string): void {
     this.cancelReason ??= reason;
@@ -122,6 +133,7 @@
       });
       this.outgoing.on('error', (error: NodeJS.ErrnoException) => {
         clearTimeout(connectTimer);
+        this.hasFailed = true;
         const isReset = error.code === 'ECONNRESET' || error.code === 'EPIPE';
         resolve(err(this.describeLoss(error.message, isReset)));
       });
--- /dev/null
+++ b/tests/relay/support/caller.ts
@@ -0,0 +1,75 @@
+import { connect } from 'node:net';
+import { request } from 'node:http';
+
+import { API_KEY, HOST } from './relayPlace.js';
+
+/** What a caller got; `isWhole` is false when the answer broke off. */
+export interface CallerAnswer {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  body: string;
+  isWhole: boolean;
+}
+
+/** Options of `sendRequest`. */
+export interface CallerRequest {
+  path?: string;
+  method?: string;
+  body?: string;
+  headers?: Record<string, string>;
+  /** Aborts the request. */
+  signal?: AbortSignal;
+}
+
+let nextId = 1;
+
+/** Sends one request on a connection of its own. */
+export function sendRequest(port: number, options: CallerRequest = {}): Promise<CallerAnswer> {
+  nextId += 1;
+  return new Promise((resolve, reject) => {
+    const outgoing = request({
+      agent: false,
+      host: '127.0.0.1',
+      port,
+      method: options.method ?? 'POST',
+      path: options.path ?? '/app/item',
+      headers: {
+        host: HOST,
+        'x-attempt-id': `attempt-${nextId}`,
+        'api-key': API_KEY,
+        'x-deadline-ms': '4000',
+        ...options.headers,
+      },
+      ...(options.signal ? { signal: options.signal } : {}),
+    });
+    outgoing.on('error', reject);
+    outgoing.on('response', (answer) => {
+      const chunks: Buffer[] = [];
+      const finish = () =>
+        resolve({
+          status: answer.statusCode ?? 0,
+          headers: answer.headers,
+          body: Buffer.concat(chunks).toString(),
+          isWhole: answer.complete,
+        });
+      answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+      answer.on('error', finish);
+      answer.on('close', finish);
+    });
+    outgoing.end(options.body);
+  });
+}
+
+/** Sends raw bytes and returns what comes back until the connection ends or falls silent. */
+export function sendBytes(port: number, bytes: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const socket = connect(port, '127.0.0.1', () => socket.write(bytes));
+    let text = '';
+    socket.setTimeout(1000, () => socket.destroy());
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+    });
+    socket.on('error', reject);
+    socket.on('close', () => resolve(text));
+  });
+}
--- /dev/null
+++ b/tests/relay/support/memorySource.ts
@@ -0,0 +1,72 @@
+import { err, ok } from 'neverthrow';
+
+import type { ChangeSource, SourceChange } from '@cactusstair/relay';
+
+/** A kind of objects in memory, with the troubles of a store. */
+export class MemorySource<T> implements ChangeSource<T> {
+  private readonly items = new Map<string, { revision: number; value: T | undefined }>();
+
+  private history: SourceChange<T>[] = [];
+
+  private waiting: (() => void)[] = [];
+
+  revision = 1;
+
+  /** Calls since the start. */
+  calls = 0;
+
+  /** While set, calls fail. */
+  isDown = false;
+
+  put(name: string, value: T | undefined): void {
+    this.revision += 1;
+    this.items.set(name, { revision: this.revision, value });
+    this.record({ name, revision: this.revision, value, isDeleted: false });
+  }
+
+  remove(name: string): void {
+    this.revision += 1;
+    this.items.delete(name);
+    this.record({ name, revision: this.revision, value: undefined, isDeleted: true });
+  }
+
+  /** Drops the history, so that polls from earlier revisions fail. */
+  forgetHistory(): void {
+    this.history = [];
+    this.oldestRevision = this.revision;
+    this.wake();
+  }
+
+  /** Ends the polls that wait. */
+  wake(): void {
+    for (const wake of this.waiting) wake();
+    this.waiting = [];
+  }
+
+  private oldestRevision = 0;
+
+  async list() {
+    this.calls += 1;
+    if (this.isDown) return err({ type: 'unavailable' as const, message: 'down' });
+    const items = [...this.items].map(([name, item]) => ({ name, ...item }));
+    return ok({ items, revision: this.revision });
+  }
+
+  async poll(since: number, waitMs: number) {
+    this.calls += 1;
+    if (!this.isDown && waitMs > 0 && since === this.revision) {
+      await new Promise<void>((resolve) => {
+        this.waiting.push(resolve);
+      });
+    }
+    if (this.isDown) return err({ type: 'unavailable' as const, message: 'down' });
+    if (since < this.oldestRevision) return err({ type: 'history_gone' as const });
+    const changes = this.history.filter((change) => change.revision > since);
+    return ok({ changes, revision: this.revision });
+  }
+
+  private record(change: SourceChange<T>): void {
+    this.history.push(change);
+    this.wake();
+  }
+}
--- /dev/null
+++ b/tests/relay/support/relayPlace.ts
@@ -0,0 +1,191 @@
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+
+import { platformDialect } from '@cactusstair/platform';
+import { EventLog, RelayNode } from '@cactusstair/relay';
+import type {
+  PeerRecord,
+  RelayBounds,
+  RelayConfig,
+  RolloutOrder,
+  RolloutProgress,
+  Route,
+  UpstreamRecord,
+  WriteOutcome,
+} from '@cactusstair/relay';
+import type { Clock } from '@cactusstair/utils';
+import { waitFor } from '@cactusstair/utils';
+
+import { MemorySource } from './memorySource.js';
+import type { Script } from './scriptedUpstream.js';
+import { ScriptedUpstream } from './scriptedUpstream.js';
+
+export const HOST = 'relay.example';
+export const API_KEY = 'key-1';
+
+export const testBounds: RelayBounds = {
+  contactMs: 3000,
+  drainMs: 2000,
+  stopGraceMs: 4000,
+  configApplyMs: 2000,
+  isRevocationStrict: true,
+  revokeMs: 5000,
+  retryRatio: 0.9,
+  retryWindowMs: 10_000,
+  retrySlack: 54,
+  canaryShare: 0.15,
+  canarySlack: 30,
+  sessionTtlMs: 5000,
+};
+
+/** Creates a route to the service `app`. */
+export function createRoute(overrides: Partial<Route> = {}): Route {
+  return {
+    name: 'route',
+    host: HOST,
+    pathPrefix: '/app/',
+    kind: 'idempotent',
+    timeoutMs: 2000,
+    latencyGoalMs: 300,
+    priority: 1,
+    modelSizes: [],
+    targets: [{ service: 'app', weight: 1 }],
+    maxAttempts: 2,
+    isPublic: false,
+    isResumable: false,
+    maxEventGapMs: 1000,
+    ...overrides,
+  };
+}
+
+export function createConfig(version: number, routes: Route[]): RelayConfig {
+  return {
+    version,
+    routes,
+    services: [{ name: 'app', maxConnections: 100 }],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 10_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    workspaces: [{ name: 'workspace-1', apiKeys: [API_KEY] }],
+  };
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+/** The kinds of objects that a relay follows, in memory. */
+class MemoryStore {
+  readonly config = new MemorySource<RelayConfig>();
+
+  readonly upstreams = new MemorySource<UpstreamRecord>();
+
+  readonly rollouts = new MemorySource<RolloutOrder>();
+
+  readonly peers = new MemorySource<PeerRecord>();
+
+  readonly progress: RolloutProgress[] = [];
+
+  putProgress(_name: string, _revision: number, progress: RolloutProgress): Promise<WriteOutcome> {
+    this.progress.push(progress);
+    return Promise.resolve('written');
+  }
+
+  announce(): Promise<WriteOutcome> {
+    return Promise.resolve('written');
+  }
+
+  /** Makes all calls fail, those that wait included. */
+  stop(): void {
+    for (const source of [this.config, this.upstreams, this.rollouts, this.peers]) {
+      source.isDown = true;
+      source.wake();
+    }
+  }
+}
+
+/** One relay with a store in memory and scripted upstreams of the service `app`. */
+export class RelayPlace {
+  private readonly opened: ScriptedUpstream[] = [];
+
+  private constructor(
+    readonly node: RelayNode,
+    readonly store: MemoryStore,
+    /** Lines of the log. */
+    readonly lines: readonly string[],
+    readonly callerPort: number,
+    readonly readinessPort: number,
+  ) {}
+
+  static async open(routes: Route[], clock?: Clock): Promise<RelayPlace> {
+    const callerPort = await findFreePort();
+    const readinessPort = await findFreePort();
+    const host = '127.0.0.1';
+    const store = new MemoryStore();
+    store.config.put('main', createConfig(1, routes));
+    const lines: string[] = [];
+    const sink = { write: (text: string) => lines.push(text) > 0, once: () => undefined };
+    const node = new RelayNode({
+      name: 'instance-1',
+      zone: 'zone-1',
+      callers: { host, port: callerPort },
+      readiness: { host, port: readinessPort },
+      readinessPath: '/readiness',
+      peers: { host, port: 0 },
+      seedHosts: [],
+      bounds: testBounds,
+      store,
+      dialect: platformDialect,
+      log: new EventLog({ fields: {}, sink }),
+      ...(clock ? { clock } : {}),
+    });
+    await node.start();
+    return new RelayPlace(node, store, lines, callerPort, readinessPort);
+  }
+
+  /** Adds an upstream of the service `app`. */
+  async addUpstream(
+    id: string,
+    script: Script,
+    overrides: Partial<UpstreamRecord> = {},
+  ): Promise<ScriptedUpstream> {
+    const upstream = await ScriptedUpstream.open(script);
+    this.opened.push(upstream);
+    this.store.upstreams.put(id, {
+      id,
+      service: 'app',
+      host: '127.0.0.1',
+      port: upstream.port,
+      zone: 'zone-1',
+      version: 'v1',
+      slots: 8,
+      isDraining: false,
+      warmupLeftMs: 0,
+      startedAtMs: 0,
+      ...overrides,
+    });
+    return upstream;
+  }
+
+  async waitReady(): Promise<void> {
+    await waitFor(() => this.node.isReady, { what: 'the relay to be ready', timeoutMs: 5000 });
+  }
+
+  async close(): Promise<void> {
+    const closed = this.node.close();
+    this.store.stop();
+    await closed;
+    for (const upstream of this.opened) await upstream.close();
+  }
+}
