--- a/packages/relay/src/callerServer.ts
+++ b/packages/relay/src/callerServer.ts
@@ -11,6 +11,8 @@
 
   private readonly openRequests = new Map<Socket, number>();
 
+  private isClosing = false;
+
   constructor(handle: (incoming: IncomingMessage, outgoing: ServerResponse) => void) {
     this.server = createServer(
       {
@@ -58,24 +60,33 @@
     });
   }
 
-  /** Closes the connections that have been answered. */
-  closeIdle(): void {
+  /**
+   * Refuses new connections and closes each one as soon as it has been answered. A request that
+   * crosses the close is not read, so its caller may send it again.
+   */
+  startClosing(): void {
+    if (this.isClosing) return;
+    this.isClosing = true;
+    this.server.close();
     for (const [socket, open] of this.openRequests) {
-      if (open === 0) socket.end();
+      if (open === 0) socket.destroySoon();
     }
   }
 
   /** Stops listening and breaks what is left. */
   close(): Promise<void> {
     return new Promise((resolve) => {
-      this.server.close(() => resolve());
       for (const socket of this.openRequests.keys()) socket.destroy();
+      if (this.isClosing) resolve();
+      else this.server.close(() => resolve());
     });
   }
 
   private finish(socket: Socket): void {
     const open = this.openRequests.get(socket);
-    if (open !== undefined) this.openRequests.set(socket, open - 1);
+    if (open === undefined) return;
+    this.openRequests.set(socket, open - 1);
+    if (this.isClosing && open === 1) socket.destroySoon();
   }
 }
 
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -70,8 +70,9 @@
 /** After the store returned, entries may still be missing for this long. */
 const STORE_DISTURBED_MS = 3000;
 const ANNOUNCE_RETRY_MS = 1000;
-/** Kept connections are served for this long after the signal, then closed when idle. */
-const CLOSE_IDLE_AFTER_MS = 2500;
+// The platform stops sending connections two seconds after it has seen the instance unready. Later
+// ones, and further requests on kept ones, might not end within the grace.
+const CLOSE_AFTER_MS = 2500;
 /** Time kept back from the grace for the end of the process. */
 const STOP_MARGIN_MS = 500;
 const STOP_CHECK_MS = 50;
@@ -241,8 +242,8 @@
     while (this.clock.monotonicMs() < untilMs) {
       await this.clock.sleep(STOP_CHECK_MS);
       const elapsedMs = this.clock.monotonicMs() - startedMs;
-      if (elapsedMs < CLOSE_IDLE_AFTER_MS) continue;
-      this.callerServer.closeIdle();
+      if (elapsedMs < CLOSE_AFTER_MS) continue;
+      this.callerServer.startClosing();
       if (this.callerServer.connectionCount === 0) break;
     }
     this.options.log.write('stopped', { open: this.callerServer.openCount });
--- a/packages/relay/src/upstreams/upstreamCall.ts
+++ b/packages/relay/src/upstreams/upstreamCall.ts
@@ -1,5 +1,6 @@
-import { Agent, request } from 'node:http';
+import { request } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import { connect } from 'node:net';
 
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -50,9 +51,9 @@
   constructor(private readonly options: CallOptions) {
     const { upstream, method, path, headers } = options;
     this.outgoing = request({
-      agent: new Agent({ keepAlive: false, maxSockets: 1 }),
-      host: upstream.record.host,
-      port: upstream.record.port,
+      // Half-open, so that the connection still exists when its end is read.
+      createConnection: () =>
+        connect({ host: upstream.record.host, port: upstream.record.port, allowHalfOpen: true }),
       method,
       path,
       headers: headers as never,
@@ -125,6 +126,12 @@
       }, connectTimeoutMs);
       this.outgoing.on('socket', (socket) => {
         socket.setNoDelay(true);
+        // A reset right behind the last bytes is reported as an ordinary end by libuv. The address
+        // of the other end can be asked for only while the connection is not reset; this has to come
+        // before the HTTP client takes the end as that of the answer.
+        socket.prependListener('end', () => {
+          if (socket.remoteAddress === undefined) this.hasFailed = true;
+        });
         socket.once('connect', () => {
           clearTimeout(connectTimer);
           this.isSent = true;
