--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -17,6 +17,9 @@
   SourceItem,
   WriteOutcome,
 } from './follow/changeSource.js';
+export type { ClockReading } from './follow/beliefAge.js';
+export type { SourceFollowerOptions } from './follow/sourceFollower.js';
+export { SourceFollower } from './follow/sourceFollower.js';
 export type { EventLogOptions, LogSink } from './observe/eventLog.js';
 export { EventLog } from './observe/eventLog.js';
 export type { RelayNodeOptions, RelayStore } from './relayNode.js';
--- /dev/null
+++ b/tests/relay/sourceFollower.test.ts
@@ -0,0 +1,160 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { ok } from 'neverthrow';
+
+import type { ChangeSource, SourceChange } from '@cactusstair/relay';
+import { SourceFollower } from '@cactusstair/relay';
+import { ManualClock, waitFor } from '@cactusstair/utils';
+
+import { MemorySource } from './support/memorySource.js';
+
+/** A clock whose wall time can be stepped alone. */
+class StepClock extends ManualClock {
+  stepMs = 0;
+
+  override wallMs(): number {
+    return super.wallMs() + this.stepMs;
+  }
+}
+
+function createFollower(source: ChangeSource<string>, clock = new StepClock(1000)) {
+  const state = new Map<string, string | undefined>();
+  const follower = new SourceFollower<string>({
+    clock,
+    source,
+    waitMs: 10_000,
+    getMaxAgeMs: () => 1000,
+    onSnapshot: (items) => {
+      state.clear();
+      for (const { name, value } of items) state.set(name, value);
+    },
+    onChange: ({ name, value, isDeleted }) => {
+      if (isDeleted) state.delete(name);
+      else state.set(name, value);
+    },
+  });
+  return { follower, state, clock };
+}
+
+async function follow(
+  source: MemorySource<string>,
+  run: (parts: ReturnType<typeof createFollower>) => Promise<void>,
+): Promise<void> {
+  const parts = createFollower(source);
+  const abort = new AbortController();
+  const task = parts.follower.run(abort.signal);
+  try {
+    await waitFor(() => parts.follower.isLoaded, { what: 'the first list', timeoutMs: 2000 });
+    await run(parts);
+  } finally {
+    abort.abort();
+    source.wake();
+    await parts.clock.advance(5000);
+    await task;
+  }
+}
+
+describe('SourceFollower', () => {
+  it('follows changes and deletions', async () => {
+    const source = new MemorySource<string>();
+    source.put('a', 'one');
+    await follow(source, async ({ state }) => {
+      source.put('a', 'two');
+      source.put('b', 'new');
+      await waitFor(() => state.get('b') === 'new', { what: 'the change', timeoutMs: 2000 });
+      assert.equal(state.get('a'), 'two');
+      source.remove('a');
+      await waitFor(() => !state.has('a'), { what: 'the deletion', timeoutMs: 2000 });
+    });
+  });
+
+  it('lists again after the store has forgotten its history', async () => {
+    const source = new MemorySource<string>();
+    source.put('a', 'one');
+    await follow(source, async ({ state, clock }) => {
+      source.put('b', 'unseen');
+      source.forgetHistory();
+      await waitFor(
+        async () => {
+          await clock.advance(200);
+          return state.get('b') === 'unseen';
+        },
+        { what: 'the new list', timeoutMs: 2000 },
+      );
+    });
+  });
+
+  it('counts the age from before the read, by the clock that ran further', async () => {
+    const source = new MemorySource<string>();
+    await follow(source, async ({ follower, clock }) => {
+      await clock.advance(700);
+      assert.equal(follower.getAgeMs(), 700);
+      // The monotonic clock stands still while a machine is suspended; the wall clock goes on.
+      clock.stepMs = 4000;
+      assert.equal(follower.getAgeMs(), 4700);
+      clock.stepMs = -60_000;
+      assert.equal(follower.getAgeMs(), 700);
+      assert.equal(await follower.confirm(), true);
+      assert.equal(follower.getAgeMs(), 0);
+    });
+  });
+
+  it('does not become younger by a peer whose read is older', async () => {
+    const source = new MemorySource<string>();
+    await follow(source, async ({ follower, clock }) => {
+      await clock.advance(1000);
+      follower.adopt({ monotonicMs: 500, wallMs: 500 });
+      assert.equal(follower.getAgeMs(), 1000);
+      follower.adopt({ monotonicMs: 1600, wallMs: 1600 });
+      assert.equal(follower.getAgeMs(), 400);
+    });
+  });
+
+  it('says that the store is disturbed while reads fail and for a time after', async () => {
+    const source = new MemorySource<string>();
+    await follow(source, async ({ follower, clock }) => {
+      source.isDown = true;
+      assert.equal(await follower.confirm(), false);
+      assert.equal(follower.isDisturbed(3000), true);
+      assert.equal(follower.getRestoredAgeMs(), 0);
+      source.isDown = false;
+      assert.equal(await follower.confirm(), true);
+      await clock.advance(2000);
+      assert.equal(follower.isDisturbed(3000), true);
+      assert.equal(follower.getRestoredAgeMs(), 2000);
+      await clock.advance(2000);
+      assert.equal(follower.isDisturbed(3000), false);
+    });
+  });
+
+  it('never goes back to an older state when a slow read is overtaken', async () => {
+    const changes = (revision: number, value: string): SourceChange<string>[] => [
+      { name: 'a', revision, value, isDeleted: false },
+    ];
+    let releaseSlow: (() => void) | undefined;
+    const source: ChangeSource<string> = {
+      list: async () => ok({ items: [{ name: 'a', revision: 1, value: 'first' }], revision: 1 }),
+      poll: async (since, waitMs) => {
+        if (waitMs > 0 && since === 1) {
+          await new Promise<void>((resolve) => {
+            releaseSlow = resolve;
+          });
+          return ok({ changes: changes(2, 'second'), revision: 2 });
+        }
+        if (waitMs > 0) await new Promise(() => {});
+        return ok({ changes: changes(3, 'third'), revision: 3 });
+      },
+    };
+    const { follower, state } = createFollower(source);
+    void follower.run(new AbortController().signal);
+    await waitFor(() => releaseSlow, { what: 'the slow read', timeoutMs: 2000 });
+    await follower.confirm();
+    assert.equal(state.get('a'), 'third');
+    releaseSlow?.();
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    assert.equal(state.get('a'), 'third');
+  });
+});
