--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -28,6 +28,7 @@
 import type { RolloutOrder, RolloutProgress } from './rollouts/rolloutOrder.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 import type { UpstreamRecord } from './upstreams/upstreamRecord.js';
+import { ZoneReachability } from './upstreams/zoneReachability.js';
 
 /** The platform's store as the product uses it. */
 export interface RelayStore {
@@ -273,6 +274,7 @@
       zone: this.options.zone,
       dialect: this.options.dialect,
       directory: this.directory,
+      reachability: new ZoneReachability(this.clock),
       rollouts: this.rollouts,
       crashes: this.crashes,
       stalls: new StallWatch(this.clock),
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -15,7 +15,7 @@
 
 // Between zones a connection takes 3 ms; a lost opening packet is sent again after a second, which
 // another upstream need not wait for.
-const CONNECT_TIMEOUT_MS = 350;
+const CONNECT_TIMEOUT_MS = 150;
 /** Bodies of answers that are no streams are held whole before they are passed on. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Time kept back from the upstream's deadline for the way of the answer. */
@@ -83,6 +83,7 @@
       headers,
       body: request.body,
       connectTimeoutMs: Math.max(1, Math.min(CONNECT_TIMEOUT_MS, exchange.timeLeftMs)),
+      onConnect: () => context.reachability.recordReached(upstream.record.zone),
       maxBodyBytes: MAX_ANSWER_BYTES,
     });
     exchange.attempt = this;
@@ -154,6 +155,7 @@
   const model = options.sizeIndex === undefined ? request.model : sizes[options.sizeIndex];
   const selection = selectUpstream(candidates, {
     zone: context.zone,
+    isZoneCut: (zone) => context.reachability.isCut(zone),
     ...(engine ? { engine } : {}),
     ...(model === undefined ? {} : { model }),
     pace: estimatePace(options.sizeIndex ?? sizes.length - 1, sizes.length),
@@ -177,7 +179,12 @@
   job.exchange.addStep(failure.type, { upstream: upstream.id, reason: failure.reason });
   if (failure.type === 'cancelled') return;
   upstream.recordFailure();
-  if (failure.type === 'not_sent') upstream.recordDown();
+  if (failure.type === 'not_sent') {
+    upstream.recordDown();
+    if (failure.isTimeout) {
+      context.reachability.recordUnreachable(upstream.record.zone, upstream.id);
+    }
+  }
   if (failure.type === 'lost') context.crashes.recordCrash(job.fingerprint);
 }
 
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -4,6 +4,7 @@
 import type { ConfigIndex } from '../config/configIndex.js';
 import type { RolloutBoard } from '../rollouts/rolloutBoard.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
+import type { ZoneReachability } from '../upstreams/zoneReachability.js';
 import type { Dialect } from './relayRequest.js';
 import type { StallWatch } from './stallWatch.js';
 
@@ -14,6 +15,7 @@
   zone: string;
   dialect: Dialect;
   directory: UpstreamDirectory;
+  reachability: ZoneReachability;
   rollouts: RolloutBoard;
   crashes: CrashCounter;
   stalls: StallWatch;
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -24,6 +24,8 @@
 const RETRY_AFTER_MS = 600;
 // An upstream from which no connection has heard for this long is taken for dead.
 const DEAD_UPSTREAM_MS = 700;
+/** The same when the way to its zone is known to be cut. */
+const CUT_UPSTREAM_MS = 250;
 // Latency goals until the first event after which another upstream is faster in most cases.
 const FIRST_EVENT_GOALS = 1.6;
 /** Event gaps after which a stream is moved although its upstream serves others. */
@@ -302,7 +304,10 @@
     if (!this.limits.canMove) return undefined;
     const silentMs = nowMs - this.bytesAtMs;
     const upstreamSilentMs = Math.min(silentMs, nowMs - this.attempt.upstream.lastProgressMs);
-    const deadMs = DEAD_UPSTREAM_MS + (this.hasEvents ? 0 : 2 * this.attempt.backlogMs);
+    const { context, upstream, backlogMs } = this.attempt;
+    const deadMs = context.reachability.isCut(upstream.record.zone)
+      ? CUT_UPSTREAM_MS
+      : DEAD_UPSTREAM_MS + (this.hasEvents ? 0 : 2 * backlogMs);
     if (upstreamSilentMs > deadMs) return `nothing from the upstream for ${deadMs} ms`;
     const limitMs = this.hasEvents ? this.limits.eventGapMs : this.limits.firstEventMs;
     return silentMs > limitMs ? `no event for ${Math.round(silentMs)} ms` : undefined;
--- a/packages/relay/src/upstreams/upstream.ts
+++ b/packages/relay/src/upstreams/upstream.ts
@@ -21,7 +21,7 @@
 const NO_LOAD: PeerLoad = { running: 0, backlogMs: 0, heldTokens: 0 };
 
 // A failed connection takes an upstream out for this long at first; each further one doubles it.
-const MIN_DOWN_MS = 400;
+const MIN_DOWN_MS = 600;
 const MAX_DOWN_MS = 3000;
 /** Weight of the newest outcome in the failure rate. */
 const OUTCOME_WEIGHT = 0.15;
--- a/packages/relay/src/upstreams/upstreamCall.ts
+++ b/packages/relay/src/upstreams/upstreamCall.ts
@@ -10,7 +10,7 @@
 /** Why a call ended without a whole answer. */
 export type CallFailure =
   /** No byte of the request left this instance. */
-  | { type: 'not_sent'; reason: string }
+  | { type: 'not_sent'; reason: string; isTimeout: boolean }
   /** The request may have run. */
   | { type: 'lost'; reason: string; isReset: boolean }
   /** This instance ended the call. */
@@ -27,6 +27,8 @@
   body: Buffer;
   /** Longest time until the connection is open, in milliseconds. */
   connectTimeoutMs: number;
+  /** Called when the connection is open. */
+  onConnect: () => void;
   /** Largest body that `readBody` accepts, in bytes. */
   maxBodyBytes: number;
 }
@@ -45,6 +47,8 @@
 
   private cancelReason: string | undefined;
 
+  private hasTimedOut = false;
+
   /** Whether the connection ended with an error. */
   private hasFailed = false;
 
@@ -115,15 +119,21 @@
     if (this.cancelReason !== undefined) {
       return { type: 'cancelled', reason: this.cancelReason, isSent: this.isSent };
     }
-    return this.isSent ? { type: 'lost', reason, isReset } : { type: 'not_sent', reason };
+    if (this.isSent) return { type: 'lost', reason, isReset };
+    return { type: 'not_sent', reason, isTimeout: this.hasTimedOut };
   }
 
   private waitHead(): Promise<Result<IncomingMessage, CallFailure>> {
     const { upstream, connectTimeoutMs } = this.options;
     return new Promise((resolve) => {
-      const connectTimer = setTimeout(() => {
+      const handleTimeout = () => {
+        if (this.isSent) return;
+        this.hasTimedOut = true;
         this.outgoing.destroy(new Error(`no connection in ${connectTimeoutMs} ms`));
-      }, connectTimeoutMs);
+      };
+      // Timers run before the sockets are read; a connection that opened while this process was
+      // busy is noticed before the second look.
+      const connectTimer = setTimeout(() => setImmediate(handleTimeout), connectTimeoutMs);
       this.outgoing.on('socket', (socket) => {
         socket.setNoDelay(true);
         // A reset right behind the last bytes is reported as an ordinary end by libuv. The address
@@ -136,6 +146,7 @@
           clearTimeout(connectTimer);
           this.isSent = true;
           upstream.recordProgress();
+          this.options.onConnect();
         });
       });
       this.outgoing.on('error', (error: NodeJS.ErrnoException) => {
--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -8,6 +8,8 @@
 export interface SelectionRequest {
   /** Zone of this instance. */
   zone: string;
+  /** Whether a zone cannot be reached. */
+  isZoneCut: (zone: string) => boolean;
   /** Absent for plain services. */
   engine?: EngineProfile;
   model?: string;
@@ -80,10 +82,11 @@
   return memory <= 0 || upstream.heldTokens + request.heldTokens <= memory;
 }
 
-function computeSharedCosts(upstream: Upstream, zone: string): number {
+function computeSharedCosts(upstream: Upstream, request: SelectionRequest): number {
+  const { zone } = upstream.record;
   return (
-    (upstream.record.zone === zone ? 0 : OTHER_ZONE_COST_MS) +
-    (upstream.isDown ? DOWN_COST_MS : 0) +
+    (zone === request.zone ? 0 : OTHER_ZONE_COST_MS) +
+    (upstream.isDown || request.isZoneCut(zone) ? DOWN_COST_MS : 0) +
     upstream.failureRate * FAILURE_COST_MS +
     (upstream.record.warmupLeftMs > 0 ? WARMUP_COST_MS : 0) +
     Math.random() * JITTER_MS
@@ -110,7 +113,7 @@
   for (const upstream of candidates) {
     if (!hasRoom(upstream, request)) continue;
     let backlogMs = 0;
-    let cost = computeSharedCosts(upstream, request.zone);
+    let cost = computeSharedCosts(upstream, request);
     if (engine) {
       const known = countCachedTokens(upstream, model, promptParts);
       const expected = upstream === home ? sharedTokens * EXPECTED_CACHED_SHARE : 0;
