Make fewer calls while the store is away

Each follower and each confirmation tried a store that was down by itself, refused calls being priced too.

--- a/packages/relay/src/follow/sourceFollower.ts
+++ b/packages/relay/src/follow/sourceFollower.ts
@@ -12,6 +12,8 @@
   waitMs: number;
   /** Returns the age above which the state is confirmed by a read of its own, in milliseconds. */
   getMaxAgeMs: () => number;
+  /** Longest pause after a failed read, in milliseconds. Default 700. */
+  maxRetryMs?: number;
   /** Called with the full state after a list. */
   onSnapshot: (items: readonly SourceItem<T>[]) => void;
   onChange: (change: SourceChange<T>) => void;
@@ -21,7 +23,7 @@
 
 // Refused calls are priced too, so failures are not repeated at full speed.
 const MIN_RETRY_MS = 150;
-const MAX_RETRY_MS = 700;
+const DEFAULT_MAX_RETRY_MS = 700;
 const AGE_CHECK_INTERVAL_MS = 100;
 
 /**
@@ -42,7 +44,7 @@
 
   private confirming: Promise<boolean> | undefined;
 
-  private failedConfirmMs = -Infinity;
+  private wakeRetry: (() => void) | undefined;
 
   /** Revision of the newest change of each object that was taken in. */
   private readonly applied = new Map<string, number>();
@@ -96,18 +98,25 @@
     return this.confirming;
   }
 
+  /** Ends the pause after a failed read, for example because another read has succeeded. */
+  retryNow(): void {
+    this.wakeRetry?.();
+  }
+
   /** Follows the changes until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     let retryMs = MIN_RETRY_MS;
     while (!signal.aborted) {
+      // After a failure a short read tells at once whether the store is back.
+      const waitMs = this.isAvailable ? this.options.waitMs : 0;
       const isOk = await (this.revision === undefined
         ? this.load()
-        : this.poll(this.revision, this.options.waitMs));
+        : this.poll(this.revision, waitMs));
       if (isOk) {
         retryMs = MIN_RETRY_MS;
       } else {
-        await this.options.clock.sleep(retryMs * (0.7 + Math.random() * 0.6), signal);
-        retryMs = Math.min(retryMs * 1.6, MAX_RETRY_MS);
+        await this.pauseRetry(retryMs * (0.7 + Math.random() * 0.6), signal);
+        retryMs = Math.min(retryMs * 1.6, this.options.maxRetryMs ?? DEFAULT_MAX_RETRY_MS);
       }
     }
   }
@@ -117,18 +126,26 @@
     const { clock, getMaxAgeMs } = this.options;
     while (!signal.aborted) {
       await clock.sleep(AGE_CHECK_INTERVAL_MS, signal);
-      const sinceFailureMs = clock.monotonicMs() - this.failedConfirmMs;
-      if (this.isLoaded && this.getAgeMs() >= getMaxAgeMs() && sinceFailureMs >= MAX_RETRY_MS) {
+      // While the store does not answer, `run` tries it.
+      if (this.isLoaded && this.isAvailable && this.getAgeMs() >= getMaxAgeMs()) {
         await this.confirm();
       }
     }
   }
 
+  private async pauseRetry(pauseMs: number, signal: AbortSignal): Promise<void> {
+    const woken = new AbortController();
+    const wake = () => woken.abort();
+    this.wakeRetry = wake;
+    signal.addEventListener('abort', wake, { once: true });
+    await this.options.clock.sleep(pauseMs, woken.signal);
+    signal.removeEventListener('abort', wake);
+    this.wakeRetry = undefined;
+  }
+
   private async readChanges(): Promise<boolean> {
     if (this.revision === undefined) return false;
-    const isOk = await this.poll(this.revision, 0);
-    if (!isOk) this.failedConfirmMs = this.options.clock.monotonicMs();
-    return isOk;
+    return this.poll(this.revision, 0);
   }
 
   private async load(): Promise<boolean> {
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -63,6 +63,8 @@
 
 /** Polls for changes wait this long; the bound of the store is 30 s. */
 const POLL_WAIT_MS = 20_000;
+// While the store is away only the configuration is asked for often; its return wakes the others.
+const OTHER_RETRY_MS = 2000;
 /** Time kept back from the bound on revoked keys for what is between the check and the run. */
 const KEY_AGE_MARGIN_MS = 500;
 const ABSENCE_AGE_MARGIN_MS = 200;
@@ -146,13 +148,18 @@
       getMaxAgeMs: () => this.getMaxAgeMs('config'),
       onSnapshot: (items) => items.forEach((item) => this.applyConfig(item)),
       onChange: (change) => this.applyConfig(change),
-      onAvailability: (isAvailable, reason) =>
-        log.write('store', { state: isAvailable ? 'available' : 'unavailable', reason }),
+      onAvailability: (isAvailable, reason) => {
+        log.write('store', { state: isAvailable ? 'available' : 'unavailable', reason });
+        if (!isAvailable) return;
+        this.upstreamFollower.retryNow();
+        this.rolloutFollower.retryNow();
+      },
     });
     this.upstreamFollower = new SourceFollower({
       clock: this.clock,
       source: store.upstreams,
       waitMs: POLL_WAIT_MS,
+      maxRetryMs: OTHER_RETRY_MS,
       getMaxAgeMs: () => this.getMaxAgeMs('upstreams'),
       onSnapshot: (items) => this.directory.applySnapshot(items),
       onChange: (change) => this.directory.applyChange(change),
@@ -161,6 +168,7 @@
       clock: this.clock,
       source: store.rollouts,
       waitMs: POLL_WAIT_MS,
+      maxRetryMs: OTHER_RETRY_MS,
       getMaxAgeMs: () => this.getMaxAgeMs('rollouts'),
       onSnapshot: (items) => this.rollouts.applySnapshot(items),
       onChange: (change) => {
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -8,6 +8,7 @@
 import type { CallFailure } from '../upstreams/upstreamCall.js';
 import { UpstreamCall } from '../upstreams/upstreamCall.js';
 import { selectUpstream } from '../upstreams/upstreamSelector.js';
+import type { Selection } from '../upstreams/upstreamSelector.js';
 import type { Exchange } from './exchange.js';
 import type { RelayContext } from './relayContext.js';
 import type { RelayRequest } from './relayRequest.js';
@@ -137,35 +138,59 @@
   return Math.min(9, 3 + 2 * priority);
 }
 
-/**
- * Chooses an upstream and opens a call to it.
- *
- * @returns undefined when no upstream has room.
- */
-export function openAttempt(
+function getModel(job: RelayJob, sizeIndex: number | undefined): string | undefined {
+  if (sizeIndex === undefined) return job.request.model;
+  return job.exchange.route?.modelSizes[sizeIndex];
+}
+
+function chooseUpstream(
   context: RelayContext,
   job: RelayJob,
-  options: AttemptOptions,
-): Attempt | undefined {
+  sizeIndex: number | undefined,
+  excluded: ReadonlySet<string>,
+): Selection | undefined {
   const { exchange, request, service, engine } = job;
   const usable = context.directory.listUsable(service);
   const allowed = context.rollouts.filterUpstreams(service, request.session, usable);
-  const candidates = allowed.filter((upstream) => !options.excluded.has(upstream.id));
-  const sizes = exchange.route?.modelSizes ?? [];
-  const model = options.sizeIndex === undefined ? request.model : sizes[options.sizeIndex];
-  const selection = selectUpstream(candidates, {
+  const candidates = allowed.filter((upstream) => !excluded.has(upstream.id));
+  const sizeCount = exchange.route?.modelSizes.length ?? 0;
+  const model = getModel(job, sizeIndex);
+  return selectUpstream(candidates, {
     zone: context.zone,
     isZoneCut: (zone) => context.reachability.isCut(zone),
     ...(engine ? { engine } : {}),
     ...(model === undefined ? {} : { model }),
-    pace: estimatePace(options.sizeIndex ?? sizes.length - 1, sizes.length),
+    pace: estimatePace(sizeIndex ?? sizeCount - 1, sizeCount),
     promptTokens: request.promptTokens,
     heldTokens: request.promptTokens + estimateOutputTokens(request),
     promptParts: request.promptParts,
   });
+}
+
+/** Estimates when a model size would send its first event; Infinity when no engine has room. */
+export function estimateFirstEventMs(
+  context: RelayContext,
+  job: RelayJob,
+  sizeIndex: number,
+): number {
+  return chooseUpstream(context, job, sizeIndex, new Set())?.firstEventMs ?? Infinity;
+}
+
+/**
+ * Chooses an upstream and opens a call to it.
+ *
+ * @returns undefined when no upstream has room.
+ */
+export function openAttempt(
+  context: RelayContext,
+  job: RelayJob,
+  options: AttemptOptions,
+): Attempt | undefined {
+  const selection = chooseUpstream(context, job, options.sizeIndex, options.excluded);
   if (!selection) return undefined;
   const { upstream, backlogMs } = selection;
-  exchange.addStep('sent', {
+  const model = getModel(job, options.sizeIndex);
+  job.exchange.addStep('sent', {
     upstream: upstream.id,
     version: upstream.record.version,
     ...(model === undefined ? {} : { model }),
--- a/packages/relay/src/requests/sizePolicy.ts
+++ b/packages/relay/src/requests/sizePolicy.ts
@@ -13,12 +13,15 @@
   outputHeavyConfidence: number;
   /** Lowering of both when the engines are fully loaded. */
   loadedDrop: number;
+  /** Highest confidence that is asked for when the larger model's answer would be late. */
+  lateConfidence: number;
 }
 
 export const defaultSizePolicy: SizePolicyOptions = {
   promptHeavyConfidence: 0.57,
   outputHeavyConfidence: 0.78,
   loadedDrop: 0.6,
+  lateConfidence: 0.4,
 };
 
 /** Share of generated tokens in the priced tokens from which an answer counts as output-heavy. */
@@ -69,6 +72,7 @@
 export function computeAcceptConfidence(
   request: RelayRequest,
   pressure: number,
+  isLate: boolean,
   options: SizePolicyOptions = defaultSizePolicy,
 ): number {
   const output = estimateOutputTokens(request);
@@ -77,7 +81,8 @@
   const base =
     options.promptHeavyConfidence +
     weight * (options.outputHeavyConfidence - options.promptHeavyConfidence);
-  return base - pressure * options.loadedDrop;
+  const asked = base - pressure * options.loadedDrop;
+  return isLate ? Math.min(asked, options.lateConfidence) : asked;
 }
 
 /**
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -2,7 +2,7 @@
 
 import type { CallFailure } from '../upstreams/upstreamCall.js';
 import type { Attempt, RelayJob } from './attempt.js';
-import { checkAnswer, openAttempt, recordCallFailure } from './attempt.js';
+import { checkAnswer, estimateFirstEventMs, openAttempt, recordCallFailure } from './attempt.js';
 import { EventSplitter } from './eventSplitter.js';
 import type { RelayContext } from './relayContext.js';
 import type { WatchedCall } from './stallWatch.js';
@@ -198,7 +198,10 @@
       return undefined;
     }
     const pressure = estimatePressure(context.directory.listUsable(job.service));
-    if (confidence >= computeAcceptConfidence(job.request, pressure)) return undefined;
+    const elapsedMs = context.clock.monotonicMs() - job.exchange.arrivedMs;
+    const firstEventMs = elapsedMs + estimateFirstEventMs(context, job, largest);
+    const isLate = firstEventMs > job.exchange.route!.latencyGoalMs;
+    if (confidence >= computeAcceptConfidence(job.request, pressure, isLate)) return undefined;
     return context.getBudget(job.service).tryTake() ? largest : undefined;
   }
 
--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -24,12 +24,17 @@
 /** A chosen upstream with the work that the request brings it. */
 export interface Selection {
   upstream: Upstream;
+  /** Prompt work of the request, in milliseconds of the upstream's time. */
   backlogMs: number;
+  /** Estimated time until the first event: the work that waits there and the request's own. */
+  firstEventMs: number;
 }
 
 // Prompt tokens that an engine reads in a millisecond at pace 1, from the platform's sheets. Only
 // the relation to the other costs below matters, so another engine's speed shifts the balance.
 const PROMPT_TOKENS_PER_MS = 112;
+// Attention to earlier tokens grows with the square of the prompt.
+const PROMPT_MS_PER_SQUARED_TOKEN = 1.09e-7;
 // Each request in a batch lengthens the steps of all others.
 const RUNNING_COST_MS = 4;
 /** Cost of a plain service whose slots are all taken. */
@@ -119,7 +124,10 @@
       const expected = upstream === home ? sharedTokens * EXPECTED_CACHED_SHARE : 0;
       const cached = Math.max(known, expected);
       const uncached = Math.max(0, request.promptTokens - cached);
-      backlogMs = (uncached / PROMPT_TOKENS_PER_MS) * request.pace;
+      backlogMs =
+        (uncached / PROMPT_TOKENS_PER_MS +
+          uncached * request.promptTokens * PROMPT_MS_PER_SQUARED_TOKEN) *
+        request.pace;
       cost +=
         upstream.backlogMs +
         backlogMs +
@@ -130,7 +138,7 @@
     }
     if (cost < bestCost) {
       bestCost = cost;
-      best = { upstream, backlogMs };
+      best = { upstream, backlogMs, firstEventMs: upstream.backlogMs + backlogMs };
     }
   }
   return best;
