--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -34,3 +34,24 @@
 } from './requests/relayRequest.js';
 export type { RolloutOrder, RolloutProgress, RolloutState } from './rollouts/rolloutOrder.js';
 export type { UpstreamRecord } from './upstreams/upstreamRecord.js';
+
+// Parts that serve without the node.
+export { computeAgeMs, readClocks } from './follow/beliefAge.js';
+export type { PeerExchangeOptions } from './peers/peerExchange.js';
+export { PeerExchange } from './peers/peerExchange.js';
+export type { ViewName, ViewState } from './peers/peerMessage.js';
+export { EventSplitter } from './requests/eventSplitter.js';
+export type { StreamEvent } from './requests/eventSplitter.js';
+export type { SizePolicyOptions } from './requests/sizePolicy.js';
+export { computeAcceptConfidence, estimatePressure } from './requests/sizePolicy.js';
+export type { TrackedOrder } from './rollouts/rolloutBoard.js';
+export { formatVersionKey, RolloutBoard } from './rollouts/rolloutBoard.js';
+export type { RolloutDriverOptions } from './rollouts/rolloutDriver.js';
+export { RolloutDriver } from './rollouts/rolloutDriver.js';
+export type { EvidenceSums, VersionOutcome } from './rollouts/versionEvidence.js';
+export { createEvidence, describeBadVersion } from './rollouts/versionEvidence.js';
+export { Upstream } from './upstreams/upstream.js';
+export { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
+export type { Selection, SelectionRequest } from './upstreams/upstreamSelector.js';
+export { selectUpstream } from './upstreams/upstreamSelector.js';
+export { ZoneReachability } from './upstreams/zoneReachability.js';
--- /dev/null
+++ b/tests/relay/parts.test.ts
@@ -0,0 +1,141 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import type { RelayRequest } from '@cactusstair/relay';
+import { computeAcceptConfidence, EventLog, EventSplitter } from '@cactusstair/relay';
+import { CrashCounter } from '@cactusstair/routing';
+import { ManualClock } from '@cactusstair/utils';
+
+describe('EventSplitter', () => {
+  const events =
+    'x-weight-versions: 2\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid:3\ndata: c\n\n';
+
+  it('gives the same events however the bytes are cut', () => {
+    for (let size = 1; size <= events.length; size += 1) {
+      const splitter = new EventSplitter();
+      const found = [];
+      for (let at = 0; at < events.length; at += size) {
+        found.push(...splitter.split(Buffer.from(events.slice(at, at + size))));
+      }
+      assert.deepEqual(
+        found.map(({ id }) => id),
+        ['1', '2', '3'],
+        `pieces of ${size}`,
+      );
+      assert.equal(found.map(({ bytes }) => bytes.toString()).join(''), events);
+      assert.equal(splitter.hasRest, false);
+    }
+  });
+
+  it('holds a piece of an event back', () => {
+    const splitter = new EventSplitter();
+    assert.equal(splitter.split(Buffer.from('id: 1\ndata: a\n')).length, 0);
+    assert.equal(splitter.hasRest, true);
+  });
+
+  it('does not collect an event without end', () => {
+    const splitter = new EventSplitter();
+    assert.throws(() => splitter.split(Buffer.alloc(2 * 1024 * 1024, 'x')), RangeError);
+  });
+});
+
+describe('CrashCounter', () => {
+  it('refuses a request after three crashes, and clears one that completed', () => {
+    const crashes = new CrashCounter({ clock: new ManualClock() });
+    crashes.recordCrash('a');
+    crashes.recordCrash('a');
+    assert.equal(crashes.isGuilty('a'), false);
+    crashes.recordCompletion('a');
+    crashes.recordCrash('a');
+    assert.equal(crashes.isGuilty('a'), false);
+    crashes.recordCrash('a');
+    crashes.recordCrash('a');
+    assert.equal(crashes.isGuilty('a'), true);
+  });
+
+  it('forgets a count after its time, also when peers hand it back and forth', async () => {
+    const clock = new ManualClock();
+    const first = new CrashCounter({ clock, ttlMs: 1000 });
+    const second = new CrashCounter({ clock, ttlMs: 1000 });
+    first.recordCrash('a');
+    for (let round = 0; round < 15; round += 1) {
+      second.importEntries(first.exportEntries(10));
+      first.importEntries(second.exportEntries(10));
+      await clock.advance(100);
+    }
+    assert.equal(first.getCount('a') + second.getCount('a'), 0);
+  });
+
+  it('keeps a bounded number of requests', () => {
+    const crashes = new CrashCounter({ clock: new ManualClock(), maxEntries: 10 });
+    for (let index = 0; index < 100; index += 1) crashes.recordCrash(`request ${index}`);
+    assert.equal(crashes.size, 10);
+  });
+});
+
+describe('computeAcceptConfidence', () => {
+  const request = { promptTokens: 10_000, maxOutputTokens: 100 } as RelayRequest;
+
+  it('asks more of answers that are mostly generated text', () => {
+    const letter = { promptTokens: 600, maxOutputTokens: 600 } as RelayRequest;
+    assert.ok(
+      computeAcceptConfidence(letter, 0, false) > computeAcceptConfidence(request, 0, false),
+    );
+  });
+
+  it('asks less under load and when the larger model would be late', () => {
+    const calm = computeAcceptConfidence(request, 0, false);
+    assert.ok(computeAcceptConfidence(request, 1, false) < calm);
+    assert.ok(computeAcceptConfidence(request, 0, true) < calm);
+  });
+});
+
+describe('EventLog', () => {
+  /** A reader that takes a number of writes and then stops reading. */
+  function createSink(acceptedWrites: number) {
+    const texts: string[] = [];
+    let drain: (() => void) | undefined;
+    return {
+      texts,
+      release: () => drain?.(),
+      write: (text: string) => {
+        texts.push(text);
+        return texts.length < acceptedWrites;
+      },
+      once: (_event: 'drain', listener: () => void) => {
+        drain = listener;
+      },
+    };
+  }
+
+  it('holds a bounded number of bytes for a reader that has stopped, and says what it dropped', () => {
+    const sink = createSink(1);
+    const log = new EventLog({ fields: {}, sink, maxPendingBytes: 10_000 });
+    log.write('first');
+    log.flush();
+    for (let index = 0; index < 1000; index += 1) log.write('line', { text: 'x'.repeat(100) });
+    log.flush();
+    assert.equal(sink.texts.length, 1);
+    assert.ok(log.dropped > 900);
+    sink.release();
+    log.flush();
+    const lines = sink.texts.join('').trim().split('\n');
+    assert.ok(sink.texts.join('').length < 12_000);
+    // One more line says how many were dropped.
+    assert.equal(lines.length + log.dropped, 1 + 1000 + 1);
+    assert.ok(lines.some((line) => line.includes('"event":"log_lines_dropped"')));
+    for (const line of lines) JSON.parse(line);
+  });
+
+  it('writes lines in the order in which they came', () => {
+    const sink = createSink(100);
+    const log = new EventLog({ fields: { instance: 'a' }, sink, wallMs: () => 5 });
+    log.write('one', { n: 1 });
+    log.write('two');
+    log.flush();
+    assert.equal(
+      sink.texts.join(''),
+      '{"atMs":5,"event":"one","instance":"a","n":1}\n{"atMs":5,"event":"two","instance":"a"}\n',
+    );
+  });
+});
--- /dev/null
+++ b/tests/relay/upstreams.test.ts
@@ -0,0 +1,207 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import type { SelectionRequest, UpstreamRecord } from '@cactusstair/relay';
+import { selectUpstream, Upstream, UpstreamDirectory, ZoneReachability } from '@cactusstair/relay';
+import { ManualClock } from '@cactusstair/utils';
+
+import { createRecord } from './support/records.js';
+
+describe('upstreams', () => {
+  describe('UpstreamDirectory', () => {
+    function createDirectory() {
+      const clock = new ManualClock(1000);
+      const store = { isDisturbed: false, restoredAgeMs: Infinity };
+      const directory = new UpstreamDirectory({
+        clock,
+        isStoreDisturbed: () => store.isDisturbed,
+        getStoreRestoredAgeMs: () => store.restoredAgeMs,
+      });
+      let revision = 0;
+      const put = (record: UpstreamRecord) => {
+        revision += 1;
+        directory.applyChange({ name: record.id, revision, value: record, isDeleted: false });
+      };
+      const remove = (id: string) => {
+        revision += 1;
+        directory.applyChange({ name: id, revision, value: undefined, isDeleted: true });
+      };
+      const list = () => directory.listUsable('app').map(({ id }) => id);
+      return { directory, store, put, remove, list };
+    }
+
+    it('gives no work to an upstream that is draining or was removed', () => {
+      const { put, remove, list } = createDirectory();
+      put(createRecord('a'));
+      put(createRecord('b'));
+      put(createRecord('a', { isDraining: true }));
+      assert.deepEqual(list(), ['b']);
+      remove('b');
+      assert.deepEqual(list(), []);
+    });
+
+    it('keeps entries that vanish in an outage until they would have returned', () => {
+      const { put, remove, list, store } = createDirectory();
+      put(createRecord('a'));
+      put(createRecord('b'));
+      store.isDisturbed = true;
+      store.restoredAgeMs = 0;
+      remove('a');
+      remove('b');
+      assert.deepEqual(list(), ['a', 'b']);
+      store.restoredAgeMs = 1000;
+      put(createRecord('b'));
+      store.restoredAgeMs = 2500;
+      assert.deepEqual(list(), ['b']);
+    });
+
+    it('removes a draining upstream at once, also in an outage', () => {
+      const { put, remove, list, store } = createDirectory();
+      put(createRecord('a', { isDraining: true }));
+      store.isDisturbed = true;
+      remove('a');
+      assert.deepEqual(list(), []);
+    });
+
+    it('ignores an entry that cannot be decoded and drops what it replaced', () => {
+      const { directory, put, list } = createDirectory();
+      put(createRecord('a'));
+      directory.applyChange({ name: 'x', revision: 8, value: undefined, isDeleted: false });
+      assert.deepEqual(list(), ['a']);
+      directory.applyChange({ name: 'a', revision: 9, value: undefined, isDeleted: false });
+      assert.deepEqual(list(), []);
+    });
+
+    it('forgets what an earlier run under the same id held', () => {
+      const { directory, put } = createDirectory();
+      put(createRecord('a', { startedAtMs: 1 }));
+      directory.find('a')?.recordCachedPart('model', 'part');
+      put(createRecord('a', { startedAtMs: 2 }));
+      assert.equal(directory.find('a')?.hasCachedPart('model', 'part'), false);
+    });
+
+    it('describes equal lists alike and others differently', () => {
+      const first = createDirectory();
+      const second = createDirectory();
+      first.put(createRecord('a'));
+      first.put(createRecord('b'));
+      second.put(createRecord('b'));
+      second.put(createRecord('a'));
+      assert.equal(first.directory.formatState(), second.directory.formatState());
+      second.put(createRecord('a', { isDraining: true }));
+      assert.notEqual(first.directory.formatState(), second.directory.formatState());
+    });
+  });
+
+  describe('selectUpstream', () => {
+    const clock = new ManualClock(1000);
+    const create = (id: string, overrides: Partial<UpstreamRecord> = {}) =>
+      new Upstream(createRecord(id, overrides), clock);
+    const plain: SelectionRequest = {
+      zone: 'zone-1',
+      isZoneCut: () => false,
+      pace: 1,
+      promptTokens: 0,
+      heldTokens: 0,
+      promptParts: [],
+    };
+    const engine = { slots: 4, memoryTokens: 100_000, priceByModel: new Map<string, number>() };
+
+    function choose(upstreams: Upstream[], overrides: Partial<SelectionRequest> = {}) {
+      return selectUpstream(upstreams, { ...plain, ...overrides })?.upstream.id;
+    }
+
+    it('prefers the upstream with fewer requests of all instances', () => {
+      const [a, b] = [create('a'), create('b')];
+      a.calls.add({ backlogMs: 0, heldTokens: 0 });
+      assert.equal(choose([a, b]), 'b');
+      b.peerLoad = { running: 3, backlogMs: 0, heldTokens: 0 };
+      assert.equal(choose([a, b]), 'a');
+    });
+
+    it('leaves out upstreams that are down or in a zone that is cut, unless no other is there', () => {
+      const [a, b] = [create('a', { zone: 'zone-2' }), create('b')];
+      b.recordDown();
+      assert.equal(choose([a, b]), 'a');
+      assert.equal(choose([b]), 'b');
+      const c = create('c');
+      assert.equal(choose([a, c], { zone: 'zone-2', isZoneCut: (zone) => zone === 'zone-2' }), 'c');
+    });
+
+    it('avoids an upstream that fails part of its requests', () => {
+      const [a, b] = [create('a'), create('b', { zone: 'zone-2' })];
+      a.recordFailure();
+      assert.equal(choose([a, b]), 'b');
+    });
+
+    it('refuses when no engine has a place or memory left', () => {
+      const a = create('a', { slots: 1 });
+      a.calls.add({ backlogMs: 0, heldTokens: 50_000 });
+      assert.equal(choose([a], { engine }), undefined);
+      const b = create('b');
+      b.calls.add({ backlogMs: 0, heldTokens: 50_000 });
+      assert.equal(choose([b], { engine, heldTokens: 50_000 }), undefined);
+      assert.equal(choose([b], { engine, heldTokens: 10_000 }), 'b');
+    });
+
+    it('sends a prompt where its shared parts were read, unless much work waits there', () => {
+      const [a, b] = [create('a'), create('b')];
+      const request = {
+        engine,
+        model: 'large',
+        pace: 3,
+        promptTokens: 6000,
+        promptParts: [
+          { id: 'shared', tokens: 5000 },
+          { id: 'own', tokens: 1000 },
+        ],
+      };
+      const cached = choose([a, b], request) === 'a' ? b : a;
+      cached.recordCachedPart('large', 'shared');
+      const home = choose([a, b], request);
+      assert.equal(home, cached.id);
+      cached.calls.add({ backlogMs: 1000, heldTokens: 0 });
+      assert.notEqual(choose([a, b], request), cached.id);
+    });
+
+    it('gives all instances the same home for a shared part', () => {
+      const request = {
+        engine,
+        model: 'large',
+        pace: 3,
+        promptTokens: 6000,
+        promptParts: [
+          { id: 'subject', tokens: 5000 },
+          { id: 'own', tokens: 1000 },
+        ],
+      };
+      const choices = Array.from({ length: 5 }, () =>
+        choose([create('a'), create('b'), create('c')], request),
+      );
+      assert.equal(new Set(choices).size, 1);
+    });
+  });
+
+  describe('ZoneReachability', () => {
+    it('takes a zone for cut after two upstreams in a row, until one is reached', () => {
+      const clock = new ManualClock(1000);
+      const reachability = new ZoneReachability(clock);
+      reachability.recordUnreachable('zone-1', 'a');
+      reachability.recordUnreachable('zone-1', 'a');
+      assert.equal(reachability.isCut('zone-1'), false);
+      reachability.recordUnreachable('zone-1', 'b');
+      assert.equal(reachability.isCut('zone-1'), true);
+      reachability.recordReached('zone-1');
+      assert.equal(reachability.isCut('zone-1'), false);
+    });
+
+    it('tries a zone again after a while', async () => {
+      const clock = new ManualClock(1000);
+      const reachability = new ZoneReachability(clock);
+      reachability.recordUnreachable('zone-1', 'a');
+      reachability.recordUnreachable('zone-1', 'b');
+      await clock.advance(1500);
+      assert.equal(reachability.isCut('zone-1'), false);
+    });
+  });
+});
