Tell peers which sessions stay on the old version of a roll-out

Each instance now names the sessions that it keeps on the old version in its messages, and takes unknown sessions for old ones during the first session time of an order.

--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -161,6 +161,7 @@
       loads,
       evidence: this.options.rollouts.exportEvidence(),
       crashes: this.options.crashes.exportEntries(MAX_CRASH_ENTRIES),
+      pins: this.options.rollouts.exportPins(),
       views: this.options.listViews(),
       echoes: this.listEchoes(),
     };
@@ -218,6 +219,7 @@
     const { monotonicMs, wallMs } = readClocks(this.options.clock);
     this.peers.set(message.name, { message, heardAtMs: monotonicMs, heardAtWallMs: wallMs });
     this.options.crashes.importEntries(message.crashes);
+    this.options.rollouts.importPins(message.pins);
     this.applyViews(message);
   }
 
--- a/packages/relay/src/peers/peerMessage.ts
+++ b/packages/relay/src/peers/peerMessage.ts
@@ -25,6 +25,8 @@
   /** Evidence by service and version. */
   evidence: Record<string, EvidenceSums>;
   crashes: CrashEntry[];
+  /** Sessions that stay on the old version of a roll-out. */
+  pins: string[];
   views: Partial<Record<ViewName, ViewState>>;
   /** By name of the peer. */
   echoes: Record<string, Echo>;
@@ -49,6 +51,7 @@
     typeof message.evidence === 'object' &&
     message.evidence !== null &&
     Array.isArray(message.crashes) &&
+    Array.isArray(message.pins) &&
     typeof message.views === 'object' &&
     message.views !== null &&
     typeof message.echoes === 'object' &&
--- a/packages/relay/src/rollouts/rolloutBoard.ts
+++ b/packages/relay/src/rollouts/rolloutBoard.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@cactusstair/utils';
-import { hashFraction } from '@cactusstair/utils';
+import { hashFraction, hashText } from '@cactusstair/utils';
 
 import type { SourceChange, SourceItem } from '../follow/changeSource.js';
 import type { Upstream } from '../upstreams/upstream.js';
@@ -38,6 +38,20 @@
 // next reads of the orders.
 const NEW_VERSION_HOLD_MS = 2500;
 const MAX_PINS = 20_000;
+/** The step with the first sessions on the new version. */
+const FIRST_STEP = 1;
+/** Bounds the size of a message between instances. */
+const MAX_EXPORTED_PINS = 100;
+
+/** Formats a session for an order, short enough to be sent to all instances. */
+function formatPinKey(order: RolloutOrder, session: string): string {
+  return hashText(`${order.service} ${order.targetVersion} ${session}`).toString(36);
+}
+
+/** Returns a session's position in [0, 1); those below a step's share are on the new version. */
+function computePosition(pinKey: string): number {
+  return hashFraction(pinKey);
+}
 
 /** Decides which versions of a service a request may run on while a version is brought in. */
 export class RolloutBoard {
@@ -45,6 +59,9 @@
 
   private readonly pins = new Map<string, SessionPin>();
 
+  /** Sessions that peers keep on the old version, with the time at which they last said so. */
+  private readonly peerPins = new Map<string, number>();
+
   private readonly versionSeenAtMs = new Map<string, number>();
 
   private readonly evidence = new Map<string, EvidenceSums>();
@@ -158,10 +175,43 @@
     if (share >= 1) return true;
     if (session === undefined) return Math.random() < share;
     const pin = this.pins.get(`${order.service} ${session}`);
-    const isFresh =
-      pin && this.options.clock.monotonicMs() - pin.usedAtMs < this.options.sessionTtlMs;
-    if (isFresh) return pin.version === order.targetVersion;
-    return hashFraction(`${order.service} ${order.targetVersion} ${session}`) < share;
+    const nowMs = this.options.clock.monotonicMs();
+    const { sessionTtlMs } = this.options;
+    if (pin && nowMs - pin.usedAtMs < sessionTtlMs) return pin.version === order.targetVersion;
+    const key = formatPinKey(order, session);
+    if (computePosition(key) >= share) return false;
+    if (order.step > FIRST_STEP) return true;
+    // A session that is new here may have been in use elsewhere when the order came.
+    const heardAtMs = this.peerPins.get(key) ?? -Infinity;
+    return nowMs - tracked.seenAtMs >= sessionTtlMs && nowMs - heardAtMs >= sessionTtlMs;
+  }
+
+  /** Returns the sessions that are kept on the old version although their share has come. */
+  exportPins(): string[] {
+    const nowMs = this.options.clock.monotonicMs();
+    const keys: string[] = [];
+    for (const { order } of this.orders.values()) {
+      if (order.state !== 'running' || order.step !== FIRST_STEP) continue;
+      const prefix = `${order.service} `;
+      for (const [name, pin] of this.pins) {
+        if (!name.startsWith(prefix) || pin.version !== '') continue;
+        if (nowMs - pin.usedAtMs >= this.options.sessionTtlMs) continue;
+        const key = formatPinKey(order, name.slice(prefix.length));
+        if (computePosition(key) < STEP_SHARES[FIRST_STEP]!) keys.push(key);
+        if (keys.length >= MAX_EXPORTED_PINS) return keys;
+      }
+    }
+    return keys;
+  }
+
+  /** Notes the sessions that a peer keeps on the old version. */
+  importPins(keys: readonly string[]): void {
+    if (keys.length === 0 || this.orders.size === 0) return;
+    const nowMs = this.options.clock.monotonicMs();
+    for (const key of keys.slice(0, MAX_EXPORTED_PINS)) this.peerPins.set(key, nowMs);
+    for (const [key, heardAtMs] of this.peerPins) {
+      if (nowMs - heardAtMs >= this.options.sessionTtlMs) this.peerPins.delete(key);
+    }
   }
 
   private pin(service: string, session: string | undefined, version: string): void {
