--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,6 +3,7 @@
 
 import { CliError, exitCodes } from './cliError.js';
 import type { ObjectCommandOptions, ObjectKindName } from './commands/objectCommands.js';
+import { explainRequest } from './commands/explainCommand.js';
 import { runLoadCommand } from './commands/loadCommand.js';
 import {
   controlRollout,
@@ -262,6 +263,16 @@
     ),
   );
 
+program
+  .command('explain <id>', "Print a request's story from the instances' logs")
+  .example('explain 9c41d07be2a35f68 instance-1.log instance-2.log')
+  .example('explain 9c41d07be2a35f68 < all.log')
+  .action(
+    run((id: string, options: RawOptions & { _: string[] }) =>
+      explainRequest(String(id), { files: options._, json: options.json ?? false }),
+    ),
+  );
+
 program
   .command('load', 'Send a workload to a place on this machine and print a table')
   .option('--callers', 'Base URLs of callers ports, separated by commas')
--- /dev/null
+++ b/packages/relay/src/observe/statusServer.ts
@@ -0,0 +1,33 @@
+import { CallerServer } from '../callerServer.js';
+
+/** Options of `createStatusServer`. */
+export interface StatusServerOptions {
+  readinessPath: string;
+  isReady: () => boolean;
+  formatMetrics: () => Promise<string>;
+}
+
+const METRICS_PATH = '/metrics';
+
+/** Serves readiness, 200 or 503, and the metrics as text. */
+export function createStatusServer(options: StatusServerOptions): CallerServer {
+  return new CallerServer((incoming, outgoing) => {
+    incoming.resume();
+    if (incoming.url === METRICS_PATH) {
+      options.formatMetrics().then(
+        (text) => {
+          outgoing.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+          outgoing.end(text);
+        },
+        (error: unknown) => {
+          outgoing.writeHead(500, { 'content-type': 'text/plain' });
+          outgoing.end(String(error));
+        },
+      );
+      return;
+    }
+    const isKnown = incoming.url === options.readinessPath;
+    outgoing.writeHead(isKnown ? (options.isReady() ? 200 : 503) : 404);
+    outgoing.end();
+  });
+}
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -1,4 +1,4 @@
-import { CrashCounter, RetryBudget } from '@cactusstair/routing';
+import { CrashCounter } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 import { LifecycleManager, systemClock } from '@cactusstair/utils';
 
@@ -13,6 +13,8 @@
 } from './follow/changeSource.js';
 import { SourceFollower } from './follow/sourceFollower.js';
 import type { EventLog } from './observe/eventLog.js';
+import { RequestMetrics } from './observe/requestMetrics.js';
+import { createStatusServer } from './observe/statusServer.js';
 import { PeerExchange } from './peers/peerExchange.js';
 import type { ViewName } from './peers/peerMessage.js';
 import { SharedViews } from './peers/sharedViews.js';
@@ -21,6 +23,7 @@
 import type { RelayContext } from './requests/relayContext.js';
 import type { Dialect } from './requests/relayRequest.js';
 import { RequestHandler } from './requests/requestHandler.js';
+import { RetryBudgets } from './requests/retryBudgets.js';
 import { StallWatch } from './requests/stallWatch.js';
 import type { TrackedOrder } from './rollouts/rolloutBoard.js';
 import { RolloutBoard } from './rollouts/rolloutBoard.js';
@@ -68,8 +71,6 @@
 /** Time kept back from the bound on revoked keys for what is between the check and the run. */
 const KEY_AGE_MARGIN_MS = 500;
 const ABSENCE_AGE_MARGIN_MS = 200;
-/** Part of the retry budget that is used; the rest covers what instances count differently. */
-const BUDGET_SHARE = 0.75;
 /** After the store returned, entries may still be missing for this long. */
 const STORE_DISTURBED_MS = 3000;
 const ANNOUNCE_RETRY_MS = 1000;
@@ -86,7 +87,9 @@
 
   private readonly lifecycle: LifecycleManager;
 
-  private readonly budgets = new Map<string, RetryBudget>();
+  private readonly metrics = new RequestMetrics();
+
+  private readonly budgets: RetryBudgets;
 
   private readonly directory: UpstreamDirectory;
 
@@ -116,6 +119,7 @@
     this.lifecycle = new LifecycleManager((task, error) =>
       log.write('task_failed', { task, error: (error as Error).stack }),
     );
+    this.budgets = new RetryBudgets(this.clock, bounds);
     this.crashes = new CrashCounter({ clock: this.clock });
     this.directory = new UpstreamDirectory({
       clock: this.clock,
@@ -201,11 +205,10 @@
         log.write('request_fault', { error: (error as Error).stack });
       });
     });
-    this.readinessServer = new CallerServer((incoming, outgoing) => {
-      incoming.resume();
-      const isKnown = incoming.url === options.readinessPath;
-      outgoing.writeHead(isKnown ? (this.isReady ? 200 : 503) : 404);
-      outgoing.end();
+    this.readinessServer = createStatusServer({
+      readinessPath: options.readinessPath,
+      isReady: () => this.isReady,
+      formatMetrics: () => this.formatMetrics(),
     });
   }
 
@@ -287,7 +290,7 @@
       crashes: this.crashes,
       stalls: new StallWatch(this.clock),
       getConfig: () => this.config,
-      getBudget: (service) => this.getBudget(service),
+      getBudget: (service) => this.budgets.get(service),
     };
   }
 
@@ -314,21 +317,6 @@
     return count;
   }
 
-  private getBudget(service: string): RetryBudget {
-    const known = this.budgets.get(service);
-    if (known) return known;
-    const { bounds } = this.options;
-    const budget = new RetryBudget({
-      clock: this.clock,
-      ratio: bounds.retryRatio * BUDGET_SHARE,
-      // A static share; instances that are not known yet are covered by the part kept back.
-      minPerWindow: Math.max(1, Math.floor((bounds.retrySlack * BUDGET_SHARE) / 10)),
-      windowMs: bounds.retryWindowMs,
-    });
-    this.budgets.set(service, budget);
-    return budget;
-  }
-
   private applyConfig(item: SourceItem<RelayConfig> | SourceChange<RelayConfig>): void {
     if (!item.value || ('isDeleted' in item && item.isDeleted)) return;
     if (this.config && item.value.version <= this.config.config.version) return;
@@ -355,14 +343,26 @@
   }
 
   private recordEnd(exchange: Exchange): void {
-    if (exchange.end === 'answered' && exchange.steps.length <= 3) return;
+    this.metrics.record(exchange);
     this.options.log.write('request', {
       id: exchange.request?.id,
       route: exchange.route?.name,
       workspace: exchange.workspace?.name,
       end: exchange.end ?? 'cancelled',
       status: exchange.status,
+      durationMs: Math.round(exchange.elapsedMs),
       steps: exchange.steps,
     });
   }
+
+  private formatMetrics(): Promise<string> {
+    return this.metrics.format({
+      openRequests: this.callerServer.openCount,
+      configVersion: this.config?.config.version ?? 0,
+      configAgeSeconds: this.configFollower.getAgeMs() / 1000,
+      upstreams: this.directory.listAll().length,
+      peers: this.peers.listLiving().length,
+      droppedLogLines: this.options.log.dropped,
+    });
+  }
 }
--- a/packages/relay/src/requests/exchange.ts
+++ b/packages/relay/src/requests/exchange.ts
@@ -31,6 +31,9 @@
 
   code: ResultCodeName | undefined;
 
+  /** Time until the head of the answer was sent; undefined while there is none. */
+  firstByteMs: number | undefined;
+
   end: ExchangeEnd | undefined;
 
   /** Whether an upstream may have run the request in an attempt that is over. */
@@ -71,6 +74,11 @@
   /** When the final answer is due, on the monotonic clock. */
   deadlineAtMs = Infinity;
 
+  /** Time since the request arrived. */
+  get elapsedMs(): number {
+    return this.getNowMs() - this.arrivedMs;
+  }
+
   get timeLeftMs(): number {
     return this.deadlineAtMs - this.getNowMs();
   }
@@ -92,13 +100,14 @@
   }
 
   addStep(step: string, fields: Record<string, unknown> = {}): void {
-    this.steps.push({ atMs: Math.round(this.getNowMs() - this.arrivedMs), step, ...fields });
+    this.steps.push({ atMs: Math.round(this.elapsedMs), step, ...fields });
   }
 
   /** Sends an upstream's answer as it is. */
   sendAnswer(status: number, headers: string[], body: Buffer): void {
     if (this.isOver) return;
     this.finish(status < 500 ? 'answered' : 'failed', status);
+    this.firstByteMs ??= this.elapsedMs;
     if (body.length > 0 || status !== 204) headers.push('content-length', String(body.length));
     this.outgoing.writeHead(status, headers as never);
     this.outgoing.end(this.request?.method === 'HEAD' ? undefined : body);
@@ -108,6 +117,7 @@
   startStream(status: number, headers: string[]): void {
     if (this.isOver) return;
     this.status = status;
+    this.firstByteMs ??= this.elapsedMs;
     this.outgoing.writeHead(status, headers as never);
   }
 
@@ -174,7 +184,7 @@
     if (this.isOver) return;
     const mayRun = this.mayHaveRun || this.attempt?.hasLeft === true;
     const name = mayRun ? 'time_over' : 'queue_timeout';
-    const message = `no whole answer in ${Math.round(this.getNowMs() - this.arrivedMs)} ms`;
+    const message = `no whole answer in ${Math.round(this.elapsedMs)} ms`;
     this.sendFailure(name, message);
     this.notifyCancelled();
   }
--- a/packages/relay/src/requests/requestHandler.ts
+++ b/packages/relay/src/requests/requestHandler.ts
@@ -216,6 +216,8 @@
       route: route.name,
       service,
       configVersion: config.config.version,
+      configAgeMs: Math.round(this.options.getConfigAgeMs()),
+      waitMs: Math.round(timeMs),
     });
     await relayByKind[route.kind](context, { exchange, request, service, engine, fingerprint });
   }
--- /dev/null
+++ b/tests/platform/decoders.test.ts
@@ -0,0 +1,181 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import {
+  decodeConfig,
+  decodeRollout,
+  decodeUpstream,
+  parsePlatformSettings,
+  platformDialect,
+} from '@cactusstair/platform';
+
+describe('platform decoders', () => {
+  describe('decodeUpstream', () => {
+    const entry = {
+      service: 'app',
+      address: '10.0.0.9:8080',
+      zone: 'zone-1',
+      version: 'v1',
+      slots: 6,
+      state: 'ready',
+      warmup_left_ms: 0,
+      born: 1_700_000_000_000,
+    };
+
+    it('decodes a whole entry', () => {
+      const record = decodeUpstream('i-1', entry);
+      assert.equal(record?.id, 'i-1');
+      assert.equal(record?.port, 8080);
+      assert.equal(record?.isDraining, false);
+      assert.equal(record?.startedAtMs, 1_700_000_000_000);
+    });
+
+    it('takes no server from entries of another writer', () => {
+      const others = [
+        undefined,
+        null,
+        'text',
+        7,
+        [],
+        {},
+        { ...entry, service: 5 },
+        { ...entry, address: 'somewhere' },
+        { ...entry, address: 8080 },
+        { ...entry, state: 'unheard-of' },
+        { ...entry, state: undefined },
+      ];
+      for (const other of others) assert.equal(decodeUpstream('i-1', other), undefined);
+    });
+  });
+
+  describe('decodeRollout', () => {
+    const spec = { service: 'app', target: 'v2', duration_s: 12 };
+
+    it('reads the progress of the same target only', () => {
+      const status = { state: 'running', target: 'v2', step: 2, started_ms: 9 };
+      assert.equal(decodeRollout(spec, status)?.state, 'running');
+      assert.equal(decodeRollout(spec, status)?.step, 2);
+      const earlier = decodeRollout(spec, { ...status, target: 'v1', state: 'completed' });
+      assert.equal(earlier?.state, undefined);
+      assert.equal(earlier?.step, 0);
+    });
+
+    it('takes no order from an object without a target', () => {
+      assert.equal(decodeRollout({ service: 'app' }, null), undefined);
+      assert.equal(decodeRollout('text', null), undefined);
+    });
+  });
+
+  describe('decodeConfig', () => {
+    const config = {
+      version: 7,
+      routes: [
+        { host: 'A.example', path_prefix: '/a/', kind: 'safe', service: 'app' },
+        { host: 'a.example', path_prefix: '/b/', kind: 'unheard-of', service: 'app' },
+        { path_prefix: '/no-host/' },
+      ],
+      services: [{ name: 'app' }],
+      tenants: [{ name: 'workspace', api_keys: ['key'], priority: 0 }],
+    };
+
+    it('treats a kind that it does not know as one that must not be repeated', () => {
+      const decoded = decodeConfig(config);
+      assert.deepEqual(
+        decoded?.routes.map(({ kind }) => kind),
+        ['idempotent', 'non_idempotent'],
+      );
+      assert.equal(decoded?.routes[0]?.host, 'a.example');
+    });
+
+    it('needs keys as soon as there are workspaces, also an empty list of them', () => {
+      assert.equal(decodeConfig(config)?.workspaces?.length, 1);
+      assert.deepEqual(decodeConfig({ ...config, tenants: [] })?.workspaces, []);
+      assert.equal(decodeConfig({ ...config, tenants: undefined })?.workspaces, undefined);
+    });
+
+    it('takes no configuration without a version', () => {
+      assert.equal(decodeConfig({ ...config, version: '7' }), undefined);
+    });
+  });
+
+  describe('parsePlatformSettings', () => {
+    const settings = {
+      node_name: 'instance-1',
+      zone: 'zone-1',
+      ip: '10.0.0.1',
+      listen_addrs: { front: '10.0.0.1:1', ready: '10.0.0.1:2', control: '10.0.0.1:3' },
+      port_range: [7000, 7010],
+      seed_nodes: ['10.0.0.2:3', 'nonsense'],
+      bounds: { revoke_ms: 5000, revoke_strict: true, grace_s: 8 },
+      platform: { address: '10.0.0.9:9' },
+      unknown_field: 1,
+    };
+
+    it('reads addresses and bounds and ignores what it does not know', () => {
+      const parsed = parsePlatformSettings(JSON.stringify(settings))._unsafeUnwrap();
+      assert.deepEqual(parsed.callers, { host: '10.0.0.1', port: 1 });
+      assert.deepEqual(parsed.seedIps, ['10.0.0.2']);
+      assert.equal(parsed.bounds.revokeMs, 5000);
+      assert.equal(parsed.bounds.stopGraceMs, 8000);
+    });
+
+    it('names the field that is wrong', () => {
+      const without = { ...settings, platform: {} };
+      const missing = parsePlatformSettings(JSON.stringify(without));
+      assert.match(missing._unsafeUnwrapErr(), /^platform\.address/);
+      assert.match(parsePlatformSettings('{')._unsafeUnwrapErr(), /not JSON/);
+      assert.match(parsePlatformSettings('[]')._unsafeUnwrapErr(), /not a JSON object/);
+    });
+  });
+
+  describe('platformDialect', () => {
+    const raw = [
+      'Host',
+      'a.example',
+      'X-Attempt-Id',
+      'id-1',
+      'Connection',
+      'close, X-Hop',
+      'X-Hop',
+      'hop',
+      'X-Tenant',
+      'forged',
+      'X-Prompt-Prefix',
+      'aa:5,bb:7,broken',
+      'X-Token-Counts',
+      '12,80',
+      'X-Custom',
+      'kept',
+    ];
+    const headers = Object.fromEntries(
+      raw.flatMap((text, index) => (index % 2 === 0 ? [[text.toLowerCase(), raw[index + 1]]] : [])),
+    ) as Record<string, string>;
+
+    it('keeps the caller’s headers but for those of one connection and of the system', () => {
+      const request = platformDialect.decodeRequest('POST', '/x', raw, headers);
+      assert.deepEqual(request.forwardedHeaders, [
+        'Host',
+        'a.example',
+        'X-Attempt-Id',
+        'id-1',
+        'X-Prompt-Prefix',
+        'aa:5,bb:7,broken',
+        'X-Token-Counts',
+        '12,80',
+        'X-Custom',
+        'kept',
+      ]);
+      assert.equal(request.promptTokens, 12);
+      assert.deepEqual(request.promptParts[1], { id: 'bb', tokens: 7 });
+    });
+
+    it('takes only the proofs of the platform for "not run"', () => {
+      const isNotRun = (status: number, all: Record<string, string>) =>
+        platformDialect.decodeAnswer(status, all).isNotRun;
+      assert.equal(isNotRun(503, { 'x-not-executed': '1' }), true);
+      assert.equal(isNotRun(421, {}), true);
+      assert.equal(isNotRun(503, {}), false);
+      assert.equal(isNotRun(429, {}), false);
+    });
+  });
+});
--- /dev/null
+++ b/tests/platform/storeClient.test.ts
@@ -0,0 +1,155 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+
+import { createPlatformStore, StoreClient } from '@cactusstair/platform';
+
+type Handler = (request: IncomingMessage, response: ServerResponse, body: string) => void;
+
+describe('StoreClient', () => {
+  let server: Server;
+  let client: StoreClient;
+
+  async function open(handler: Handler): Promise<void> {
+    server = createServer((request, response) => {
+      const chunks: Buffer[] = [];
+      request.on('data', (chunk: Buffer) => chunks.push(chunk));
+      request.on('end', () => handler(request, response, Buffer.concat(chunks).toString()));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    client = new StoreClient({ host: '127.0.0.1', port: (server.address() as AddressInfo).port });
+  }
+
+  afterEach(async () => {
+    client.close();
+    server.closeAllConnections();
+    await new Promise((resolve) => {
+      server.close(resolve);
+    });
+  });
+
+  const createObject = (name: string, revision: number, spec: unknown) => ({
+    metadata: { name, revision, created: 1, finalizers: [], deletion_started: false },
+    spec,
+    status: null,
+  });
+
+  const openSource = () =>
+    client.createSource('servers', (_name, spec) => (spec === 'bad' ? undefined : spec));
+
+  it('follows the pages of a list and takes the revision of the first', async () => {
+    const paths: string[] = [];
+    await open((request, response) => {
+      paths.push(request.url ?? '');
+      const isFirst = paths.length === 1;
+      const items = [createObject(isFirst ? 'a' : 'b', 3, 'good')];
+      response.end(JSON.stringify({ items, has_more: isFirst, at: isFirst ? 7 : 9 }));
+    });
+    const listed = (await openSource().list())._unsafeUnwrap();
+    assert.deepEqual(
+      listed.items.map(({ name }) => name),
+      ['a', 'b'],
+    );
+    assert.equal(listed.revision, 7);
+    assert.match(paths[1] ?? '', /after=a/);
+  });
+
+  it('asks for changes and passes on what cannot be decoded as unknown', async () => {
+    await open((request, response) => {
+      assert.match(request.url ?? '', /watch=5&wait_ms=100/);
+      const events = [
+        { is_deleted: false, object: createObject('a', 6, 'bad') },
+        { is_deleted: true, object: createObject('b', 7, 'good') },
+        { is_deleted: false, object: 'no object' },
+      ];
+      response.end(JSON.stringify({ events, at: 8 }));
+    });
+    const polled = (await openSource().poll(5, 100))._unsafeUnwrap();
+    assert.deepEqual(polled.changes, [
+      { name: 'a', revision: 6, value: undefined, isDeleted: false },
+      { name: 'b', revision: 7, value: 'good', isDeleted: true },
+    ]);
+  });
+
+  it('tells a forgotten history from a store that is away', async () => {
+    let status = 410;
+    await open((_request, response) => {
+      response.writeHead(status).end('{}');
+    });
+    const gone = await openSource().poll(5, 0);
+    assert.deepEqual(gone._unsafeUnwrapErr(), { type: 'history_gone' });
+    for (status of [503, 429, 500, 404]) {
+      assert.equal((await openSource().poll(5, 0))._unsafeUnwrapErr().type, 'unavailable');
+    }
+  });
+
+  const brokenAnswers: Record<string, Handler> = {
+    'is no JSON': (_request, response) => response.end('<html>'),
+    'has no revision': (_request, response) => response.end('{"events":[]}'),
+    'is cut off': (_request, response) => {
+      response.writeHead(200, { 'content-length': '100' });
+      response.write('{"events"', () => response.destroy());
+    },
+    'does not come': () => {},
+  };
+
+  async function checkUnavailable(handler: Handler): Promise<void> {
+    await open(handler);
+    assert.equal((await openSource().poll(5, 0))._unsafeUnwrapErr().type, 'unavailable');
+  }
+
+  for (const [name, handler] of Object.entries(brokenAnswers)) {
+    it(`takes a read as failed when its answer ${name}`, () => checkUnavailable(handler));
+  }
+
+  describe('writes', () => {
+    const progress = {
+      targetVersion: 'v2',
+      state: 'rolled_back',
+      step: 1,
+      startedAtWallMs: 5,
+    } as const;
+
+    it('stores progress under the revision of the order', async () => {
+      let written = '';
+      await open((request, response, body) => {
+        written = `${request.method} ${request.url} ${body}`;
+        response.end('{}');
+      });
+      const store = createPlatformStore(client);
+      assert.equal(await store.putProgress('app', 12, progress), 'written');
+      assert.match(written, /^PUT \/cactusstair\/objects\/rollouts\/app\/status /);
+      assert.match(written, /"revision":12/);
+      assert.match(written, /"state":"rolled_back","target":"v2"/);
+    });
+
+    const outcomes: Record<string, { handler: Handler; outcome: string }> = {
+      'another write came first': {
+        handler: (_request, response) => response.writeHead(409).end('{}'),
+        outcome: 'conflict',
+      },
+      'the store turns the call away': {
+        handler: (_request, response) => response.writeHead(503).end('{}'),
+        outcome: 'refused',
+      },
+      'the answer is lost': {
+        handler: (request) => request.socket.destroy(),
+        outcome: 'unknown',
+      },
+    };
+
+    async function checkOutcome(handler: Handler, outcome: string): Promise<void> {
+      await open(handler);
+      const store = createPlatformStore(client);
+      assert.equal(await store.putProgress('app', 12, progress), outcome);
+    }
+
+    for (const [name, { handler, outcome }] of Object.entries(outcomes)) {
+      it(`ends as ${outcome} when ${name}`, () => checkOutcome(handler, outcome));
+    }
+  });
+});
