--- a/packages/relay/src/requests/sizePolicy.ts
+++ b/packages/relay/src/requests/sizePolicy.ts
@@ -28,10 +28,10 @@
 const OUTPUT_HEAVY_SHARE = 0.4;
 /** Tokens read count as a quarter of tokens generated. */
 const READ_TOKEN_SHARE = 0.25;
-// Prompt work that waits at the average engine: below the first figure there is no pressure, above
-// the second new prompts wait longer than most latency goals allow.
-const CALM_BACKLOG_MS = 250;
-const FULL_BACKLOG_MS = 1200;
+// Prompt work that waits at the average engine, in latency goals of the request: below the first
+// figure there is no pressure, above the second most answers of the larger model would be late.
+const CALM_BACKLOG_GOALS = 0.1;
+const FULL_BACKLOG_GOALS = 0.6;
 /** Share of the places that are taken, with the same meaning. */
 const CALM_RUNNING_SHARE = 0.35;
 const FULL_RUNNING_SHARE = 0.8;
@@ -47,8 +47,8 @@
   return Math.min(1, Math.max(0, (value - low) / (high - low)));
 }
 
-/** Estimates how loaded the engines are together, from 0 to 1. */
-export function estimatePressure(upstreams: readonly Upstream[]): number {
+/** Estimates how loaded the engines are together for a request of a latency goal, from 0 to 1. */
+export function estimatePressure(upstreams: readonly Upstream[], latencyGoalMs: number): number {
   if (upstreams.length === 0) return 1;
   let backlogMs = 0;
   let running = 0;
@@ -59,7 +59,7 @@
     slots += upstream.record.slots;
   }
   return Math.max(
-    scale(backlogMs / upstreams.length, CALM_BACKLOG_MS, FULL_BACKLOG_MS),
+    scale(backlogMs / upstreams.length / latencyGoalMs, CALM_BACKLOG_GOALS, FULL_BACKLOG_GOALS),
     scale(running / slots, CALM_RUNNING_SHARE, FULL_RUNNING_SHARE),
   );
 }
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -197,10 +197,11 @@
     if (this.sizeIndex === undefined || this.sizeIndex >= largest || confidence === undefined) {
       return undefined;
     }
-    const pressure = estimatePressure(context.directory.listUsable(job.service));
+    const { latencyGoalMs } = job.exchange.route!;
+    const pressure = estimatePressure(context.directory.listUsable(job.service), latencyGoalMs);
     const elapsedMs = context.clock.monotonicMs() - job.exchange.arrivedMs;
     const firstEventMs = elapsedMs + estimateFirstEventMs(context, job, largest);
-    const isLate = firstEventMs > job.exchange.route!.latencyGoalMs;
+    const isLate = firstEventMs > latencyGoalMs;
     if (confidence >= computeAcceptConfidence(job.request, pressure, isLate)) return undefined;
     return context.getBudget(job.service).tryTake() ? largest : undefined;
   }
