--- a/packages/relay/src/follow/sourceFollower.ts
+++ b/packages/relay/src/follow/sourceFollower.ts
@@ -12,6 +12,11 @@
   waitMs: number;
   /** Returns the age above which the state is confirmed by a read of its own, in milliseconds. */
   getMaxAgeMs: () => number;
+  /**
+   * Pause after a poll that brought changes, in milliseconds, so that changes in quick succession
+   * come with one call. Default 0.
+   */
+  settleMs?: number;
   /** Longest pause after a failed read, in milliseconds. Default 700. */
   maxRetryMs?: number;
   /** Called with the full state after a list. */
@@ -46,6 +51,9 @@
 
   private wakeRetry: (() => void) | undefined;
 
+  /** Whether a poll has brought changes since the last pause. */
+  private hasNewChanges = false;
+
   /** Revision of the newest change of each object that was taken in. */
   private readonly applied = new Map<string, number>();
 
@@ -114,6 +122,9 @@
         : this.poll(this.revision, waitMs));
       if (isOk) {
         retryMs = MIN_RETRY_MS;
+        const { settleMs = 0 } = this.options;
+        if (this.hasNewChanges && settleMs > 0) await this.options.clock.sleep(settleMs, signal);
+        this.hasNewChanges = false;
       } else {
         await this.pauseRetry(retryMs * (0.7 + Math.random() * 0.6), signal);
         retryMs = Math.min(retryMs * 1.6, this.options.maxRetryMs ?? DEFAULT_MAX_RETRY_MS);
@@ -178,6 +189,7 @@
       : change.revision <= Math.max(known, this.listedRevision);
     if (isOld) return;
     this.applied.set(change.name, Math.max(known, change.revision));
+    this.hasNewChanges = true;
     this.options.onChange(change);
   }
 
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -66,6 +66,10 @@
 
 /** Polls for changes wait this long; the bound of the store is 30 s. */
 const POLL_WAIT_MS = 20_000;
+// Each change costs a call of every instance; both pauses are small against the bounds of 2 s on
+// configurations and leaving upstreams.
+const CONFIG_SETTLE_MS = 100;
+const UPSTREAM_SETTLE_MS = 250;
 // While the store is away only the configuration is asked for often; its return wakes the others.
 const OTHER_RETRY_MS = 2000;
 /** Time kept back from the bound on revoked keys for what is between the check and the run. */
@@ -149,6 +153,7 @@
       clock: this.clock,
       source: store.config,
       waitMs: POLL_WAIT_MS,
+      settleMs: CONFIG_SETTLE_MS,
       getMaxAgeMs: () => this.getMaxAgeMs('config'),
       onSnapshot: (items) => items.forEach((item) => this.applyConfig(item)),
       onChange: (change) => this.applyConfig(change),
@@ -163,6 +168,7 @@
       clock: this.clock,
       source: store.upstreams,
       waitMs: POLL_WAIT_MS,
+      settleMs: UPSTREAM_SETTLE_MS,
       maxRetryMs: OTHER_RETRY_MS,
       getMaxAgeMs: () => this.getMaxAgeMs('upstreams'),
       onSnapshot: (items) => this.directory.applySnapshot(items),
--- a/tests/relay/support/relayPlace.ts
+++ b/tests/relay/support/relayPlace.ts
@@ -175,6 +175,13 @@
       startedAtMs: 0,
       ...overrides,
     });
+    await waitFor(
+      () => this.lines.join('').includes(`"event":"upstream_seen","upstream":"${id}"`),
+      {
+        what: `the relay to see upstream ${id}`,
+        timeoutMs: 5000,
+      },
+    );
     return upstream;
   }
 
