Do not take an engine that reads prompts for a silent one, and keep the last run

The wait now grows with the work that waits at the engine, and the last run is not given up. The new test fails without the change.

--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -22,6 +22,9 @@
 const RETRY_AFTER_MS = 600;
 // An upstream from which no connection has heard for this long is taken for dead.
 const DEAD_UPSTREAM_MS = 700;
+/** Prompt work that waits at an upstream may take this many times its estimate. */
+const READING_FACTOR = 2;
+const MAX_READING_MS = 3000;
 /** The same when the way to its zone is known to be cut. */
 const CUT_UPSTREAM_MS = 250;
 // Latency goals until the first event after which another upstream is faster in most cases.
@@ -220,9 +223,10 @@
   private createWatch(attempt: Attempt): StreamWatch {
     const route = this.job.exchange.route!;
     return new StreamWatch(attempt, this.context.clock.monotonicMs(), {
-      firstEventMs: FIRST_EVENT_GOALS * route.latencyGoalMs + 2 * attempt.backlogMs,
+      firstEventMs: FIRST_EVENT_GOALS * route.latencyGoalMs,
       eventGapMs: STALLED_GAPS * route.maxEventGapMs,
-      canMove: route.isResumable,
+      // Without another run left, waiting is all that can be done.
+      canMove: () => route.isResumable && this.ledger.hasRunLeft,
       getNowMs: () => this.context.clock.monotonicMs(),
     });
   }
@@ -240,7 +244,7 @@
     private readonly limits: {
       firstEventMs: number;
       eventGapMs: number;
-      canMove: boolean;
+      canMove: () => boolean;
       getNowMs: () => number;
     },
   ) {
@@ -252,15 +256,17 @@
   }
 
   describeStall(nowMs: number): string | undefined {
-    if (!this.limits.canMove) return undefined;
+    if (!this.limits.canMove()) return undefined;
     const silentMs = nowMs - this.bytesAtMs;
     const upstreamSilentMs = Math.min(silentMs, nowMs - this.attempt.upstream.lastProgressMs);
-    const { context, upstream, backlogMs } = this.attempt;
+    const { context, upstream } = this.attempt;
+    // An engine that reads prompts sends nothing meanwhile, whoever sent them.
+    const readingMs = Math.min(MAX_READING_MS, READING_FACTOR * upstream.backlogMs);
     const deadMs = context.reachability.isCut(upstream.record.zone)
       ? CUT_UPSTREAM_MS
-      : DEAD_UPSTREAM_MS + (this.hasEvents ? 0 : 2 * backlogMs);
+      : DEAD_UPSTREAM_MS + readingMs;
     if (upstreamSilentMs > deadMs) return `nothing from the upstream for ${deadMs} ms`;
-    const limitMs = this.hasEvents ? this.limits.eventGapMs : this.limits.firstEventMs;
+    const limitMs = this.hasEvents ? this.limits.eventGapMs : this.limits.firstEventMs + readingMs;
     return silentMs > limitMs ? `no event for ${Math.round(silentMs)} ms` : undefined;
   }
 
--- a/tests/relay/streamRelay.test.ts
+++ b/tests/relay/streamRelay.test.ts
@@ -92,6 +92,19 @@
       assert.equal((await sendRequest(place.callerPort)).body, formatEvents(1, 4));
     });
 
+    it('is not given up for silence while no other run is left', async () => {
+      const single = createRoute({ ...route, maxAttempts: 1 });
+      const upstreams = await openPlace(
+        (socket, request) => {
+          setTimeout(() => streamRest(3)(socket, request), 1000);
+        },
+        [single],
+      );
+      const answer = await sendRequest(place.callerPort);
+      assert.equal(answer.body, formatEvents(1, 3));
+      assert.equal(upstreams.flatMap(({ received }) => received).length, 1);
+    });
+
     it('is not taken for whole when it had no length', async () => {
       await openPlace(
         runOnce((socket, request) => {
