Try a silent store again although the poll for changes still hangs

Confirmations now try the store themselves with growing pauses, and list at once when they find the history gone. Two new tests fail without it.

--- a/packages/relay/src/follow/sourceFollower.ts
+++ b/packages/relay/src/follow/sourceFollower.ts
@@ -49,7 +49,10 @@
 
   private confirming: Promise<boolean> | undefined;
 
-  private wakeRetry: (() => void) | undefined;
+  private retryMs = MIN_RETRY_MS;
+
+  /** When a store that did not answer is tried again, on the monotonic clock. */
+  private retryAtMs = -Infinity;
 
   /** Whether a poll has brought changes since the last pause. */
   private hasNewChanges = false;
@@ -106,57 +109,54 @@
     return this.confirming;
   }
 
-  /** Ends the pause after a failed read, for example because another read has succeeded. */
+  /** Ends the pause after a failed read, for example because another follower's has succeeded. */
   retryNow(): void {
-    this.wakeRetry?.();
+    this.retryAtMs = -Infinity;
   }
 
   /** Follows the changes until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    let retryMs = MIN_RETRY_MS;
+    const { clock, settleMs = 0, waitMs } = this.options;
     while (!signal.aborted) {
-      // After a failure a short read tells at once whether the store is back.
-      const waitMs = this.isAvailable ? this.options.waitMs : 0;
-      const isOk = await (this.revision === undefined
-        ? this.load()
-        : this.poll(this.revision, waitMs));
-      if (isOk) {
-        retryMs = MIN_RETRY_MS;
-        const { settleMs = 0 } = this.options;
-        if (this.hasNewChanges && settleMs > 0) await this.options.clock.sleep(settleMs, signal);
+      if (this.revision === undefined) {
+        if (!(await this.load())) await clock.sleep(this.growRetry(), signal);
+      } else if (!this.isAvailable) {
+        // `keepFresh` tries the store; it also does so while a poll hangs in a silent outage.
+        await clock.sleep(AGE_CHECK_INTERVAL_MS, signal);
+      } else if (await this.poll(this.revision, waitMs)) {
+        if (this.hasNewChanges && settleMs > 0) await clock.sleep(settleMs, signal);
         this.hasNewChanges = false;
-      } else {
-        await this.pauseRetry(retryMs * (0.7 + Math.random() * 0.6), signal);
-        retryMs = Math.min(retryMs * 1.6, this.options.maxRetryMs ?? DEFAULT_MAX_RETRY_MS);
       }
     }
   }
 
-  /** Confirms the state whenever it is older than the age that is asked for. */
+  /** Confirms the state when it is older than the age that is asked for, and after failures. */
   async keepFresh(signal: AbortSignal): Promise<void> {
     const { clock, getMaxAgeMs } = this.options;
     while (!signal.aborted) {
       await clock.sleep(AGE_CHECK_INTERVAL_MS, signal);
-      // While the store does not answer, `run` tries it.
-      if (this.isLoaded && this.isAvailable && this.getAgeMs() >= getMaxAgeMs()) {
-        await this.confirm();
+      if (!this.isLoaded) continue;
+      const isDue = this.isAvailable
+        ? this.getAgeMs() >= getMaxAgeMs()
+        : clock.monotonicMs() >= this.retryAtMs;
+      if (isDue && !(await this.confirm())) {
+        this.retryAtMs = clock.monotonicMs() + this.growRetry();
       }
     }
   }
 
-  private async pauseRetry(pauseMs: number, signal: AbortSignal): Promise<void> {
-    const woken = new AbortController();
-    const wake = () => woken.abort();
-    this.wakeRetry = wake;
-    signal.addEventListener('abort', wake, { once: true });
-    await this.options.clock.sleep(pauseMs, woken.signal);
-    signal.removeEventListener('abort', wake);
-    this.wakeRetry = undefined;
+  /** Returns the pause before the next try and lengthens the one after it. */
+  private growRetry(): number {
+    const pauseMs = this.retryMs * (0.7 + Math.random() * 0.6);
+    const maxRetryMs = this.options.maxRetryMs ?? DEFAULT_MAX_RETRY_MS;
+    this.retryMs = Math.min(this.retryMs * 1.6, maxRetryMs);
+    return pauseMs;
   }
 
   private async readChanges(): Promise<boolean> {
-    if (this.revision === undefined) return false;
-    return this.poll(this.revision, 0);
+    if (this.revision !== undefined && (await this.poll(this.revision, 0))) return true;
+    // The history is gone; a poll that still waits must not delay the new list.
+    return this.revision === undefined && this.isLoaded ? this.load() : false;
   }
 
   private async load(): Promise<boolean> {
@@ -198,6 +198,7 @@
     if (!this.confirmed || this.getAgeMs() > computeAgeMs(this.options.clock, before)) {
       this.confirmed = before;
     }
+    this.retryMs = MIN_RETRY_MS;
     this.setAvailable(true, '');
   }
 
--- a/tests/relay/sourceFollower.test.ts
+++ b/tests/relay/sourceFollower.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import { ok } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 
 import type { ChangeSource, SourceChange } from '@cactusstair/relay';
 import { SourceFollower } from '@cactusstair/relay';
@@ -128,6 +128,43 @@
     });
   });
 
+  it('reads again after a silent outage although its poll for changes still hangs', async () => {
+    const store = { isSilent: false, calls: 0 };
+    const source: ChangeSource<string> = {
+      list: async () => ok({ items: [], revision: 1 }),
+      poll: async (_since, waitMs) => {
+        if (waitMs > 0) await new Promise(() => {});
+        store.calls += 1;
+        if (store.isSilent) return err({ type: 'unavailable', message: 'silent' });
+        return ok({ changes: [], revision: 1 });
+      },
+    };
+    const { follower, clock } = createFollower(source);
+    const { signal } = new AbortController();
+    void follower.run(signal);
+    void follower.keepFresh(signal);
+    await waitFor(() => follower.isLoaded, { what: 'the first list', timeoutMs: 2000 });
+    store.isSilent = true;
+    await clock.advance(6000);
+    assert.ok(follower.getAgeMs() >= 4000);
+    assert.equal(follower.isDisturbed(2000), true);
+    assert.ok(store.calls < 20, `${store.calls} calls in 6 s`);
+    store.isSilent = false;
+    await clock.advance(1500);
+    assert.ok(follower.getAgeMs() <= 1500);
+    assert.ok(follower.getRestoredAgeMs() <= 1500);
+  });
+
+  it('lists again at once when a confirmation finds the history gone', async () => {
+    const source = new MemorySource<string>();
+    await follow(source, async ({ follower, state }) => {
+      source.put('a', 'unseen');
+      source.forgetHistory();
+      assert.equal(await follower.confirm(), true);
+      assert.equal(state.get('a'), 'unseen');
+    });
+  });
+
   it('never goes back to an older state when a slow read is overtaken', async () => {
     const changes = (revision: number, value: string): SourceChange<string>[] => [
       { name: 'a', revision, value, isDeleted: false },
