Blame requests that make progress less for crashes; name silent zones; close kept connections in a stop

Cause of the refused innocent requests: isolation sees the calls of one instance, so an isolated request meets the crashing one of another instance and takes the whole blame.

GetChange left out a zone whose summary had not come and called the change in force everywhere.

A kept connection that was used again when a planned stop ended was reset. Answers during the stop now close their connections (guarantees/gracefulShutdown fails without it).

--- a/packages/routing/src/crashQuarantine.ts
+++ b/packages/routing/src/crashQuarantine.ts
@@ -15,6 +15,14 @@
  * same; with full shares, 12 equal innocent requests on 4 engines reached 2.0 together.
  */
 const ELSEWHERE_SHARE = 0.05;
+/** Tokens after which a request counts as one that upstreams can bear. */
+const PROGRESS_TOKENS = 4;
+/**
+ * Blame of a request that has made progress. A crashing request ends its upstream when it begins to run,
+ * but an isolated innocent one can meet it there, sent by an instance that knows nothing of the
+ * isolation. It is not 0, so that a request that crashes its upstreams late is found as well.
+ */
+const PROGRESSED_SHARE = 0.2;
 
 /** Options of `CrashQuarantine`. */
 export interface CrashQuarantineOptions {
@@ -36,11 +44,15 @@
 interface Run {
   fingerprint: string;
   suspect: boolean;
+  /** Returns the tokens that the request has brought here and in its earlier runs. */
+  getProgress: () => number;
 }
 
 interface Suspicion {
   /** 0 after the request was cleared. */
   blame: number;
+  /** Whether one of the request's runs has made progress. */
+  hasProgressed?: boolean;
   expiresAtMs: number;
   exportedAtMs: number;
 }
@@ -94,9 +106,16 @@
    * @returns a function to call once when the call ends. `abandoned` means that the call ended
    * without a complete answer, for example because the caller went away. After a crash, call
    * `recordCrash` first.
+   * @param getProgress returns the tokens that the request has brought, those of its earlier runs
+   * included. Default: none.
    */
-  recordStart(upstream: string, fingerprint: string): (outcome?: RunOutcome) => void {
-    const run: Run = { fingerprint, suspect: this.classify(fingerprint) === 'suspect' };
+  recordStart(
+    upstream: string,
+    fingerprint: string,
+    getProgress: () => number = () => 0,
+  ): (outcome?: RunOutcome) => void {
+    const suspect = this.classify(fingerprint) === 'suspect';
+    const run: Run = { fingerprint, suspect, getProgress };
     const runs = this.runs.get(upstream) ?? new Set<Run>();
     this.runs.set(upstream, runs.add(run));
     return (outcome = 'completed') => {
@@ -124,11 +143,19 @@
     if (!runs) return;
     this.crashedAtMs.set(upstream, nowMs);
     this.runs.delete(upstream);
-    const fingerprints = new Set([...runs].map(({ fingerprint }) => fingerprint));
-    const sharers = fingerprints.size + (reportedInFlight > runs.size ? 1 : 0);
-    for (const fingerprint of fingerprints) {
-      const share = this.isRunning(fingerprint) ? ELSEWHERE_SHARE : 1 / sharers;
-      this.addBlame(fingerprint, share, nowMs);
+    const weights = new Map<string, number>();
+    for (const { fingerprint, getProgress } of runs) {
+      const hasProgressed =
+        getProgress() >= PROGRESS_TOKENS || this.getSuspicion(fingerprint)?.hasProgressed;
+      const weight = hasProgressed ? PROGRESSED_SHARE : 1;
+      weights.set(fingerprint, Math.min(weight, weights.get(fingerprint) ?? 1));
+    }
+    const others = reportedInFlight > runs.size ? 1 : 0;
+    const sum = [...weights.values()].reduce((total, weight) => total + weight, others);
+    for (const [fingerprint, weight] of weights) {
+      // The weights of progressed requests alone do not make up a whole crash.
+      const share = this.isRunning(fingerprint) ? ELSEWHERE_SHARE : weight / Math.max(1, sum);
+      this.addBlame(fingerprint, share, nowMs, weight < 1);
     }
   }
 
@@ -191,9 +218,12 @@
     const guilty = blame >= this.options.guiltyBlame;
     // A peer that has not yet seen the request complete must not make it a suspect again.
     if (known?.blame === 0 && !guilty) return;
+    // A peer may have had the request only where another one crashed its upstreams.
+    if (known?.hasProgressed) return;
     const maxTtlMs = guilty ? this.options.guiltyTtlMs : this.options.suspectTtlMs;
     const expiresAtMs = this.options.clock.monotonicMs() + Math.min(ttlMs, maxTtlMs);
-    this.put(fingerprint, { blame, expiresAtMs, exportedAtMs: known?.exportedAtMs ?? -Infinity });
+    const { hasProgressed = false, exportedAtMs = -Infinity } = known ?? {};
+    this.put(fingerprint, { blame, hasProgressed, expiresAtMs, exportedAtMs });
   }
 
   private isRunning(fingerprint: string): boolean {
@@ -202,12 +232,18 @@
     );
   }
 
-  private addBlame(fingerprint: string, share: number, nowMs: number): void {
+  private addBlame(
+    fingerprint: string,
+    share: number,
+    nowMs: number,
+    hasProgressed: boolean,
+  ): void {
     const known = this.getSuspicion(fingerprint);
     const blame = (known?.blame ?? 0) + share;
     const { guiltyBlame, guiltyTtlMs, suspectTtlMs } = this.options;
     const ttlMs = blame >= guiltyBlame ? guiltyTtlMs : suspectTtlMs;
-    this.put(fingerprint, { blame, expiresAtMs: nowMs + ttlMs, exportedAtMs: -Infinity });
+    const expiresAtMs = nowMs + ttlMs;
+    this.put(fingerprint, { blame, hasProgressed, expiresAtMs, exportedAtMs: -Infinity });
   }
 
   private clear(fingerprint: string): void {
--- a/packages/server/src/callers/callerContext.ts
+++ b/packages/server/src/callers/callerContext.ts
@@ -13,6 +13,8 @@
   limits: ChatLimits;
   /** Returns why new work is refused, if it is. */
   checkAdmission(): Failure | undefined;
+  /** Whether the instance is stopping, so that callers have to leave its connections. */
+  isStopping(): boolean;
 }
 
 /** Injection token of `CallerContext`. */
--- a/packages/server/src/callers/callerServer.ts
+++ b/packages/server/src/callers/callerServer.ts
@@ -70,7 +70,7 @@
       { bodyParser: false, logger: false, abortOnError: false },
     );
     app.useGlobalFilters(new FailureFilter(options.onError));
-    configureFastify(adapter.getInstance<FastifyInstance>());
+    configureFastify(adapter.getInstance<FastifyInstance>(), options.context);
     return new CallerServer(app);
   }
 
@@ -86,8 +86,13 @@
   }
 }
 
-function configureFastify(fastify: FastifyInstance): void {
+function configureFastify(fastify: FastifyInstance, context: CallerContext): void {
   fastify.addHook('onRequest', checkHost);
+  // A kept connection that is closed at the end of the stop may cut off the request that crosses it.
+  fastify.addHook('onRequest', (_request, reply, done) => {
+    if (context.isStopping()) reply.raw.setHeader('connection', 'close');
+    done();
+  });
   fastify.server.on('checkExpectation', answerExpectation);
   fastify.removeAllContentTypeParsers();
   // Bodies stay bytes: services get them unchanged, and chat bodies are checked before use.
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -232,6 +232,7 @@
         store,
         replica,
         membership,
+        addresses: this.coordination.addresses,
         permits: settings.permits,
         clock,
         sessionLifetimeMs: settings.sessions.lifetimeMs,
@@ -304,7 +305,13 @@
       random: this.random,
     });
     return CallerServer.create({
-      context: { replica, ...handlers, limits, checkAdmission: () => this.checkAdmission() },
+      context: {
+        replica,
+        ...handlers,
+        limits,
+        checkAdmission: () => this.checkAdmission(),
+        isStopping: () => this.state === 'stopping',
+      },
       bodyBytes: limits.bodyBytes,
       headerBytes: limits.headerBytes,
       receiveMs: limits.receiveMs,
--- a/packages/server/src/operators/changeStatus.ts
+++ b/packages/server/src/operators/changeStatus.ts
@@ -2,6 +2,7 @@
 import type {
   ChangeStatus,
   GetChangeRequest,
+  InstanceRecord,
   MemberRecord,
   ZoneStatus,
 } from '@cactusstair/protocol';
@@ -19,10 +20,14 @@
  * Acknowledgements come from the membership. The two deadlines need none: an instance that
  * confirms its configuration after the acceptance has the change, and one that does not may
  * start no work once the permit has passed.
+ *
+ * @param records instances that the object API lists. They name the zones from which no summary has
+ * come yet, which would otherwise count as having every change.
  */
 export function describeChange(
   request: GetChangeRequest,
   membership: Membership,
+  records: readonly InstanceRecord[],
   permits: VersionPermits,
 ): ChangeStatus {
   const ownZone = membership.getSelf().zone;
@@ -43,7 +48,9 @@
               .map((member) => member.id),
       };
     });
-  const zones = [own, ...others].sort((a, b) => (a.zone < b.zone ? -1 : 1));
+  const reported = new Set([ownZone, ...others.map(({ zone }) => zone)]);
+  const silent = describeSilentZones(records.filter(({ zone }) => !reported.has(zone)));
+  const zones = [own, ...others, ...silent].sort((a, b) => (a.zone < b.zone ? -1 : 1));
   return {
     revision: request.revision,
     inForceEverywhere: zones.every((zone) => zone.instancesInForce === zone.instancesKnown),
@@ -53,6 +60,18 @@
   };
 }
 
+/** Nothing is known of what these instances have applied. */
+function describeSilentZones(records: readonly InstanceRecord[]): ZoneStatus[] {
+  const idsByZone = new Map<string, string[]>();
+  for (const { zone, id } of records) idsByZone.set(zone, [...(idsByZone.get(zone) ?? []), id]);
+  return [...idsByZone].map(([zone, ids]) => ({
+    zone,
+    instancesInForce: 0,
+    instancesKnown: ids.length,
+    waitingFor: ids,
+  }));
+}
+
 function describeOwnZone(zone: string, members: MemberRecord[], revision: number): ZoneStatus {
   const known = members.filter((member) => member.zone === zone && SERVING.includes(member.status));
   const waiting = known.filter((member) => member.appliedRevision < revision);
--- a/packages/server/src/operators/operatorService.ts
+++ b/packages/server/src/operators/operatorService.ts
@@ -24,6 +24,7 @@
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 
+import type { AddressBook } from '../peers/addressBook.js';
 import type { RolloutEditor } from '../rollouts/rolloutEditor.js';
 import {
   checkCascade,
@@ -43,6 +44,7 @@
   store: ObjectStore;
   replica: ConfigReplica;
   membership: Membership;
+  addresses: AddressBook;
   permits: VersionPermits;
   clock: Clock;
   sessionLifetimeMs: number;
@@ -95,7 +97,7 @@
 
 /** Creates the handlers of the operators' calls. */
 export function createOperatorService(options: OperatorServiceOptions): OperatorServer {
-  const { editor, rollouts, replica, membership, permits, store } = options;
+  const { editor, rollouts, replica, membership, addresses, permits, store } = options;
   const workspaces = createReaders(editor, 'workspace', Workspace);
   const models = createReaders(editor, 'model', Model);
   const upstreams = createReaders(editor, 'upstream', Upstream);
@@ -151,7 +153,9 @@
       return editor.remove(kind, name, expectedVersion);
     }),
     rotateSessionKeys: serve(() => rotateSessionKeys(options)),
-    getChange: serve((request) => ok(describeChange(request, membership, permits))),
+    getChange: serve(async (request) =>
+      ok(describeChange(request, membership, await addresses.listRecords(), permits)),
+    ),
     listInstances: serve(() =>
       ok({
         instances: membership.getMembers().map((member) => ({
--- a/packages/server/src/peers/addressBook.ts
+++ b/packages/server/src/peers/addressBook.ts
@@ -1,5 +1,6 @@
 import type { Membership, ObjectStore } from '@cactusstair/coordination';
 import { InstanceDirectory } from '@cactusstair/coordination';
+import type { InstanceRecord } from '@cactusstair/protocol';
 import { MemberStatus } from '@cactusstair/protocol';
 import type { Clock } from '@cactusstair/utils';
 
@@ -31,7 +32,7 @@
  * rest comes from the records in the object API, which lag.
  */
 export class AddressBook {
-  private listed: PeerAddress[] = [];
+  private listed: InstanceRecord[] = [];
 
   private readonly directory: InstanceDirectory;
 
@@ -63,6 +64,12 @@
     }
   }
 
+  /** Reads the records of all instances once; those of the last read when the object API fails. */
+  async listRecords(): Promise<readonly InstanceRecord[]> {
+    await this.readRecords();
+    return this.listed;
+  }
+
   private async readRecords(): Promise<void> {
     const records = await this.directory.listInstances();
     if (records.length > 0) this.listed = records;
--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -150,6 +150,7 @@
         end = 'no upstream is available for another attempt';
         break;
       }
+      const resumedFrom = progress.tokens;
       try {
         return ok(await this.runAttempt(call, resolved, upstream, progress, onToken));
       } catch (error) {
@@ -165,7 +166,8 @@
           end = 'no upstream accepts a connection';
           break;
         }
-        calls += 1;
+        // An answer that goes on is not ended by crashes that another request causes.
+        if (progress.tokens === resumedFrom || !call.sawCrash) calls += 1;
         needsBudget = true;
       }
     }
@@ -240,7 +242,11 @@
     call.attempts += 1;
     const attempt = call.attempts;
     const release = upstream.startCall(quarantine.classify(call.fingerprint) === 'suspect');
-    const endSuspicion = quarantine.recordStart(upstream.name, call.fingerprint);
+    const endSuspicion = quarantine.recordStart(
+      upstream.name,
+      call.fingerprint,
+      () => progress.tokens,
+    );
     try {
       const answer = await this.readAnswer(call, resolved, upstream, progress, attempt, onToken);
       call.dispatched = true;
--- a/tests/guarantees/gracefulShutdown.test.ts
+++ b/tests/guarantees/gracefulShutdown.test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import { randomUUID } from 'node:crypto';
+import { Agent, request } from 'node:http';
 import { after, before, describe, it } from 'node:test';
 
 import { createAnswerText } from '@cactusstair/standins';
+import { waitFor } from '@cactusstair/utils';
 
-import { TestPlace } from './support/testPlace.js';
+import { TestPlace, WAIT_MS } from './support/testPlace.js';
 
 const INSTANCES = ['riga-a-1', 'riga-a-2', 'riga-a-3'];
 const CALLERS = 6;
@@ -86,4 +88,29 @@
     const answered = test.caller.answers.filter((answer) => answer.whole);
     assert.ok(answered.length > CALLERS * INSTANCES.length);
   });
+
+  // A kept connection that the caller used again just when the stop ended was reset.
+  it('tells callers on kept connections to leave them while it stops', async () => {
+    const name = INSTANCES[0] ?? '';
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const callService = () =>
+      new Promise<string | undefined>((resolve, reject) => {
+        const call = request(`${test.getCallersUrl(name)}/services/none`, { agent }, (answer) => {
+          answer.resume();
+          answer.on('end', () => resolve(answer.headers.connection));
+        });
+        call.on('error', reject);
+        call.end();
+      });
+    assert.equal(await callService(), 'keep-alive');
+    const stopped = test.place.getProcess(name).stop();
+    await waitFor(async () => (await callService()) === 'close', {
+      what: 'an answer that closes its connection',
+      timeoutMs: WAIT_MS,
+    });
+    assert.deepEqual(await stopped, { code: 0, signal: null });
+    agent.destroy();
+    await test.place.getProcess(name).start();
+    await test.awaitReady(name);
+  });
 });
--- a/tests/routing/crashQuarantine.test.ts
+++ b/tests/routing/crashQuarantine.test.ts
@@ -57,6 +57,42 @@
     });
   });
 
+  describe('with runs that have made progress', () => {
+    const crashBeside = async (tokens: number, crashes: number) => {
+      const clock = new ManualClock();
+      const quarantine = new CrashQuarantine({ clock });
+      for (let crash = 0; crash < crashes; crash += 1) {
+        quarantine.recordStart('u1', 'innocent', () => tokens);
+        // Another instance sent the crashing request; the last report does not show it.
+        quarantine.recordCrash('u1', 0);
+        await clock.advance(2000);
+      }
+      return quarantine.classify('innocent');
+    };
+
+    // An isolated suspect met another instance's crashing request at four engines in a row and was
+    // refused with 3102, although it was answering.
+    it('does not refuse an isolated request beside four crashes', async () => {
+      assert.equal(await crashBeside(20, 4), 'suspect');
+    });
+
+    it('finds a request that crashes its upstreams late', async () => {
+      assert.equal(await crashBeside(20, 10), 'guilty');
+    });
+
+    it('does not take a verdict from a peer on a request that progressed here', () => {
+      const quarantine = new CrashQuarantine({ clock: new ManualClock() });
+      quarantine.recordStart('u1', 'innocent', () => 20);
+      quarantine.recordCrash('u1', 0);
+      quarantine.importEntries([{ fingerprint: 'innocent', blame: 2, ttlMs: 60_000 }]);
+      assert.equal(quarantine.classify('innocent'), 'suspect');
+    });
+
+    it('blames a run without progress fully', async () => {
+      assert.equal(await crashBeside(1, 2), 'guilty');
+    });
+  });
+
   it('shares the blame with other instances, whose request may be the guilty one', async () => {
     const clock = new ManualClock();
     const quarantine = new CrashQuarantine({ clock });
