Sum up load, evidence and pins by zone in fleets beyond 13 instances

Cause: each instance told 12 others at random four times a second. Of 88 it knew the load of half, the echoes alone took 4 KB a message, and datagrams were most of the bytes between zones. Two reporters of each zone, the largest machines first, now sum up for their zone, tell the reporters of the other zones, and tell their zone the sums of all. Small fleets stay as they were.

The slack of the retry budget is shared by the living instances instead of by ten. Ages of confirmations grow with the bounds of the deployment. Polls wait 29 s instead of 20 s.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -22,9 +22,10 @@
 export { SourceFollower } from './follow/sourceFollower.js';
 export type { EventLogOptions, LogSink } from './observe/eventLog.js';
 export { EventLog } from './observe/eventLog.js';
-export type { RelayNodeOptions, RelayStore } from './relayNode.js';
+export type { RelayNodeOptions } from './relayNode.js';
 export { RelayNode } from './relayNode.js';
 export type { PeerRecord, RelayBounds, SocketAddress } from './relayOptions.js';
+export type { RelayStore } from './relayStore.js';
 export type {
   AnswerHead,
   AttemptFields,
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -6,19 +6,22 @@
 
 import type { ClockReading } from '../follow/beliefAge.js';
 import { readClocks } from '../follow/beliefAge.js';
-import type { SocketAddress } from '../relayOptions.js';
+import type { PeerRecord, SocketAddress } from '../relayOptions.js';
 import type { RolloutBoard } from '../rollouts/rolloutBoard.js';
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
-import type { PeerLoad } from '../upstreams/upstream.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
-import type { Echo, PeerMessage, UpstreamLoad, ViewName, ViewState } from './peerMessage.js';
+import type { Loads, ReportPart } from './fleetSums.js';
+import { addLoads, createReport, subtractLoads } from './fleetSums.js';
+import type { Echo, FleetReport, PeerMessage, ViewName, ViewState } from './peerMessage.js';
 import { parsePeerMessage } from './peerMessage.js';
+import type { Peer } from './peerTable.js';
+import { LOST_AFTER_MS, PeerTable } from './peerTable.js';
 
 /** Options of `PeerExchange`. */
 export interface PeerExchangeOptions {
   clock: Clock;
-  name: string;
-  listen: SocketAddress;
+  /** This instance; its address is the one that it listens on. */
+  self: PeerRecord;
   directory: UpstreamDirectory;
   rollouts: RolloutBoard;
   crashes: CrashCounter;
@@ -26,54 +29,57 @@
   listViews: () => Partial<Record<ViewName, ViewState>>;
   /** Called when a peer has confirmed a state by a read that began no earlier than `since`. */
   onPeerView: (name: ViewName, state: string, since: ClockReading) => void;
-  onEvent?: (event: 'peer_seen' | 'peer_lost', name: string) => void;
-}
-
-interface Peer {
-  message: PeerMessage;
-  heardAtMs: number;
-  heardAtWallMs: number;
+  onEvent?: (event: 'peer_seen', name: string) => void;
 }
 
 const SEND_INTERVAL_MS = 250;
-/** Peers that get each message; all of them learn from each other within a few rounds. */
-const MAX_RECEIVERS = 12;
+/** Peers up to which each instance tells all others; beyond it, reporters sum up for their zones. */
+const MAX_MESH_PEERS = 12;
+/** Reporters send each second time: their messages are long and go to a whole zone. */
+const REPORT_TICKS = 2;
 /** After this silence a peer's load counts no longer. */
 const STALE_AFTER_MS = 1500;
-/** After this silence a peer counts as gone. */
-const LOST_AFTER_MS = 3000;
 const MAX_CRASH_ENTRIES = 20;
-/** Messages whose sending time is kept; at four a second, echoes older than this prove nothing new. */
+/** Messages whose sending is kept; at four a second, echoes older than this prove nothing new. */
 const KEPT_SENDINGS = 32;
 
+interface Sending {
+  at: ClockReading;
+  loads: Loads;
+}
+
 /**
  * Exchanges load, evidence and crash counts with the other instances by datagrams. Each message is
  * a whole state, so a lost one is made good by the next, and no connection can go silent.
+ *
+ * In a small fleet each instance tells all others. In a larger one it tells the reporters of its
+ * zone; they tell each other the sums of their zones, and their zone the sums of all.
  */
 export class PeerExchange {
   private readonly socket: Socket = createSocket('udp4');
 
-  private readonly addresses = new Map<string, SocketAddress>();
-
-  private readonly peers = new Map<string, Peer>();
+  private readonly table: PeerTable;
 
   private readonly incarnation: number;
 
-  private readonly sentAt = new Map<number, ClockReading>();
+  private readonly sendings = new Map<number, Sending>();
 
   private sequence = 0;
 
+  private ticks = 0;
+
   private isLeaving = false;
 
   constructor(private readonly options: PeerExchangeOptions) {
     this.incarnation = options.clock.wallMs();
+    this.table = new PeerTable(options.clock, options.self);
   }
 
   /** Opens the socket. */
   start(): Promise<void> {
     return new Promise((resolve, reject) => {
       this.socket.once('error', reject);
-      this.socket.bind(this.options.listen.port, this.options.listen.host, () => {
+      this.socket.bind(this.options.self.port, this.options.self.host, () => {
         this.socket.off('error', reject);
         // A datagram that cannot be sent is made good by the next one.
         this.socket.on('error', () => {});
@@ -87,9 +93,12 @@
 
   /** Adds an address at which a peer may be. */
   addAddress(address: SocketAddress): void {
-    const { listen } = this.options;
-    if (address.host === listen.host && address.port === listen.port) return;
-    this.addresses.set(`${address.host}:${address.port}`, address);
+    this.table.addAddress(address);
+  }
+
+  /** Adds a peer of which the zone is known. */
+  addPeer(record: PeerRecord): void {
+    this.table.addRecord(record);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -109,37 +118,83 @@
     this.socket.close();
   }
 
-  /** Names of the living instances in order, this one included. */
+  /** Names of the living instances that are known here, this one included. */
   listLiving(): string[] {
-    const nowMs = this.options.clock.monotonicMs();
-    const living = this.isLeaving ? [] : [this.options.name];
-    for (const [name, { message, heardAtMs }] of this.peers) {
-      if (!message.isLeaving && nowMs - heardAtMs < LOST_AFTER_MS) living.push(name);
-    }
-    return living.sort();
+    const living = this.table.listLiving();
+    return this.isLeaving ? living : [...living, this.options.self.name].sort();
   }
 
   /** Position of this instance among the living ones; the last one while it leaves. */
   getRank(): number {
-    const living = this.listLiving();
-    const rank = living.indexOf(this.options.name);
-    return rank < 0 ? living.length : rank;
+    const living = this.table.listLiving();
+    return this.isLeaving ? living.length : this.table.getRank(living);
+  }
+
+  /** Living instances of all zones, this one included. */
+  countInstances(): number {
+    return Math.max(this.listLiving().length, this.findFleetReport()?.count ?? 0);
   }
 
   listEvidence(): Record<string, EvidenceSums>[] {
     const own = this.options.rollouts.exportEvidence();
-    return [own, ...[...this.peers.values()].map(({ message }) => message.evidence)];
+    if (!this.isZoned) {
+      return [own, ...this.table.listHeard().map(({ message }) => message.evidence)];
+    }
+    if (!this.isReporter) return [this.findFleetReport(Infinity)?.evidence ?? own];
+    return [
+      own,
+      ...this.listZonePeers(Infinity).map(({ message }) => message.evidence),
+      ...this.listOtherZones(Infinity).map(({ evidence }) => evidence),
+    ];
+  }
+
+  /** Counts the requests that living instances have at one upstream, without the own ones. */
+  countPeerCalls(upstreamId: string): number {
+    return this.sumPeerLoads(LOST_AFTER_MS)[upstreamId]?.[0] ?? 0;
+  }
+
+  private get isZoned(): boolean {
+    return this.table.addressCount > MAX_MESH_PEERS;
+  }
+
+  private get isReporter(): boolean {
+    const { self } = this.options;
+    return !this.isLeaving && this.table.chooseReporters(self.zone).includes(self);
   }
 
   private send(): void {
-    const bytes = Buffer.from(JSON.stringify(this.createMessage()));
-    for (const { host, port } of this.chooseReceivers()) {
-      this.socket.send(bytes, port, host, () => {});
+    this.ticks += 1;
+    if (!this.isZoned) {
+      this.sendTo(this.table.listAddresses(), this.createMessage());
+      return;
+    }
+    const { self } = this.options;
+    if (!this.isReporter) {
+      const reporters = this.table.chooseReporters(self.zone);
+      this.sendTo([...reporters, ...this.table.listUnnamed()], this.createMessage());
+      return;
     }
+    if (this.ticks % REPORT_TICKS !== 0) return;
+    const own = this.createOwnPart();
+    const zone = createReport('zone', [own, ...this.listZoneParts()]);
+    const fleet = createReport('fleet', [zone, ...this.listOtherZones()]);
+    const others = this.table.listZones().filter((name) => name !== self.zone);
+    const remote = others.flatMap((name) => this.table.chooseReporters(name));
+    const message = this.createMessage();
+    const names = new Set(remote.map(({ name }) => name));
+    const echoes = Object.entries(message.echoes).filter(([name]) => names.has(name));
+    this.sendTo(remote, { ...message, echoes: Object.fromEntries(echoes), report: zone });
+    const members = [...this.table.listRecords(self.zone), ...this.table.listUnnamed()];
+    this.sendTo(members, { ...message, report: fleet });
   }
 
-  private createMessage(): PeerMessage {
-    const loads: Record<string, UpstreamLoad> = {};
+  private sendTo(addresses: readonly SocketAddress[], message: PeerMessage): void {
+    const bytes = Buffer.from(JSON.stringify(message));
+    for (const { host, port } of addresses) this.socket.send(bytes, port, host, () => {});
+  }
+
+  private createOwnLoads(): Loads {
+    const loads: Loads = {};
     for (const upstream of this.options.directory.listAll()) {
       if (upstream.calls.size === 0) continue;
       let backlogMs = 0;
@@ -150,19 +205,33 @@
       }
       loads[upstream.id] = [upstream.calls.size, Math.round(backlogMs), Math.round(heldTokens)];
     }
+    return loads;
+  }
+
+  private createOwnPart(): ReportPart {
+    const { rollouts } = this.options;
+    const loads = this.createOwnLoads();
+    return { count: 1, loads, evidence: rollouts.exportEvidence(), pins: rollouts.exportPins() };
+  }
+
+  private createMessage(): PeerMessage {
+    const { self, clock, crashes, listViews } = this.options;
+    const { loads, evidence, pins } = this.createOwnPart();
     this.sequence += 1;
-    this.sentAt.set(this.sequence, readClocks(this.options.clock));
-    this.sentAt.delete(this.sequence - KEPT_SENDINGS);
+    this.sendings.set(this.sequence, { at: readClocks(clock), loads });
+    this.sendings.delete(this.sequence - KEPT_SENDINGS);
     return {
-      name: this.options.name,
+      name: self.name,
+      zone: self.zone,
+      capacity: self.capacity,
       incarnation: this.incarnation,
       sequence: this.sequence,
       isLeaving: this.isLeaving,
       loads,
-      evidence: this.options.rollouts.exportEvidence(),
-      crashes: this.options.crashes.exportEntries(MAX_CRASH_ENTRIES),
-      pins: this.options.rollouts.exportPins(),
-      views: this.options.listViews(),
+      evidence,
+      crashes: crashes.exportEntries(MAX_CRASH_ENTRIES),
+      pins,
+      views: listViews(),
       echoes: this.listEchoes(),
     };
   }
@@ -170,91 +239,112 @@
   private listEchoes(): Record<string, Echo> {
     const { monotonicMs, wallMs } = readClocks(this.options.clock);
     const echoes: Record<string, Echo> = {};
-    for (const [name, { message, heardAtMs, heardAtWallMs }] of this.peers) {
-      if (monotonicMs - heardAtMs > STALE_AFTER_MS) continue;
+    for (const { message, heardAtMs, heardAtWallMs } of this.table.listHeard(STALE_AFTER_MS)) {
       // The smaller time is the safe one: the receiver adds it to its own time of sending.
       const heldMs = Math.max(0, Math.min(monotonicMs - heardAtMs, wallMs - heardAtWallMs));
-      echoes[name] = [message.incarnation, message.sequence, heldMs];
+      echoes[message.name] = [message.incarnation, message.sequence, heldMs];
     }
     return echoes;
   }
 
+  /** Finds the own message that a peer had heard when it sent its last one. */
+  private findEchoed(message: PeerMessage): { sending: Sending; heldMs: number } | undefined {
+    const echo = message.echoes[this.options.self.name];
+    if (!echo) return undefined;
+    const [incarnation, sequence, heldMs] = echo;
+    const sending = incarnation === this.incarnation ? this.sendings.get(sequence) : undefined;
+    return sending && { sending, heldMs };
+  }
+
   /**
    * Passes on what a peer has confirmed. The peer heard our message no earlier than it was sent,
    * held it for `heldMs` and confirmed its view `ageMs` before it answered, so the read began no
    * earlier than these say, whatever time the datagrams took.
    */
   private applyViews(message: PeerMessage): void {
-    const echo = message.echoes[this.options.name];
-    if (!echo) return;
-    const [incarnation, sequence, heldMs] = echo;
-    const sentAt = incarnation === this.incarnation ? this.sentAt.get(sequence) : undefined;
-    if (!sentAt) return;
+    const echoed = this.findEchoed(message);
+    if (!echoed) return;
+    const { at } = echoed.sending;
     for (const [name, [state, ageMs]] of Object.entries(message.views)) {
-      const shiftMs = heldMs - ageMs;
+      const shiftMs = echoed.heldMs - ageMs;
       this.options.onPeerView(name as ViewName, state, {
-        monotonicMs: sentAt.monotonicMs + shiftMs,
-        wallMs: sentAt.wallMs + shiftMs,
+        monotonicMs: at.monotonicMs + shiftMs,
+        wallMs: at.wallMs + shiftMs,
       });
     }
   }
 
-  private chooseReceivers(): SocketAddress[] {
-    const all = [...this.addresses.values()];
-    if (all.length <= MAX_RECEIVERS) return all;
-    for (let index = 0; index < MAX_RECEIVERS; index += 1) {
-      const other = index + Math.floor(Math.random() * (all.length - index));
-      [all[index], all[other]] = [all[other]!, all[index]!];
-    }
-    return all.slice(0, MAX_RECEIVERS);
-  }
-
   private receive(bytes: Buffer, sender: SocketAddress): void {
     const message = parsePeerMessage(bytes);
-    if (!message || message.name === this.options.name) return;
-    const known = this.peers.get(message.name);
-    if (known && !isNewer(message, known.message)) return;
-    if (!known) this.options.onEvent?.('peer_seen', message.name);
-    this.addAddress(sender);
-    const { monotonicMs, wallMs } = readClocks(this.options.clock);
-    this.peers.set(message.name, { message, heardAtMs: monotonicMs, heardAtWallMs: wallMs });
+    if (!message || message.name === this.options.self.name) return;
+    const isNew = this.table.find(message.name) === undefined;
+    if (!this.table.record(message, sender)) return;
+    if (isNew) this.options.onEvent?.('peer_seen', message.name);
     this.options.crashes.importEntries(message.crashes);
-    this.options.rollouts.importPins(message.pins);
+    this.options.rollouts.importPins([...message.pins, ...(message.report?.pins ?? [])]);
     this.applyViews(message);
   }
 
-  /** Sums the peers' loads into the upstreams. */
-  private applyLoads(): void {
-    const nowMs = this.options.clock.monotonicMs();
-    const sums = new Map<string, PeerLoad>();
-    for (const { message, heardAtMs } of this.peers.values()) {
-      if (nowMs - heardAtMs > STALE_AFTER_MS) continue;
-      for (const [id, load] of Object.entries(message.loads)) {
-        const [running, backlogMs, heldTokens] = load;
-        const sum = sums.get(id) ?? { running: 0, backlogMs: 0, heldTokens: 0 };
-        sum.running += running;
-        sum.backlogMs += backlogMs;
-        sum.heldTokens += heldTokens;
-        sums.set(id, sum);
-      }
+  /** Returns the peers of the own zone that were heard within `maxAgeMs`. */
+  private listZonePeers(maxAgeMs: number): Peer[] {
+    const { zone } = this.options.self;
+    return this.table.listHeard(maxAgeMs).filter(({ message }) => message.zone === zone);
+  }
+
+  /** Returns what the other instances of the zone contribute to its report. */
+  private listZoneParts(maxAgeMs = STALE_AFTER_MS): ReportPart[] {
+    return this.listZonePeers(maxAgeMs).map(({ message }) => ({ ...message, count: 1 }));
+  }
+
+  /** Returns the most complete report of each other zone. */
+  private listOtherZones(maxAgeMs = STALE_AFTER_MS): FleetReport[] {
+    const best = new Map<string, FleetReport>();
+    for (const { message } of this.table.listHeard(maxAgeMs)) {
+      const { zone, report } = message;
+      if (report?.scope !== 'zone' || zone === this.options.self.zone) continue;
+      if (report.count > (best.get(zone)?.count ?? 0)) best.set(zone, report);
     }
-    for (const upstream of this.options.directory.listAll()) {
-      upstream.peerLoad = sums.get(upstream.id) ?? { running: 0, backlogMs: 0, heldTokens: 0 };
+    return [...best.values()];
+  }
+
+  private findReporter(maxAgeMs: number): Peer | undefined {
+    let best: Peer | undefined;
+    for (const peer of this.table.listHeard(maxAgeMs)) {
+      const { report } = peer.message;
+      if (report?.scope !== 'fleet') continue;
+      if (report.count > (best?.message.report?.count ?? 0)) best = peer;
     }
+    return best;
   }
 
-  /** Counts the requests that living instances have at one upstream. */
-  countPeerCalls(upstreamId: string): number {
-    const nowMs = this.options.clock.monotonicMs();
-    let count = 0;
-    for (const { message, heardAtMs } of this.peers.values()) {
-      if (nowMs - heardAtMs < LOST_AFTER_MS) count += message.loads[upstreamId]?.[0] ?? 0;
+  /** Returns the most complete report of all zones that this instance was sent. */
+  private findFleetReport(maxAgeMs = LOST_AFTER_MS): FleetReport | undefined {
+    return this.findReporter(maxAgeMs)?.message.report;
+  }
+
+  /** Sums the loads of all other instances. */
+  private sumPeerLoads(maxAgeMs: number): Loads {
+    const sum: Loads = {};
+    if (!this.isZoned) {
+      for (const { message } of this.table.listHeard(maxAgeMs)) addLoads(sum, message.loads);
+      return sum;
     }
-    return count;
+    if (!this.isReporter) {
+      const reporter = this.findReporter(maxAgeMs);
+      if (!reporter?.message.report) return sum;
+      const own = this.findEchoed(reporter.message)?.sending.loads ?? {};
+      return subtractLoads(reporter.message.report.loads, own);
+    }
+    for (const { loads } of this.listZoneParts(maxAgeMs)) addLoads(sum, loads);
+    for (const { loads } of this.listOtherZones(maxAgeMs)) addLoads(sum, loads);
+    return sum;
   }
-}
 
-function isNewer(message: PeerMessage, known: PeerMessage): boolean {
-  if (message.incarnation !== known.incarnation) return message.incarnation > known.incarnation;
-  return message.sequence > known.sequence;
+  private applyLoads(): void {
+    const loads = this.sumPeerLoads(STALE_AFTER_MS);
+    for (const upstream of this.options.directory.listAll()) {
+      const [running, backlogMs, heldTokens] = loads[upstream.id] ?? [0, 0, 0];
+      upstream.peerLoad = { running, backlogMs, heldTokens };
+    }
+  }
 }
--- a/packages/relay/src/peers/peerMessage.ts
+++ b/packages/relay/src/peers/peerMessage.ts
@@ -14,9 +14,22 @@
 /** The last message heard from a peer, and how long before this one it came. */
 export type Echo = [incarnation: number, sequence: number, heldMs: number];
 
+/** Sums over several instances, made by a reporter of their zone. */
+export interface FleetReport {
+  /** The instances of the reporter's zone, or those of all zones. */
+  scope: 'zone' | 'fleet';
+  /** Instances that are summed up. */
+  count: number;
+  loads: Record<string, UpstreamLoad>;
+  evidence: Record<string, EvidenceSums>;
+  pins: string[];
+}
+
 /** What an instance tells its peers. Each message replaces the one before it. */
 export interface PeerMessage {
   name: string;
+  zone: string;
+  capacity: number;
   /** Wall-clock start of the process; a later one replaces an earlier one. */
   incarnation: number;
   sequence: number;
@@ -30,6 +43,8 @@
   views: Partial<Record<ViewName, ViewState>>;
   /** By name of the peer. */
   echoes: Record<string, Echo>;
+  /** Present in the messages of a reporter. */
+  report?: FleetReport;
 }
 
 /** Parses a datagram; undefined for bytes that are no message of a peer. */
@@ -44,6 +59,8 @@
   const message = value as Partial<PeerMessage>;
   const isValid =
     typeof message.name === 'string' &&
+    typeof message.zone === 'string' &&
+    typeof message.capacity === 'number' &&
     typeof message.incarnation === 'number' &&
     typeof message.sequence === 'number' &&
     typeof message.loads === 'object' &&
--- a/packages/relay/src/peers/sharedViews.ts
+++ b/packages/relay/src/peers/sharedViews.ts
@@ -13,13 +13,16 @@
 }
 
 // The first of the living instances confirms its views by reads of its own, the others through it
-// and only after its silence by reads of theirs: each call to the store has its price. The ages stay
-// well below the bounds on revoked keys (5 s) and leaving upstreams (2 s).
+// and only after its silence by reads of theirs: each call to the store has its price. At a bound of
+// 2 s on configurations and leaving upstreams the ages stay below it; they grow with the bound.
+const BOUND_OF_AGES_MS = 2000;
 const MAX_AGES_MS: Record<ViewName, { first: number; others: number }> = {
   config: { first: 900, others: 1900 },
   upstreams: { first: 900, others: 1700 },
   rollouts: { first: 2500, others: 5000 },
 };
+/** Beyond it the ages would come near the bound on revoked keys. */
+const MAX_AGE_FACTOR = 1.5;
 /** Pause between two reads because a peer holds another state. */
 const MISMATCH_PAUSE_MS = 400;
 
@@ -32,9 +35,15 @@
     private readonly views: Record<ViewName, SharedView>,
   ) {}
 
-  /** Returns the age above which an instance of `rank` reads by itself, in milliseconds. */
-  static getMaxAgeMs(name: ViewName, rank: number): number {
-    return rank === 0 ? MAX_AGES_MS[name].first : MAX_AGES_MS[name].others;
+  /**
+   * Returns the age above which an instance of `rank` reads by itself, in milliseconds.
+   *
+   * @param boundMs time within which a change in the store must be in force.
+   */
+  static getMaxAgeMs(name: ViewName, rank: number, boundMs: number): number {
+    const { first, others } = MAX_AGES_MS[name];
+    const factor = Math.min(MAX_AGE_FACTOR, Math.max(1, boundMs / BOUND_OF_AGES_MS));
+    return (rank === 0 ? first : others) * factor;
   }
 
   /** Returns the states that are confirmed, with the ages of their confirmations. */
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -5,20 +5,17 @@
 import { CallerServer } from './callerServer.js';
 import { ConfigIndex } from './config/configIndex.js';
 import type { RelayConfig } from './config/relayConfig.js';
-import type {
-  ChangeSource,
-  SourceChange,
-  SourceItem,
-  WriteOutcome,
-} from './follow/changeSource.js';
+import type { SourceChange, SourceItem } from './follow/changeSource.js';
 import { SourceFollower } from './follow/sourceFollower.js';
 import type { EventLog } from './observe/eventLog.js';
 import { RequestMetrics } from './observe/requestMetrics.js';
 import { createStatusServer } from './observe/statusServer.js';
 import { PeerExchange } from './peers/peerExchange.js';
+import { findPeers } from './peers/peerFinder.js';
 import type { ViewName } from './peers/peerMessage.js';
 import { SharedViews } from './peers/sharedViews.js';
 import type { PeerRecord, RelayBounds, SocketAddress } from './relayOptions.js';
+import type { RelayStore } from './relayStore.js';
 import type { Exchange } from './requests/exchange.js';
 import type { RelayContext } from './requests/relayContext.js';
 import type { Dialect } from './requests/relayRequest.js';
@@ -28,27 +25,17 @@
 import type { TrackedOrder } from './rollouts/rolloutBoard.js';
 import { RolloutBoard } from './rollouts/rolloutBoard.js';
 import { RolloutDriver } from './rollouts/rolloutDriver.js';
-import type { RolloutOrder, RolloutProgress } from './rollouts/rolloutOrder.js';
+import type { RolloutOrder } from './rollouts/rolloutOrder.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 import type { UpstreamRecord } from './upstreams/upstreamRecord.js';
 import { ZoneReachability } from './upstreams/zoneReachability.js';
 
-/** The platform's store as the product uses it. */
-export interface RelayStore {
-  config: ChangeSource<RelayConfig>;
-  upstreams: ChangeSource<UpstreamRecord>;
-  rollouts: ChangeSource<RolloutOrder>;
-  peers: ChangeSource<PeerRecord>;
-  /** Stores progress if the order's object still has `revision`. */
-  putProgress(name: string, revision: number, progress: RolloutProgress): Promise<WriteOutcome>;
-  /** Makes this instance's address known to others. */
-  announce(name: string, address: SocketAddress): Promise<WriteOutcome>;
-}
-
 /** Options of `RelayNode`. */
 export interface RelayNodeOptions {
   name: string;
   zone: string;
+  /** Size of the machine relative to others, for example processor share times link rate. */
+  capacity: number;
   callers: SocketAddress;
   /** Address of readiness checks: 200 while ready, else 503. */
   readiness: SocketAddress;
@@ -64,8 +51,8 @@
   clock?: Clock;
 }
 
-/** Polls for changes wait this long; the bound of the store is 30 s. */
-const POLL_WAIT_MS = 20_000;
+/** Polls for changes wait this long; the bound of the store is 30 s, and each poll has its price. */
+const POLL_WAIT_MS = 29_000;
 // Each change costs a call of every instance; both pauses are small against the bounds of 2 s on
 // configurations and leaving upstreams.
 const CONFIG_SETTLE_MS = 100;
@@ -77,7 +64,6 @@
 const ABSENCE_AGE_MARGIN_MS = 200;
 /** After the store returned, entries may still be missing for this long. */
 const STORE_DISTURBED_MS = 3000;
-const ANNOUNCE_RETRY_MS = 1000;
 // The platform stops sending connections two seconds after it has seen the instance unready. Later
 // ones, and further requests on kept ones, might not end within the grace.
 const CLOSE_AFTER_MS = 2500;
@@ -113,6 +99,8 @@
 
   private readonly readinessServer: CallerServer;
 
+  private readonly self: PeerRecord;
+
   private config: ConfigIndex | undefined;
 
   private isStopping = false;
@@ -120,10 +108,16 @@
   constructor(private readonly options: RelayNodeOptions) {
     const { bounds, log, store } = options;
     this.clock = options.clock ?? systemClock;
+    this.self = {
+      ...options.peers,
+      name: options.name,
+      zone: options.zone,
+      capacity: options.capacity,
+    };
     this.lifecycle = new LifecycleManager((task, error) =>
       log.write('task_failed', { task, error: (error as Error).stack }),
     );
-    this.budgets = new RetryBudgets(this.clock, bounds);
+    this.budgets = new RetryBudgets(this.clock, bounds, () => this.peers.countInstances());
     this.crashes = new CrashCounter({ clock: this.clock });
     this.directory = new UpstreamDirectory({
       clock: this.clock,
@@ -140,8 +134,7 @@
     this.rollouts = new RolloutBoard({ clock: this.clock, sessionTtlMs: bounds.sessionTtlMs });
     this.peers = new PeerExchange({
       clock: this.clock,
-      name: options.name,
-      listen: options.peers,
+      self: this.self,
       directory: this.directory,
       rollouts: this.rollouts,
       crashes: this.crashes,
@@ -244,7 +237,18 @@
     await this.readinessServer.listen(options.readiness);
     await this.callerServer.listen(options.callers);
     lifecycle.startTask('exchange with peers', (signal) => this.peers.run(signal));
-    lifecycle.startTask('find peers', (signal) => this.findPeers(signal));
+    lifecycle.startTask('find peers', (signal) =>
+      findPeers(
+        {
+          clock: this.clock,
+          self: this.self,
+          announce: (record) => options.store.announce(record),
+          source: options.store.peers,
+          onPeer: (record) => this.peers.addPeer(record),
+        },
+        signal,
+      ),
+    );
     lifecycle.startTask('drive rollouts', (signal) => this.createDriver().run(signal));
     options.log.write('started', { zone: options.zone });
   }
@@ -282,7 +286,8 @@
   }
 
   private getMaxAgeMs(name: ViewName): number {
-    return SharedViews.getMaxAgeMs(name, this.peers.getRank());
+    const { configApplyMs, drainMs } = this.options.bounds;
+    return SharedViews.getMaxAgeMs(name, this.peers.getRank(), Math.min(configApplyMs, drainMs));
   }
 
   private createContext(): RelayContext {
@@ -334,20 +339,6 @@
     });
   }
 
-  /** Makes the own address known, then reads the others', so that of two one sees the other. */
-  private async findPeers(signal: AbortSignal): Promise<void> {
-    const { name, peers, store } = this.options;
-    while (!signal.aborted) {
-      const outcome = await store.announce(name, peers);
-      const listed = outcome === 'written' ? await store.peers.list() : undefined;
-      if (listed?.isOk()) {
-        for (const { value } of listed.value.items) if (value) this.peers.addAddress(value);
-        return;
-      }
-      await this.clock.sleep(ANNOUNCE_RETRY_MS * (0.5 + Math.random()), signal);
-    }
-  }
-
   private recordEnd(exchange: Exchange): void {
     this.metrics.record(exchange);
     this.options.log.write('request', {
--- a/packages/relay/src/relayOptions.ts
+++ b/packages/relay/src/relayOptions.ts
@@ -4,8 +4,13 @@
   port: number;
 }
 
-/** Address record by which entry instances find each other in the store. */
-export type PeerRecord = SocketAddress;
+/** Record by which entry instances find each other in the store. */
+export interface PeerRecord extends SocketAddress {
+  name: string;
+  zone: string;
+  /** Size of the machine relative to others; the largest sum up for their zones. */
+  capacity: number;
+}
 
 /** Bounds that the deployment sets; times in milliseconds. */
 export interface RelayBounds {
@@ -13,6 +18,8 @@
   stopGraceMs: number;
   /** Time within which a stored configuration must be in force. */
   configApplyMs: number;
+  /** Time within which a leaving upstream must get no new requests. */
+  drainMs: number;
   /** Whether a request with a revoked key must not run after `revokeMs`, whatever fails. */
   isRevocationStrict: boolean;
   revokeMs: number;
--- a/packages/relay/src/requests/retryBudgets.ts
+++ b/packages/relay/src/requests/retryBudgets.ts
@@ -5,8 +5,9 @@
 
 /** Part of the retry budget that is used; the rest covers what instances count differently. */
 const BUDGET_SHARE = 0.75;
-/** Instances between which the repeats beyond the ratio are shared without asking. */
-const SHARING_INSTANCES = 10;
+// Repeats beyond the ratio are shared without asking: by the living instances, but by no fewer than
+// this, since those that start or were cut off do not know how many there are.
+const MIN_SHARING_INSTANCES = 10;
 
 /** This instance's share of the retry budget of each service. */
 export class RetryBudgets {
@@ -15,6 +16,8 @@
   constructor(
     private readonly clock: Clock,
     private readonly bounds: RelayBounds,
+    /** Returns the number of living instances. */
+    private readonly countInstances: () => number,
   ) {}
 
   get(service: string): RetryBudget {
@@ -24,7 +27,10 @@
     const budget = new RetryBudget({
       clock: this.clock,
       ratio: retryRatio * BUDGET_SHARE,
-      minPerWindow: Math.max(1, Math.floor((retrySlack * BUDGET_SHARE) / SHARING_INSTANCES)),
+      getMinPerWindow: () => {
+        const sharers = Math.max(MIN_SHARING_INSTANCES, this.countInstances());
+        return Math.max(1, Math.floor((retrySlack * BUDGET_SHARE) / sharers));
+      },
       windowMs: retryWindowMs,
     });
     this.budgets.set(service, budget);
--- a/packages/relay/src/rollouts/rolloutBoard.ts
+++ b/packages/relay/src/rollouts/rolloutBoard.ts
@@ -42,6 +42,8 @@
 const FIRST_STEP = 1;
 /** Bounds the size of a message between instances. */
 const MAX_EXPORTED_PINS = 100;
+/** Pins taken from one message, which a reporter may have gathered from all instances. */
+const MAX_IMPORTED_PINS = 500;
 
 /** Formats a session for an order, short enough to be sent to all instances. */
 function formatPinKey(order: RolloutOrder, session: string): string {
@@ -208,7 +210,7 @@
   importPins(keys: readonly string[]): void {
     if (keys.length === 0 || this.orders.size === 0) return;
     const nowMs = this.options.clock.monotonicMs();
-    for (const key of keys.slice(0, MAX_EXPORTED_PINS)) this.peerPins.set(key, nowMs);
+    for (const key of keys.slice(0, MAX_IMPORTED_PINS)) this.peerPins.set(key, nowMs);
     for (const [key, heardAtMs] of this.peerPins) {
       if (nowMs - heardAtMs >= this.options.sessionTtlMs) this.peerPins.delete(key);
     }
--- a/packages/routing/src/retryBudget.ts
+++ b/packages/routing/src/retryBudget.ts
@@ -8,6 +8,8 @@
   ratio?: number;
   /** Extra calls allowed within one window without any requests. Default 3. */
   minPerWindow?: number;
+  /** Returns `minPerWindow` where it depends on what is known at the moment. */
+  getMinPerWindow?: () => number;
   /** Length of the window. Default 10,000. */
   windowMs?: number;
 }
@@ -29,7 +31,7 @@
 
   private readonly ratio: number;
 
-  private readonly minPerWindow: number;
+  private readonly getMinPerWindow: () => number;
 
   private readonly bucketMs: number;
 
@@ -42,7 +44,8 @@
   constructor(options: RetryBudgetOptions = {}) {
     this.clock = options.clock ?? systemClock;
     this.ratio = options.ratio ?? 0.1;
-    this.minPerWindow = options.minPerWindow ?? 3;
+    const { minPerWindow = 3 } = options;
+    this.getMinPerWindow = options.getMinPerWindow ?? (() => minPerWindow);
     this.bucketMs = (options.windowMs ?? 10_000) / BUCKETS;
   }
 
@@ -55,7 +58,7 @@
   tryTake(): boolean {
     const bucket = this.getBucket();
     const { requests, taken } = this.sumWindow(bucket.index);
-    if (taken + 1 > requests * this.ratio + this.minPerWindow) return false;
+    if (taken + 1 > requests * this.ratio + this.getMinPerWindow()) return false;
     bucket.taken += 1;
     return true;
   }
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -2,7 +2,7 @@
 import { createSocket } from 'node:dgram';
 import { afterEach, describe, it } from 'node:test';
 
-import type { ClockReading, ViewName, ViewState } from '@cactusstair/relay';
+import type { ClockReading, PeerRecord, ViewName, ViewState } from '@cactusstair/relay';
 import { PeerExchange, RolloutBoard, UpstreamDirectory } from '@cactusstair/relay';
 import { CrashCounter } from '@cactusstair/routing';
 import { systemClock, waitFor } from '@cactusstair/utils';
@@ -13,6 +13,7 @@
   exchange: PeerExchange;
   directory: UpstreamDirectory;
   crashes: CrashCounter;
+  rollouts: RolloutBoard;
   views: Partial<Record<ViewName, ViewState>>;
   heard: { name: ViewName; state: string; since: ClockReading }[];
   port: number;
@@ -33,7 +34,7 @@
 describe('PeerExchange', () => {
   const instances: Instance[] = [];
 
-  async function open(name: string): Promise<Instance> {
+  async function open(name: string, zone = 'zone-1', capacity = 1): Promise<Instance> {
     const clock = systemClock;
     const directory = new UpstreamDirectory({
       clock,
@@ -43,14 +44,15 @@
     const value = createRecord('upstream');
     directory.applySnapshot([{ name: 'upstream', revision: 1, value }]);
     const crashes = new CrashCounter({ clock });
-    const instance = { directory, crashes, views: {}, heard: [], port: await findPort() };
+    const rollouts = new RolloutBoard({ clock, sessionTtlMs: 5000 });
+    const port = await findPort();
+    const instance = { directory, crashes, rollouts, views: {}, heard: [], port };
     const typed = instance as unknown as Instance;
     typed.exchange = new PeerExchange({
       clock,
-      name,
-      listen: { host: '127.0.0.1', port: instance.port },
+      self: { host: '127.0.0.1', port: instance.port, name, zone, capacity },
       directory,
-      rollouts: new RolloutBoard({ clock, sessionTtlMs: 5000 }),
+      rollouts,
       crashes,
       listViews: () => typed.views,
       onPeerView: (view, state, since) => typed.heard.push({ name: view, state, since }),
@@ -151,4 +153,87 @@
     first.crashes.recordCrash('still alive');
     assert.deepEqual(first.exchange.listLiving(), ['first', 'second']);
   });
+
+  describe('in a fleet beyond the size of a mesh', () => {
+    const ZONES = ['zone-1', 'zone-2'];
+    const PER_ZONE = 7;
+    const WAIT_MS = 15_000;
+
+    async function openFleet(): Promise<Instance[]> {
+      const records: PeerRecord[] = [];
+      const fleet: Instance[] = [];
+      for (const zone of ZONES) {
+        for (let number = 1; number <= PER_ZONE; number += 1) {
+          const name = `${zone}-${number}`;
+          // The last ones of a zone are the largest machines.
+          const instance = await open(name, zone, number);
+          fleet.push(instance);
+          const { port } = instance;
+          records.push({ host: '127.0.0.1', port, name, zone, capacity: number });
+        }
+      }
+      for (const instance of fleet) {
+        for (const record of records) instance.exchange.addPeer(record);
+        start(instance);
+      }
+      return fleet;
+    }
+
+    const getRunning = ({ directory }: Instance) => directory.find('upstream')?.running;
+
+    // Each instance told 12 others at random, so that of 88 it knew the load of half.
+    it('shows each instance the load of all others once, whatever their zone', async () => {
+      const fleet = await openFleet();
+      const call = { backlogMs: 40, heldTokens: 1000 };
+      // A small machine, a reporter, and one of the other zone.
+      for (const index of [0, PER_ZONE - 1, PER_ZONE]) {
+        fleet[index]?.directory.find('upstream')?.calls.add(call);
+      }
+      await waitFor(() => fleet.every((instance) => getRunning(instance) === 3), {
+        what: 'all instances to see three requests',
+        timeoutMs: WAIT_MS,
+      });
+      assert.ok(fleet.every(({ exchange }) => exchange.countInstances() === fleet.length));
+      const ranks = fleet.map(({ exchange }) => exchange.getRank());
+      assert.equal(ranks.filter((rank) => rank === 0).length, 1, ranks.join());
+    });
+
+    it('goes on through other reporters when both of a zone fall silent', async () => {
+      const fleet = await openFleet();
+      await waitFor(
+        () => fleet.every(({ exchange }) => exchange.countInstances() === fleet.length),
+        { what: 'the instances to know of each other', timeoutMs: WAIT_MS },
+      );
+      for (const index of [PER_ZONE - 1, PER_ZONE - 2]) fleet[index]?.stop.abort();
+      const rest = fleet.filter(({ stop }) => !stop.signal.aborted);
+      fleet[0]?.directory.find('upstream')?.calls.add({ backlogMs: 40, heldTokens: 1000 });
+      await waitFor(
+        () =>
+          rest.every(
+            (instance) =>
+              getRunning(instance) === 1 && instance.exchange.countInstances() === rest.length,
+          ),
+        { what: 'the load to pass through the next reporters', timeoutMs: WAIT_MS },
+      );
+    });
+
+    it('tells evidence and pins of all zones to the first instance', async () => {
+      const fleet = await openFleet();
+      const [small] = fleet;
+      small?.rollouts.applySnapshot([
+        {
+          name: 'app',
+          revision: 1,
+          value: { service: 'app', targetVersion: 'v2', durationMs: 60_000, step: 0 },
+        },
+      ]);
+      small?.rollouts.recordOutcome('app', 'v2', { isBad: true, latencyMs: 10 });
+      const sumBad = ({ exchange }: Instance) =>
+        exchange.listEvidence().reduce((sum, part) => sum + (part['app v2']?.bad ?? 0), 0);
+      await waitFor(() => fleet.every((instance) => sumBad(instance) === 1), {
+        what: 'the evidence of one instance to be counted once everywhere',
+        timeoutMs: WAIT_MS,
+      });
+    });
+  });
 });
--- a/tests/relay/support/relayPlace.ts
+++ b/tests/relay/support/relayPlace.ts
@@ -26,6 +26,7 @@
 export const testBounds: RelayBounds = {
   stopGraceMs: 4000,
   configApplyMs: 2000,
+  drainMs: 2000,
   isRevocationStrict: true,
   revokeMs: 5000,
   retryRatio: 0.9,
@@ -135,6 +136,7 @@
     const node = new RelayNode({
       name: 'instance-1',
       zone: 'zone-1',
+      capacity: 1,
       callers: { host, port: callerPort },
       readiness: { host, port: readinessPort },
       readinessPath: '/readiness',
