Derive the shares of a rollout from the deployment's allowed exposure

The first step was a fixed 8% and the second 35%, which fits an allowed share of 0.0975 and 0.15 and breaks 0.05 (0.085 of all requests before the last step). The test fails on the fixed shares.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -47,6 +47,7 @@
 export { computeAcceptConfidence, estimatePressure } from './requests/sizePolicy.js';
 export type { TrackedOrder } from './rollouts/rolloutBoard.js';
 export { formatVersionKey, RolloutBoard } from './rollouts/rolloutBoard.js';
+export { computeStepShares } from './rollouts/rolloutOrder.js';
 export type { RolloutDriverOptions } from './rollouts/rolloutDriver.js';
 export { RolloutDriver } from './rollouts/rolloutDriver.js';
 export type { EvidenceSums, VersionOutcome } from './rollouts/versionEvidence.js';
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -131,7 +131,11 @@
           zone: record.zone,
         }),
     });
-    this.rollouts = new RolloutBoard({ clock: this.clock, sessionTtlMs: bounds.sessionTtlMs });
+    this.rollouts = new RolloutBoard({
+      clock: this.clock,
+      sessionTtlMs: bounds.sessionTtlMs,
+      canaryShare: bounds.canaryShare,
+    });
     this.peers = new PeerExchange({
       clock: this.clock,
       self: this.self,
--- a/packages/relay/src/relayOptions.ts
+++ b/packages/relay/src/relayOptions.ts
@@ -28,6 +28,8 @@
   retryWindowMs: number;
   /** Repeats beyond the ratio in one window, over all instances. */
   retrySlack: number;
+  /** Share of a service's requests that a new version may get before it has proved itself. */
+  canaryShare: number;
   /** Time for which a session lasts after its last request. */
   sessionTtlMs: number;
 }
--- a/packages/relay/src/rollouts/rolloutBoard.ts
+++ b/packages/relay/src/rollouts/rolloutBoard.ts
@@ -4,7 +4,7 @@
 import type { SourceChange, SourceItem } from '../follow/changeSource.js';
 import type { Upstream } from '../upstreams/upstream.js';
 import type { RolloutOrder } from './rolloutOrder.js';
-import { STEP_SHARES } from './rolloutOrder.js';
+import { computeStepShares, FIRST_STEP, LAST_STEP } from './rolloutOrder.js';
 import type { EvidenceSums, VersionOutcome } from './versionEvidence.js';
 import { addOutcome, createEvidence } from './versionEvidence.js';
 
@@ -13,6 +13,8 @@
   clock: Clock;
   /** Time for which a session keeps its version after its last request. */
   sessionTtlMs: number;
+  /** Share of a service's requests that a version may get before it has proved itself. */
+  canaryShare: number;
 }
 
 /** An order with what this instance knows of it. */
@@ -38,8 +40,6 @@
 // next reads of the orders.
 const NEW_VERSION_HOLD_MS = 2500;
 const MAX_PINS = 20_000;
-/** The step with the first sessions on the new version. */
-const FIRST_STEP = 1;
 /** Bounds the size of a message between instances. */
 const MAX_EXPORTED_PINS = 100;
 /** Pins taken from one message, which a reporter may have gathered from all instances. */
@@ -68,7 +68,11 @@
 
   private readonly evidence = new Map<string, EvidenceSums>();
 
-  constructor(private readonly options: RolloutBoardOptions) {}
+  private readonly stepShares: readonly number[];
+
+  constructor(private readonly options: RolloutBoardOptions) {
+    this.stepShares = computeStepShares(options.canaryShare);
+  }
 
   applySnapshot(items: readonly SourceItem<RolloutOrder>[]): void {
     const services = new Set<string>();
@@ -173,7 +177,7 @@
 
   private choosesTarget(tracked: TrackedOrder, session: string | undefined): boolean {
     const { order } = tracked;
-    const share = STEP_SHARES[Math.min(order.step, STEP_SHARES.length - 1)] ?? 0;
+    const share = this.stepShares[Math.min(order.step, LAST_STEP)] ?? 0;
     if (share >= 1) return true;
     if (session === undefined) return Math.random() < share;
     const pin = this.pins.get(`${order.service} ${session}`);
@@ -199,7 +203,7 @@
         if (!name.startsWith(prefix) || pin.version !== '') continue;
         if (nowMs - pin.usedAtMs >= this.options.sessionTtlMs) continue;
         const key = formatPinKey(order, name.slice(prefix.length));
-        if (computePosition(key) < STEP_SHARES[FIRST_STEP]!) keys.push(key);
+        if (computePosition(key) < this.stepShares[FIRST_STEP]!) keys.push(key);
         if (keys.length >= MAX_EXPORTED_PINS) return keys;
       }
     }
--- a/packages/relay/src/rollouts/rolloutDriver.ts
+++ b/packages/relay/src/rollouts/rolloutDriver.ts
@@ -4,7 +4,7 @@
 import type { RolloutBoard, TrackedOrder } from './rolloutBoard.js';
 import { formatVersionKey } from './rolloutBoard.js';
 import type { RolloutProgress } from './rolloutOrder.js';
-import { STEP_SHARES } from './rolloutOrder.js';
+import { FIRST_HALF, LAST_STEP } from './rolloutOrder.js';
 import type { EvidenceSums } from './versionEvidence.js';
 import {
   addEvidence,
@@ -31,8 +31,6 @@
 const CHECK_INTERVAL_MS = 200;
 /** Each instance waits this much longer than the one before it to take a step that is due. */
 const RANK_DELAY_MS = 600;
-/** Sessions must not be moved to a new version in the first half of its rollout. */
-const FIRST_HALF = 0.52;
 /** Time in the second step, in which a version that fails under more load shows. */
 const MIN_STEP_MS = 2000;
 // Old upstreams stop without draining at the completion, so their streams need time to end.
@@ -105,8 +103,7 @@
     }
     const elapsedMs = nowMs - tracked.seenAtMs;
     const stepMs = nowMs - tracked.stepAtMs;
-    const last = STEP_SHARES.length - 1;
-    if (order.step < last) {
+    if (order.step < LAST_STEP) {
       const isDue = elapsedMs >= FIRST_HALF * order.durationMs && stepMs >= MIN_STEP_MS;
       return isDue
         ? { progress: { ...progress, step: order.step + 1 }, reason: 'no fault was found' }
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -44,7 +44,7 @@
     const value = createRecord('upstream');
     directory.applySnapshot([{ name: 'upstream', revision: 1, value }]);
     const crashes = new CrashCounter({ clock });
-    const rollouts = new RolloutBoard({ clock, sessionTtlMs: 5000 });
+    const rollouts = new RolloutBoard({ clock, sessionTtlMs: 5000, canaryShare: 0.15 });
     const port = await findPort();
     const instance = { directory, crashes, rollouts, views: {}, heard: [], port };
     const typed = instance as unknown as Instance;
--- a/tests/relay/rollouts.test.ts
+++ b/tests/relay/rollouts.test.ts
@@ -3,6 +3,7 @@
 
 import type { EvidenceSums, RolloutOrder, RolloutProgress, WriteOutcome } from '@cactusstair/relay';
 import {
+  computeStepShares,
   createEvidence,
   describeBadVersion,
   formatVersionKey,
@@ -49,10 +50,25 @@
     });
   });
 
+  describe('computeStepShares', () => {
+    // A fixed first step of 8% broke the exposure of deployments that allow 5%.
+    it('keeps what a version gets before its last step below the allowed exposure', () => {
+      for (const allowed of [0.02, 0.05, 0.0975, 0.15, 0.3]) {
+        const [none, first = 1, second = 1, last] = computeStepShares(allowed);
+        assert.equal(none, 0);
+        assert.equal(last, 1);
+        assert.ok(first > 0 && first <= second, `${allowed}: ${first}, ${second}`);
+        // Half of the time at the first step, two seconds of a rollout of 16 s at the second.
+        const exposure = 0.52 * first + (2 / 16) * second;
+        assert.ok(exposure <= allowed, `${allowed}: ${exposure}`);
+      }
+    });
+  });
+
   describe('RolloutBoard', () => {
     function createBoard() {
       const clock = new ManualClock(10_000);
-      const board = new RolloutBoard({ clock, sessionTtlMs: 5000 });
+      const board = new RolloutBoard({ clock, sessionTtlMs: 5000, canaryShare: 0.15 });
       const old = new Upstream(createRecord('old', { version: 'v1' }), clock);
       const young = new Upstream(createRecord('young', { version: 'v2' }), clock);
       let revision = 1;
@@ -153,7 +169,7 @@
   describe('RolloutDriver', () => {
     function createDriver(rank = 0) {
       const clock = new ManualClock(10_000);
-      const board = new RolloutBoard({ clock, sessionTtlMs: 5000 });
+      const board = new RolloutBoard({ clock, sessionTtlMs: 5000, canaryShare: 0.15 });
       const target = createEvidence();
       const baseline = createEvidenceOf(100, 1);
       const stored: RolloutProgress[] = [];
--- a/tests/relay/support/relayPlace.ts
+++ b/tests/relay/support/relayPlace.ts
@@ -32,6 +32,7 @@
   retryRatio: 0.9,
   retryWindowMs: 10_000,
   retrySlack: 54,
+  canaryShare: 0.15,
   sessionTtlMs: 5000,
 };
 
