Let the reporters of a zone pass changes of the store on to its instances

Cause: each change of the store cost a call of each instance, and three polls waited in each. Beyond 13 instances only the reporters wait for changes; the others hear of another state and read it from a reporter, with the age of the reporter's own confirmation. What a reporter cannot prove comes from the store.

--- a/packages/relay/src/config/relayConfig.ts
+++ b/packages/relay/src/config/relayConfig.ts
@@ -42,7 +42,7 @@
   /** Memory of one engine, in tokens. */
   memoryTokens: number;
   /** Price per 1,000 generated tokens, by model name; tokens read count as a quarter. */
-  priceByModel: ReadonlyMap<string, number>;
+  priceByModel: Readonly<Record<string, number>>;
 }
 
 /** A service of the configuration. */
--- a/packages/relay/src/follow/changeSource.ts
+++ b/packages/relay/src/follow/changeSource.ts
@@ -21,15 +21,32 @@
   /** No usable answer; nothing is known about the store's state. */
   | { type: 'unavailable'; message: string };
 
+/** How a state was read: straight from the store, or through another instance. */
+interface ReadOrigin {
+  /** Age of the state when a peer sent it, in milliseconds; absent for a read of the store. */
+  ageMs?: number;
+  /** Time since the store came back, as the peer knows it; null when it was not away. */
+  restoredAgeMs?: number | null;
+}
+
+/** All objects of one kind. */
+export interface SourceList<T> extends ReadOrigin {
+  items: SourceItem<T>[];
+  revision: number;
+}
+
+/** The changes of one kind of objects since a revision. */
+export interface SourceChanges<T> extends ReadOrigin {
+  changes: SourceChange<T>[];
+  revision: number;
+}
+
 /** Linearizable reads of one kind of objects in the platform's store. */
 export interface ChangeSource<T> {
   /** Reads all objects, following pages. The revision is that of the first page. */
-  list(): Promise<Result<{ items: SourceItem<T>[]; revision: number }, SourceFailure>>;
+  list(): Promise<Result<SourceList<T>, SourceFailure>>;
   /** Returns the changes after `revision`, or none after `waitMs`. */
-  poll(
-    revision: number,
-    waitMs: number,
-  ): Promise<Result<{ changes: SourceChange<T>[]; revision: number }, SourceFailure>>;
+  poll(revision: number, waitMs: number): Promise<Result<SourceChanges<T>, SourceFailure>>;
 }
 
 /** How a conditional write ended. `unknown`: it may have taken effect or may do so later. */
--- a/packages/relay/src/follow/sourceFollower.ts
+++ b/packages/relay/src/follow/sourceFollower.ts
@@ -2,6 +2,7 @@
 
 import type { ClockReading } from './beliefAge.js';
 import { computeAgeMs, readClocks } from './beliefAge.js';
+import { ChangeLog } from './changeLog.js';
 import type { ChangeSource, SourceChange, SourceFailure, SourceItem } from './changeSource.js';
 
 /** Options of `SourceFollower`. */
@@ -10,6 +11,11 @@
   source: ChangeSource<T>;
   /** Longest time that one poll for changes waits at the store, in milliseconds. */
   waitMs: number;
+  /**
+   * Whether this instance waits for changes at the source. One that does not hears from its peers
+   * that there are some, and reads them then. Default: always.
+   */
+  shouldWait?: () => boolean;
   /** Returns the age above which the state is confirmed by a read of its own, in milliseconds. */
   getMaxAgeMs: () => number;
   /**
@@ -31,6 +37,18 @@
 const DEFAULT_MAX_RETRY_MS = 700;
 const AGE_CHECK_INTERVAL_MS = 100;
 
+/** The changes that a view has taken in since a revision, for another instance. */
+export interface ExportedChanges<T> {
+  changes: SourceChange<T>[];
+  revision: number;
+  /** Age of the last confirmed read. */
+  ageMs: number;
+  /** Whether the last read of the store failed. */
+  isDisturbed: boolean;
+  /** Time since the store came back; null when it was not away. */
+  restoredAgeMs: number | null;
+}
+
 /**
  * Keeps a view of one kind of objects current. A long poll brings the changes; since a silent poll
  * proves nothing, the view is confirmed by short reads from its revision, or by a peer that has
@@ -63,6 +81,8 @@
   /** Revision of the last list; older objects are known not to exist if it lacked them. */
   private listedRevision = 0;
 
+  private readonly log = new ChangeLog<T>();
+
   constructor(private readonly options: SourceFollowerOptions<T>) {}
 
   /** Whether the first list has been read. */
@@ -89,6 +109,20 @@
     return this.restored ? computeAgeMs(this.options.clock, this.restored) : Infinity;
   }
 
+  /** Returns the changes since `revision` for a peer; undefined when they are no longer known. */
+  exportSince(revision: number): ExportedChanges<T> | undefined {
+    const changes = this.log.listSince(revision);
+    if (!changes || this.revision === undefined) return undefined;
+    const restoredAgeMs = this.getRestoredAgeMs();
+    return {
+      changes,
+      revision: this.revision,
+      ageMs: this.getAgeMs(),
+      isDisturbed: !this.isAvailable,
+      restoredAgeMs: Number.isFinite(restoredAgeMs) ? restoredAgeMs : null,
+    };
+  }
+
   /** Takes over that a peer confirmed the state that this view has, by a read begun at `since`. */
   adopt(since: ClockReading): void {
     if (!this.confirmed) return;
@@ -116,11 +150,11 @@
 
   /** Follows the changes until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, settleMs = 0, waitMs } = this.options;
+    const { clock, settleMs = 0, shouldWait = () => true, waitMs } = this.options;
     while (!signal.aborted) {
       if (this.revision === undefined) {
         if (!(await this.load())) await clock.sleep(this.growRetry(), signal);
-      } else if (!this.isAvailable) {
+      } else if (!this.isAvailable || !shouldWait()) {
         // `keepFresh` tries the store; it also does so while a poll hangs in a silent outage.
         await clock.sleep(AGE_CHECK_INTERVAL_MS, signal);
       } else if (await this.poll(this.revision, waitMs)) {
@@ -166,6 +200,7 @@
     this.applied.clear();
     for (const item of listed.value.items) this.applied.set(item.name, item.revision);
     this.listedRevision = listed.value.revision;
+    this.log.reset(listed.value.revision);
     this.options.onSnapshot(listed.value.items);
     this.recordRead(before, listed.value.revision);
     return true;
@@ -175,13 +210,16 @@
     const before = readClocks(this.options.clock);
     const polled = await this.options.source.poll(revision, waitMs);
     if (polled.isErr()) return this.handleFailure(polled.error);
-    for (const change of polled.value.changes) this.apply(change);
-    this.recordRead(before, polled.value.revision);
+    const { changes, revision: readRevision, ageMs = 0, restoredAgeMs } = polled.value;
+    if (typeof restoredAgeMs === 'number') this.recordRestored(restoredAgeMs);
+    for (const change of changes) this.apply(change, readRevision);
+    const { monotonicMs, wallMs } = before;
+    this.recordRead({ monotonicMs: monotonicMs - ageMs, wallMs: wallMs - ageMs }, readRevision);
     return true;
   }
 
   /** Takes a change in unless a read that overtook this one has brought a newer state. */
-  private apply(change: SourceChange<T>): void {
+  private apply(change: SourceChange<T>, readRevision: number): void {
     const known = this.applied.get(change.name) ?? 0;
     // The store may name the object's last change in a deletion, not the deletion itself.
     const isOld = change.isDeleted
@@ -190,9 +228,18 @@
     if (isOld) return;
     this.applied.set(change.name, Math.max(known, change.revision));
     this.hasNewChanges = true;
+    this.log.record(change, readRevision);
     this.options.onChange(change);
   }
 
+  /** Takes over that the store was away, so that vanished entries are judged as at the peer. */
+  private recordRestored(restoredAgeMs: number): void {
+    if (restoredAgeMs >= this.getRestoredAgeMs()) return;
+    const { monotonicMs, wallMs } = readClocks(this.options.clock);
+    this.restored = { monotonicMs: monotonicMs - restoredAgeMs, wallMs: wallMs - restoredAgeMs };
+    this.disturbed = this.restored;
+  }
+
   private recordRead(before: ClockReading, revision: number): void {
     this.revision = Math.max(this.revision ?? 0, revision);
     if (!this.confirmed || this.getAgeMs() > computeAgeMs(this.options.clock, before)) {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -13,6 +13,7 @@
 export type {
   ChangeSource,
   SourceChange,
+  SourceChanges,
   SourceFailure,
   SourceItem,
   WriteOutcome,
@@ -38,6 +39,9 @@
 
 // Parts that serve without the node.
 export { computeAgeMs, readClocks } from './follow/beliefAge.js';
+export type { PeerSourceOptions } from './peers/peerSource.js';
+export { PeerSource } from './peers/peerSource.js';
+export { ViewServer } from './peers/viewServer.js';
 export type { PeerExchangeOptions } from './peers/peerExchange.js';
 export { PeerExchange } from './peers/peerExchange.js';
 export type { ViewName, ViewState } from './peers/peerMessage.js';
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -153,6 +153,18 @@
     return this.sumPeerLoads(LOST_AFTER_MS)[upstreamId]?.[0] ?? 0;
   }
 
+  /** Whether this instance waits for changes at the store, and passes them on in a large fleet. */
+  get isWatcher(): boolean {
+    return !this.isZoned || this.isReporter || this.findProvider() === undefined;
+  }
+
+  /** Returns a reporter of the own zone that was heard a moment ago, for reads of its views. */
+  findProvider(): SocketAddress | undefined {
+    if (!this.isZoned || this.isReporter) return undefined;
+    const reporter = this.findReporter(STALE_AFTER_MS);
+    return reporter && this.table.findAddress(reporter.message.name);
+  }
+
   private get isZoned(): boolean {
     return this.table.addressCount > MAX_MESH_PEERS;
   }
--- a/packages/relay/src/peers/peerTable.ts
+++ b/packages/relay/src/peers/peerTable.ts
@@ -98,6 +98,10 @@
     return this.heard.get(name);
   }
 
+  findAddress(name: string): SocketAddress | undefined {
+    return this.candidates.get(name)?.record;
+  }
+
   /** Returns the peers that were heard directly within `maxAgeMs`. */
   listHeard(maxAgeMs = Infinity): Peer[] {
     const nowMs = this.clock.monotonicMs();
--- a/packages/relay/src/peers/sharedViews.ts
+++ b/packages/relay/src/peers/sharedViews.ts
@@ -23,12 +23,12 @@
 };
 /** Beyond it the ages would come near the bound on revoked keys. */
 const MAX_AGE_FACTOR = 1.5;
-/** Pause between two reads because a peer holds another state. */
+/** Pause between two reads of one view because a peer holds another state. */
 const MISMATCH_PAUSE_MS = 400;
 
 /** The states that the instances confirm for each other. */
 export class SharedViews {
-  private mismatchReadMs = -Infinity;
+  private readonly mismatchReadMs = new Map<ViewName, number>();
 
   constructor(
     private readonly clock: Clock,
@@ -66,8 +66,9 @@
     }
     const nowMs = this.clock.monotonicMs();
     const isNewer = computeAgeMs(this.clock, since) < view.follower.getAgeMs();
-    if (!isNewer || nowMs - this.mismatchReadMs < MISMATCH_PAUSE_MS) return;
-    this.mismatchReadMs = nowMs;
+    const readMs = this.mismatchReadMs.get(name) ?? -Infinity;
+    if (!isNewer || nowMs - readMs < MISMATCH_PAUSE_MS) return;
+    this.mismatchReadMs.set(name, nowMs);
     void view.follower.confirm();
   }
 }
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -5,15 +5,11 @@
 import { CallerServer } from './callerServer.js';
 import { ConfigIndex } from './config/configIndex.js';
 import type { RelayConfig } from './config/relayConfig.js';
-import type { SourceChange, SourceItem } from './follow/changeSource.js';
-import { SourceFollower } from './follow/sourceFollower.js';
 import type { EventLog } from './observe/eventLog.js';
 import { RequestMetrics } from './observe/requestMetrics.js';
 import { createStatusServer } from './observe/statusServer.js';
 import { PeerExchange } from './peers/peerExchange.js';
 import { findPeers } from './peers/peerFinder.js';
-import type { ViewName } from './peers/peerMessage.js';
-import { SharedViews } from './peers/sharedViews.js';
 import type { PeerRecord, RelayBounds, SocketAddress } from './relayOptions.js';
 import type { RelayStore } from './relayStore.js';
 import type { Exchange } from './requests/exchange.js';
@@ -25,9 +21,8 @@
 import type { TrackedOrder } from './rollouts/rolloutBoard.js';
 import { RolloutBoard } from './rollouts/rolloutBoard.js';
 import { RolloutDriver } from './rollouts/rolloutDriver.js';
-import type { RolloutOrder } from './rollouts/rolloutOrder.js';
+import { StoreViews } from './storeViews.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
-import type { UpstreamRecord } from './upstreams/upstreamRecord.js';
 import { ZoneReachability } from './upstreams/zoneReachability.js';
 
 /** Options of `RelayNode`. */
@@ -40,7 +35,7 @@
   /** Address of readiness checks: 200 while ready, else 503. */
   readiness: SocketAddress;
   readinessPath: string;
-  /** Address for the datagrams between instances. */
+  /** Address between instances: datagrams, and TCP for reads of followed states. */
   peers: SocketAddress;
   /** Hosts at which instances may be found before the store was read. */
   seedHosts: readonly string[];
@@ -51,19 +46,9 @@
   clock?: Clock;
 }
 
-/** Polls for changes wait this long; the bound of the store is 30 s, and each poll has its price. */
-const POLL_WAIT_MS = 29_000;
-// Each change costs a call of every instance; both pauses are small against the bounds of 2 s on
-// configurations and leaving upstreams.
-const CONFIG_SETTLE_MS = 100;
-const UPSTREAM_SETTLE_MS = 250;
-// While the store is away only the configuration is asked for often; its return wakes the others.
-const OTHER_RETRY_MS = 2000;
 /** Time kept back from the bound on revoked keys for what is between the check and the run. */
 const KEY_AGE_MARGIN_MS = 500;
 const ABSENCE_AGE_MARGIN_MS = 200;
-/** After the store returned, entries may still be missing for this long. */
-const STORE_DISTURBED_MS = 3000;
 // The platform stops sending connections two seconds after it has seen the instance unready. Later
 // ones, and further requests on kept ones, might not end within the grace.
 const CLOSE_AFTER_MS = 2500;
@@ -87,14 +72,10 @@
 
   private readonly crashes: CrashCounter;
 
-  private readonly configFollower: SourceFollower<RelayConfig>;
-
-  private readonly upstreamFollower: SourceFollower<UpstreamRecord>;
-
-  private readonly rolloutFollower: SourceFollower<RolloutOrder>;
-
   private readonly peers: PeerExchange;
 
+  private readonly views: StoreViews;
+
   private readonly callerServer: CallerServer;
 
   private readonly readinessServer: CallerServer;
@@ -121,8 +102,8 @@
     this.crashes = new CrashCounter({ clock: this.clock });
     this.directory = new UpstreamDirectory({
       clock: this.clock,
-      isStoreDisturbed: () => this.upstreamFollower.isDisturbed(STORE_DISTURBED_MS),
-      getStoreRestoredAgeMs: () => this.upstreamFollower.getRestoredAgeMs(),
+      isStoreDisturbed: () => this.views.isStoreDisturbed(),
+      getStoreRestoredAgeMs: () => this.views.upstreams.getRestoredAgeMs(),
       onEvent: (event, record) =>
         log.write(`upstream_${event}`, {
           upstream: record.id,
@@ -142,63 +123,27 @@
       directory: this.directory,
       rollouts: this.rollouts,
       crashes: this.crashes,
-      listViews: () => views.listStates(),
-      onPeerView: (name, state, since) => views.applyPeerState(name, state, since),
+      listViews: () => this.views.shared.listStates(),
+      onPeerView: (name, state, since) => this.views.shared.applyPeerState(name, state, since),
       onEvent: (event, name) => log.write(event, { peer: name }),
     });
-    this.configFollower = new SourceFollower({
+    this.views = new StoreViews({
       clock: this.clock,
-      source: store.config,
-      waitMs: POLL_WAIT_MS,
-      settleMs: CONFIG_SETTLE_MS,
-      getMaxAgeMs: () => this.getMaxAgeMs('config'),
-      onSnapshot: (items) => items.forEach((item) => this.applyConfig(item)),
-      onChange: (change) => this.applyConfig(change),
-      onAvailability: (isAvailable, reason) => {
-        log.write('store', { state: isAvailable ? 'available' : 'unavailable', reason });
-        if (!isAvailable) return;
-        this.upstreamFollower.retryNow();
-        this.rolloutFollower.retryNow();
-      },
-    });
-    this.upstreamFollower = new SourceFollower({
-      clock: this.clock,
-      source: store.upstreams,
-      waitMs: POLL_WAIT_MS,
-      settleMs: UPSTREAM_SETTLE_MS,
-      maxRetryMs: OTHER_RETRY_MS,
-      getMaxAgeMs: () => this.getMaxAgeMs('upstreams'),
-      onSnapshot: (items) => this.directory.applySnapshot(items),
-      onChange: (change) => this.directory.applyChange(change),
-    });
-    this.rolloutFollower = new SourceFollower({
-      clock: this.clock,
-      source: store.rollouts,
-      waitMs: POLL_WAIT_MS,
-      maxRetryMs: OTHER_RETRY_MS,
-      getMaxAgeMs: () => this.getMaxAgeMs('rollouts'),
-      onSnapshot: (items) => this.rollouts.applySnapshot(items),
-      onChange: (change) => {
-        this.rollouts.applyChange(change);
-        log.write('rollout_order', { name: change.name, ...change.value });
-      },
-    });
-    const views = new SharedViews(this.clock, {
-      config: {
-        follower: this.configFollower,
-        formatState: () => String(this.config?.config.version ?? ''),
-      },
-      upstreams: {
-        follower: this.upstreamFollower,
-        formatState: () => this.directory.formatState(),
-      },
-      rollouts: { follower: this.rolloutFollower, formatState: () => this.rollouts.formatState() },
+      store,
+      peers: this.peers,
+      directory: this.directory,
+      rollouts: this.rollouts,
+      // A change must be in force, and a leaving upstream left alone, within the smaller bound.
+      boundMs: Math.min(bounds.configApplyMs, bounds.drainMs),
+      getConfigVersion: () => this.config?.config.version,
+      onConfig: (config) => this.applyConfig(config),
+      log,
     });
     const handler = new RequestHandler({
       context: this.createContext(),
-      getConfigAgeMs: () => this.configFollower.getAgeMs(),
-      confirmConfig: () => this.configFollower.confirm(),
-      maxKeyAgeMs: bounds.isRevocationStrict ? bounds.revokeMs - KEY_AGE_MARGIN_MS : Infinity,
+      getConfigAgeMs: () => this.views.config.getAgeMs(),
+      confirmConfig: () => this.views.config.confirm(),
+      maxKeyAgeMs: this.maxKeyAgeMs,
       maxAbsenceAgeMs: bounds.configApplyMs - ABSENCE_AGE_MARGIN_MS,
       isStopping: () => this.isStopping,
       onEnd: (exchange) => this.recordEnd(exchange),
@@ -220,9 +165,9 @@
     return (
       !this.isStopping &&
       this.config !== undefined &&
-      this.upstreamFollower.isLoaded &&
-      this.rolloutFollower.isLoaded &&
-      (!this.config.needsKeys || this.configFollower.getAgeMs() < this.maxReadyAgeMs)
+      this.views.upstreams.isLoaded &&
+      this.views.rollouts.isLoaded &&
+      (!this.config.needsKeys || this.views.config.getAgeMs() < this.maxKeyAgeMs)
     );
   }
 
@@ -231,13 +176,9 @@
     for (const host of options.seedHosts) {
       this.peers.addAddress({ host, port: options.peers.port });
     }
-    lifecycle.startTask('follow configuration', (signal) => this.configFollower.run(signal));
-    lifecycle.startTask('follow upstreams', (signal) => this.upstreamFollower.run(signal));
-    lifecycle.startTask('follow rollouts', (signal) => this.rolloutFollower.run(signal));
-    lifecycle.startTask('confirm configuration', (signal) => this.configFollower.keepFresh(signal));
-    lifecycle.startTask('confirm upstreams', (signal) => this.upstreamFollower.keepFresh(signal));
-    lifecycle.startTask('confirm rollouts', (signal) => this.rolloutFollower.keepFresh(signal));
+    this.views.startTasks(lifecycle);
     await this.peers.start();
+    await this.views.listen(options.peers);
     await this.readinessServer.listen(options.readiness);
     await this.callerServer.listen(options.callers);
     lifecycle.startTask('exchange with peers', (signal) => this.peers.run(signal));
@@ -276,7 +217,7 @@
     this.options.log.flush();
   }
 
-  private get maxReadyAgeMs(): number {
+  private get maxKeyAgeMs(): number {
     const { bounds } = this.options;
     return bounds.isRevocationStrict ? bounds.revokeMs - KEY_AGE_MARGIN_MS : Infinity;
   }
@@ -285,15 +226,11 @@
   async close(): Promise<void> {
     await this.callerServer.close();
     await this.readinessServer.close();
+    await this.views.close();
     await this.lifecycle.close();
     this.peers.close();
   }
 
-  private getMaxAgeMs(name: ViewName): number {
-    const { configApplyMs, drainMs } = this.options.bounds;
-    return SharedViews.getMaxAgeMs(name, this.peers.getRank(), Math.min(configApplyMs, drainMs));
-  }
-
   private createContext(): RelayContext {
     return {
       clock: this.clock,
@@ -332,14 +269,13 @@
     return count;
   }
 
-  private applyConfig(item: SourceItem<RelayConfig> | SourceChange<RelayConfig>): void {
-    if (!item.value || ('isDeleted' in item && item.isDeleted)) return;
-    if (this.config && item.value.version <= this.config.config.version) return;
-    this.config = new ConfigIndex(item.value);
-    this.callerServer.applyLimits(item.value.limits);
+  private applyConfig(config: RelayConfig): void {
+    if (this.config && config.version <= this.config.config.version) return;
+    this.config = new ConfigIndex(config);
+    this.callerServer.applyLimits(config.limits);
     this.options.log.write('config_applied', {
-      version: item.value.version,
-      routes: item.value.routes.length,
+      version: config.version,
+      routes: config.routes.length,
     });
   }
 
@@ -360,7 +296,7 @@
     return this.metrics.format({
       openRequests: this.callerServer.openCount,
       configVersion: this.config?.config.version ?? 0,
-      configAgeSeconds: this.configFollower.getAgeMs() / 1000,
+      configAgeSeconds: this.views.config.getAgeMs() / 1000,
       upstreams: this.directory.listAll().length,
       peers: this.peers.listLiving().length,
       droppedLogLines: this.options.log.dropped,
--- /dev/null
+++ b/packages/relay/src/storeViews.ts
@@ -0,0 +1,136 @@
+import type { Clock, LifecycleManager } from '@cactusstair/utils';
+
+import type { RelayConfig } from './config/relayConfig.js';
+import type { ChangeSource, SourceItem } from './follow/changeSource.js';
+import { SourceFollower } from './follow/sourceFollower.js';
+import type { EventLog } from './observe/eventLog.js';
+import type { PeerExchange } from './peers/peerExchange.js';
+import type { ViewName } from './peers/peerMessage.js';
+import { PeerSource } from './peers/peerSource.js';
+import { SharedViews } from './peers/sharedViews.js';
+import { ViewServer } from './peers/viewServer.js';
+import type { SocketAddress } from './relayOptions.js';
+import type { RelayStore } from './relayStore.js';
+import type { RolloutBoard } from './rollouts/rolloutBoard.js';
+import type { RolloutOrder } from './rollouts/rolloutOrder.js';
+import type { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
+import type { UpstreamRecord } from './upstreams/upstreamRecord.js';
+
+/** Options of `StoreViews`. */
+export interface StoreViewsOptions {
+  clock: Clock;
+  store: RelayStore;
+  peers: Pick<PeerExchange, 'findProvider' | 'getRank' | 'isWatcher'>;
+  directory: UpstreamDirectory;
+  rollouts: RolloutBoard;
+  /** Time within which a change in the store must be in force, in milliseconds. */
+  boundMs: number;
+  getConfigVersion: () => number | undefined;
+  /** Called with each configuration that was read; versions may come again. */
+  onConfig: (config: RelayConfig) => void;
+  log: EventLog;
+}
+
+/** Polls for changes wait this long; the bound of the store is 30 s, and each poll has its price. */
+const POLL_WAIT_MS = 29_000;
+// Each change costs a call of every instance; both pauses are small against the bounds of 2 s on
+// configurations and leaving upstreams.
+const CONFIG_SETTLE_MS = 100;
+const UPSTREAM_SETTLE_MS = 250;
+// While the store is away only the configuration is asked for often; its return wakes the others.
+const OTHER_RETRY_MS = 2000;
+/** After the store returned, entries may still be missing for this long. */
+const STORE_DISTURBED_MS = 3000;
+
+/**
+ * What this instance follows in the store: the configuration, the list of upstreams and the orders
+ * of rollouts. It reads them from the store or from an instance that does, and passes them on.
+ */
+export class StoreViews {
+  readonly config: SourceFollower<RelayConfig>;
+
+  readonly upstreams: SourceFollower<UpstreamRecord>;
+
+  readonly rollouts: SourceFollower<RolloutOrder>;
+
+  /** The states as the peers confirm them. */
+  readonly shared: SharedViews;
+
+  private readonly server: ViewServer;
+
+  constructor(private readonly options: StoreViewsOptions) {
+    const { clock, directory, log, rollouts, store } = options;
+    const applyConfig = ({ value }: SourceItem<RelayConfig>) => value && options.onConfig(value);
+    this.config = new SourceFollower({
+      ...this.createOptions('config', store.config),
+      settleMs: CONFIG_SETTLE_MS,
+      onSnapshot: (items) => items.forEach(applyConfig),
+      onChange: (change) => !change.isDeleted && applyConfig(change),
+      onAvailability: (isAvailable, reason) => {
+        log.write('store', { state: isAvailable ? 'available' : 'unavailable', reason });
+        if (!isAvailable) return;
+        this.upstreams.retryNow();
+        this.rollouts.retryNow();
+      },
+    });
+    this.upstreams = new SourceFollower({
+      ...this.createOptions('upstreams', store.upstreams),
+      settleMs: UPSTREAM_SETTLE_MS,
+      maxRetryMs: OTHER_RETRY_MS,
+      onSnapshot: (items) => directory.applySnapshot(items),
+      onChange: (change) => directory.applyChange(change),
+    });
+    this.rollouts = new SourceFollower({
+      ...this.createOptions('rollouts', store.rollouts),
+      maxRetryMs: OTHER_RETRY_MS,
+      onSnapshot: (items) => rollouts.applySnapshot(items),
+      onChange: (change) => {
+        rollouts.applyChange(change);
+        log.write('rollout_order', { name: change.name, ...change.value });
+      },
+    });
+    const followers = { config: this.config, upstreams: this.upstreams, rollouts: this.rollouts };
+    this.shared = new SharedViews(clock, {
+      config: {
+        follower: this.config,
+        formatState: () => String(options.getConfigVersion() ?? ''),
+      },
+      upstreams: { follower: this.upstreams, formatState: () => directory.formatState() },
+      rollouts: { follower: this.rollouts, formatState: () => rollouts.formatState() },
+    });
+    this.server = new ViewServer(followers);
+  }
+
+  /** Whether entries may be missing because the store is away, or was a moment ago. */
+  isStoreDisturbed(): boolean {
+    return this.upstreams.isDisturbed(STORE_DISTURBED_MS);
+  }
+
+  startTasks(lifecycle: LifecycleManager): void {
+    const followers = { config: this.config, upstreams: this.upstreams, rollouts: this.rollouts };
+    for (const [name, follower] of Object.entries(followers)) {
+      lifecycle.startTask(`follow ${name}`, (signal) => follower.run(signal));
+      lifecycle.startTask(`confirm ${name}`, (signal) => follower.keepFresh(signal));
+    }
+  }
+
+  /** Serves the states to the peers. */
+  listen(address: SocketAddress): Promise<void> {
+    return this.server.listen(address);
+  }
+
+  close(): Promise<void> {
+    return this.server.close();
+  }
+
+  private createOptions<T>(name: ViewName, source: ChangeSource<T>) {
+    const { boundMs, clock, peers } = this.options;
+    return {
+      clock,
+      waitMs: POLL_WAIT_MS,
+      source: new PeerSource({ name, store: source, findProvider: () => peers.findProvider() }),
+      shouldWait: () => peers.isWatcher,
+      getMaxAgeMs: () => SharedViews.getMaxAgeMs(name, peers.getRank(), boundMs),
+    };
+  }
+}
--- /dev/null
+++ b/tests/relay/peerSource.test.ts
@@ -0,0 +1,178 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+
+import { PeerSource, SourceFollower, ViewServer } from '@cactusstair/relay';
+import type { SocketAddress } from '@cactusstair/relay';
+import { ManualClock, waitFor } from '@cactusstair/utils';
+
+import { MemorySource } from './support/memorySource.js';
+
+/** An instance that follows the store, and one that reads from it. */
+describe('PeerSource', () => {
+  const stops: (() => Promise<void>)[] = [];
+
+  afterEach(async () => {
+    for (const stop of stops.splice(0)) await stop();
+  });
+
+  async function findPort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    await new Promise((resolve) => {
+      server.close(resolve);
+    });
+    return port;
+  }
+
+  function createFollower(
+    source: MemorySource<string>,
+    provider?: () => SocketAddress | undefined,
+  ) {
+    const clock = new ManualClock(100_000);
+    const state = new Map<string, string | undefined>();
+    const follower = new SourceFollower<string>({
+      clock,
+      waitMs: 10_000,
+      source: new PeerSource({
+        name: 'upstreams',
+        store: source,
+        findProvider: provider ?? (() => undefined),
+      }),
+      shouldWait: () => provider === undefined,
+      getMaxAgeMs: () => Infinity,
+      onSnapshot: (items) => {
+        state.clear();
+        for (const { name, value } of items) state.set(name, value);
+      },
+      onChange: ({ name, value, isDeleted }) => {
+        if (isDeleted) state.delete(name);
+        else state.set(name, value);
+      },
+    });
+    return { clock, follower, state };
+  }
+
+  async function follow(parts: ReturnType<typeof createFollower>, source: MemorySource<string>) {
+    const abort = new AbortController();
+    const task = parts.follower.run(abort.signal);
+    stops.push(async () => {
+      abort.abort();
+      source.wake();
+      await parts.clock.advance(5000);
+      await task;
+    });
+    await waitFor(() => parts.follower.isLoaded, { what: 'the first list', timeoutMs: 2000 });
+  }
+
+  async function openPair() {
+    const source = new MemorySource<string>();
+    source.put('a', 'first');
+    const provider = createFollower(source);
+    await follow(provider, source);
+    const address = { host: '127.0.0.1', port: await findPort() };
+    const nothing = { exportSince: () => undefined };
+    const server = new ViewServer({
+      config: nothing,
+      upstreams: provider.follower,
+      rollouts: nothing,
+    });
+    await server.listen(address);
+    stops.push(() => server.close());
+    const reader = createFollower(source, () => address);
+    await follow(reader, source);
+    const waitProvider = (check: () => boolean) =>
+      waitFor(check, { what: 'the provider to see the change', timeoutMs: 2000 });
+    return { source, provider, reader, waitProvider };
+  }
+
+  // Each change of the list of upstreams cost the store a call of each of 88 instances.
+  it('brings changes and deletions without a call to the store', async () => {
+    const { source, provider, reader, waitProvider } = await openPair();
+    source.put('b', 'second');
+    source.remove('a');
+    await waitProvider(() => provider.state.size === 1 && provider.state.has('b'));
+    const { calls } = source;
+    assert.equal(await reader.follower.confirm(), true);
+    assert.deepEqual([...reader.state], [['b', 'second']]);
+    assert.equal(source.calls, calls);
+  });
+
+  it('counts the age of the peer into the confirmation', async () => {
+    const { provider, reader } = await openPair();
+    await provider.clock.advance(1200);
+    await reader.clock.advance(3000);
+    await reader.follower.confirm();
+    assert.equal(reader.follower.getAgeMs(), 1200);
+  });
+
+  // Keys that the peer cannot confirm itself would have been taken for valid.
+  it('asks the store when the peer has not confirmed its state for long', async () => {
+    const { source, provider, reader } = await openPair();
+    await provider.clock.advance(1600);
+    const { calls } = source;
+    assert.equal(await reader.follower.confirm(), true);
+    assert.equal(source.calls, calls + 1);
+    assert.equal(reader.follower.getAgeMs(), 0);
+  });
+
+  it('asks the store when the peer has fallen behind', async () => {
+    const { source, provider } = await openPair();
+    source.put('b', 'second');
+    const port = await findPort();
+    const server = new ViewServer({
+      config: { exportSince: () => undefined },
+      upstreams: {
+        exportSince: (since) => ({ ...provider.follower.exportSince(since)!, revision: 1 }),
+      },
+      rollouts: { exportSince: () => undefined },
+    });
+    await server.listen({ host: '127.0.0.1', port });
+    stops.push(() => server.close());
+    const ahead = new PeerSource<string>({
+      name: 'upstreams',
+      store: source,
+      findProvider: () => ({ host: '127.0.0.1', port }),
+    });
+    const { calls } = source;
+    const polled = await ahead.poll(2, 0);
+    assert.equal(source.calls, calls + 1);
+    assert.deepEqual(polled.isOk() && polled.value.changes.map(({ name }) => name), ['b']);
+  });
+
+  it('takes over that the store was away', async () => {
+    const { source, provider, reader, waitProvider } = await openPair();
+    source.isDown = true;
+    source.wake();
+    await waitProvider(() => provider.follower.isDisturbed(0));
+    source.isDown = false;
+    await provider.follower.confirm();
+    await provider.clock.advance(100);
+    await reader.follower.confirm();
+    assert.equal(reader.follower.getRestoredAgeMs(), 100);
+    assert.equal(reader.follower.isDisturbed(3000), true);
+  });
+
+  it('answers only for states and revisions that it has', async () => {
+    const { provider } = await openPair();
+    assert.equal(provider.follower.exportSince(0), undefined);
+    const port = await findPort();
+    const server = new ViewServer({
+      config: { exportSince: () => undefined },
+      upstreams: provider.follower,
+      rollouts: { exportSince: () => undefined },
+    });
+    await server.listen({ host: '127.0.0.1', port });
+    stops.push(() => server.close());
+    const fetchStatus = async (path: string) =>
+      (await fetch(`http://127.0.0.1:${port}${path}`)).status;
+    assert.equal(await fetchStatus('/views/upstreams?since=0'), 410);
+    assert.equal(await fetchStatus('/views/constructor?since=0'), 404);
+    assert.equal(await fetchStatus('/views/upstreams?since=x'), 404);
+    assert.equal(await fetchStatus('/'), 404);
+  });
+});
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -189,11 +189,13 @@
       for (const index of [0, PER_ZONE - 1, PER_ZONE]) {
         fleet[index]?.directory.find('upstream')?.calls.add(call);
       }
-      await waitFor(() => fleet.every((instance) => getRunning(instance) === 3), {
-        what: 'all instances to see three requests',
+      // The first loads can come before the last instance has been heard.
+      const isComplete = (instance: Instance) =>
+        getRunning(instance) === 3 && instance.exchange.countInstances() === fleet.length;
+      await waitFor(() => fleet.every(isComplete), {
+        what: 'all instances to see three requests of 14 instances',
         timeoutMs: WAIT_MS,
       });
-      assert.ok(fleet.every(({ exchange }) => exchange.countInstances() === fleet.length));
       const ranks = fleet.map(({ exchange }) => exchange.getRank());
       assert.equal(ranks.filter((rank) => rank === 0).length, 1, ranks.join());
     });
--- a/tests/relay/upstreams.test.ts
+++ b/tests/relay/upstreams.test.ts
@@ -105,7 +105,7 @@
       heldTokens: 0,
       promptParts: [],
     };
-    const engine = { slots: 4, memoryTokens: 100_000, priceByModel: new Map<string, number>() };
+    const engine = { slots: 4, memoryTokens: 100_000, priceByModel: {} };
 
     function choose(upstreams: Upstream[], overrides: Partial<SelectionRequest> = {}) {
       return selectUpstream(upstreams, { ...plain, ...overrides })?.upstream.id;
