Compare a few engines at random in pools of more than 40

A request now compares four engines of its zone, two others and the home of its shared prompt. The first new test fails without the change (the best engine gets nearly all requests).

--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -51,6 +51,11 @@
 const EXPECTED_CACHED_SHARE = 0.7;
 // Reading a shared part again has a price beside its time: about 15 ms of waiting for 1,000 tokens.
 const REREAD_COST_MS_PER_TOKEN = 0.015;
+// In a large fleet all instances see the same loads, some hundred milliseconds old, and would all
+// send to the upstream that looked best. Each request compares a few at random instead.
+const MAX_COMPARED = 40;
+const SAMPLED_OWN_ZONE = 4;
+const SAMPLED_OTHER_ZONES = 2;
 /** Engine memory kept free for the growth of running requests. */
 const MEMORY_SHARE = 0.92;
 
@@ -98,6 +103,38 @@
   );
 }
 
+/** Takes `count` of the items at random; fewer when there are not so many. */
+function takeSample<T>(items: T[], count: number): T[] {
+  for (let index = 0; index < Math.min(count, items.length); index += 1) {
+    const other = index + Math.floor(Math.random() * (items.length - index));
+    [items[index], items[other]] = [items[other]!, items[index]!];
+  }
+  return items.slice(0, count);
+}
+
+/** Returns the candidates that a request compares: in a large pool a sample, most of its own zone. */
+function listCompared(
+  candidates: readonly Upstream[],
+  request: SelectionRequest,
+  home: Upstream | undefined,
+): readonly Upstream[] {
+  if (candidates.length <= MAX_COMPARED) return candidates;
+  const open = candidates.filter(
+    (upstream) =>
+      !upstream.isDown && !request.isZoneCut(upstream.record.zone) && hasRoom(upstream, request),
+  );
+  const isOwn = (upstream: Upstream) => upstream.record.zone === request.zone;
+  const sample = [
+    ...takeSample(open.filter(isOwn), SAMPLED_OWN_ZONE),
+    ...takeSample(
+      open.filter((upstream) => !isOwn(upstream)),
+      SAMPLED_OTHER_ZONES,
+    ),
+  ];
+  if (sample.length === 0) return candidates;
+  return home && open.includes(home) ? [...sample, home] : sample;
+}
+
 /**
  * Chooses the upstream at which a request costs least: work that waits there, prompt tokens that
  * are not cached, requests that run beside it, distance, and recent failures.
@@ -115,7 +152,7 @@
   const home = homeKey === undefined ? undefined : findHome(candidates, `${model}/${homeKey}`);
   let best: Selection | undefined;
   let bestCost = Infinity;
-  for (const upstream of candidates) {
+  for (const upstream of listCompared(candidates, request, home)) {
     if (!hasRoom(upstream, request)) continue;
     let backlogMs = 0;
     let cost = computeSharedCosts(upstream, request);
--- a/tests/relay/upstreams.test.ts
+++ b/tests/relay/upstreams.test.ts
@@ -182,6 +182,61 @@
     });
   });
 
+  describe('selectUpstream in a large pool', () => {
+    const clock = new ManualClock(1000);
+    const engine = { slots: 16, memoryTokens: 500_000, priceByModel: {} };
+    const request: SelectionRequest = {
+      zone: 'zone-1',
+      isZoneCut: () => false,
+      engine,
+      pace: 1,
+      promptTokens: 500,
+      heldTokens: 600,
+      promptParts: [],
+    };
+
+    function createPool(): Upstream[] {
+      return Array.from({ length: 90 }, (_, index) => {
+        const upstream = new Upstream(
+          createRecord(`engine-${index}`, { zone: `zone-${index % 4}`, slots: 16 }),
+          clock,
+        );
+        upstream.peerLoad = { running: 2, backlogMs: index === 1 ? 0 : 50, heldTokens: 0 };
+        return upstream;
+      });
+    }
+
+    // All instances see the same loads and sent to the same engine until the next message.
+    it('does not send most requests to the one engine that looks best', () => {
+      const pool = createPool();
+      const chosen = Array.from({ length: 200 }, () => selectUpstream(pool, request)?.upstream.id);
+      const best = chosen.filter((id) => id === 'engine-1').length;
+      assert.ok(best > 0 && best < 100, `${best} of 200`);
+    });
+
+    it('still finds the engines that have room, wherever they are', () => {
+      const pool = createPool();
+      for (const upstream of pool.slice(0, 88)) {
+        upstream.peerLoad = { running: 16, backlogMs: 0, heldTokens: 0 };
+      }
+      const chosen = selectUpstream(pool, request)?.upstream.id ?? '';
+      assert.ok(['engine-88', 'engine-89'].includes(chosen), chosen);
+    });
+
+    it('still sends a long shared prompt to the engine that all instances prefer for it', () => {
+      const parts = [
+        { id: 'subject', tokens: 5000 },
+        { id: 'own', tokens: 1000 },
+      ];
+      const long = { ...request, model: 'large', pace: 3, promptTokens: 6000, promptParts: parts };
+      const chosen = Array.from(
+        { length: 20 },
+        () => selectUpstream(createPool(), long)?.upstream.id,
+      );
+      assert.equal(new Set(chosen).size, 1);
+    });
+  });
+
   describe('ZoneReachability', () => {
     it('takes a zone for cut after two upstreams in a row, until one is reached', () => {
       const clock = new ManualClock(1000);
