--- a/tests/relay/peerSource.test.ts
+++ b/tests/relay/peerSource.test.ts
@@ -1,6 +1,4 @@
 import assert from 'node:assert/strict';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 
 import { PeerSource, SourceFollower, ViewServer } from '@cactusstair/relay';
@@ -8,6 +6,7 @@
 import { ManualClock, waitFor } from '@cactusstair/utils';
 
 import { MemorySource } from './support/memorySource.js';
+import { findFreePort } from './support/relayPlace.js';
 
 /** An instance that follows the store, and one that reads from it. */
 describe('PeerSource', () => {
@@ -17,18 +16,6 @@
     for (const stop of stops.splice(0)) await stop();
   });
 
-  async function findPort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    const { port } = server.address() as AddressInfo;
-    await new Promise((resolve) => {
-      server.close(resolve);
-    });
-    return port;
-  }
-
   function createFollower(
     source: MemorySource<string>,
     provider?: () => SocketAddress | undefined,
@@ -74,7 +61,7 @@
     source.put('a', 'first');
     const provider = createFollower(source);
     await follow(provider, source);
-    const address = { host: '127.0.0.1', port: await findPort() };
+    const address = { host: '127.0.0.1', port: await findFreePort() };
     const nothing = { exportSince: () => undefined };
     const server = new ViewServer({
       config: nothing,
@@ -123,7 +110,7 @@
   it('asks the store when the peer has fallen behind', async () => {
     const { source, provider } = await openPair();
     source.put('b', 'second');
-    const port = await findPort();
+    const port = await findFreePort();
     const server = new ViewServer({
       config: { exportSince: () => undefined },
       upstreams: {
@@ -160,7 +147,7 @@
   it('answers only for states and revisions that it has', async () => {
     const { provider } = await openPair();
     assert.equal(provider.follower.exportSince(0), undefined);
-    const port = await findPort();
+    const port = await findFreePort();
     const server = new ViewServer({
       config: { exportSince: () => undefined },
       upstreams: provider.follower,
--- a/tests/relay/support/relayPlace.ts
+++ b/tests/relay/support/relayPlace.ts
@@ -71,7 +71,8 @@
   };
 }
 
-async function findFreePort(): Promise<number> {
+/** Finds a TCP port that is free at the moment. */
+export async function findFreePort(): Promise<number> {
   const server = createServer();
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
