Count only runs of four tokens as progress of a request beside a crash

Now four tokens of one run are asked for, both for the blame and for an attempt that does not count. crashNeighbours and crashingRequest passed 3 of 3.

--- a/packages/routing/src/crashQuarantine.ts
+++ b/packages/routing/src/crashQuarantine.ts
@@ -15,8 +15,8 @@
  * same; with full shares, 12 equal innocent requests on 4 engines reached 2.0 together.
  */
 const ELSEWHERE_SHARE = 0.05;
-/** Tokens after which a request counts as one that upstreams can bear. */
-const PROGRESS_TOKENS = 4;
+/** Tokens of one run after which a request counts as one that upstreams can bear. */
+export const PROGRESS_TOKENS = 4;
 /**
  * Blame of a request that has made progress. A crashing request ends its upstream when it begins to run,
  * but an isolated innocent one can meet it there, sent by an instance that knows nothing of the
@@ -44,7 +44,7 @@
 interface Run {
   fingerprint: string;
   suspect: boolean;
-  /** Returns the tokens that the request has brought here and in its earlier runs. */
+  /** Returns the most tokens that the request has brought in one run. */
   getProgress: () => number;
 }
 
@@ -106,8 +106,8 @@
    * @returns a function to call once when the call ends. `abandoned` means that the call ended
    * without a complete answer, for example because the caller went away. After a crash, call
    * `recordCrash` first.
-   * @param getProgress returns the tokens that the request has brought, those of its earlier runs
-   * included. Default: none.
+   * @param getProgress returns the most tokens that the request has brought in one run. Default:
+   * none.
    */
   recordStart(
     upstream: string,
--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -1,6 +1,7 @@
 import type { Failure, Workspace } from '@cactusstair/protocol';
 import { createFailure } from '@cactusstair/protocol';
 import type { CrashQuarantine, Permit, RetryBudget } from '@cactusstair/routing';
+import { PROGRESS_TOKENS } from '@cactusstair/routing';
 import type { Clock, Invariants } from '@cactusstair/utils';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
@@ -68,6 +69,8 @@
 /** What has arrived of an answer over all attempts. */
 interface Progress {
   tokens: number;
+  /** Most tokens that one attempt brought. */
+  longestRunTokens: number;
   text: string;
   startedAtMs: number;
   firstTokenAtMs: number | undefined;
@@ -124,6 +127,7 @@
   ): Promise<Result<RungAnswer, Failure>> {
     const progress: Progress = {
       tokens: 0,
+      longestRunTokens: 0,
       text: '',
       startedAtMs: this.options.clock.monotonicMs(),
       firstTokenAtMs: undefined,
@@ -166,8 +170,11 @@
           end = 'no upstream accepts a connection';
           break;
         }
-        // An answer that goes on is not ended by crashes that another request causes.
-        if (progress.tokens === resumedFrom || !call.sawCrash) calls += 1;
+        const broughtTokens = progress.tokens - resumedFrom;
+        progress.longestRunTokens = Math.max(progress.longestRunTokens, broughtTokens);
+        // An answer that goes on is not ended by crashes that another request causes. One that
+        // crashes its engines itself also brings a token or two each time.
+        if (broughtTokens < PROGRESS_TOKENS || !call.sawCrash) calls += 1;
         needsBudget = true;
       }
     }
@@ -242,10 +249,9 @@
     call.attempts += 1;
     const attempt = call.attempts;
     const release = upstream.startCall(quarantine.classify(call.fingerprint) === 'suspect');
-    const endSuspicion = quarantine.recordStart(
-      upstream.name,
-      call.fingerprint,
-      () => progress.tokens,
+    const resumedFrom = progress.tokens;
+    const endSuspicion = quarantine.recordStart(upstream.name, call.fingerprint, () =>
+      Math.max(progress.longestRunTokens, progress.tokens - resumedFrom),
     );
     try {
       const answer = await this.readAnswer(call, resolved, upstream, progress, attempt, onToken);
