Sum the loads of peers once for a count, and a reporter's own part once

countOldCalls summed the loads of all peers anew for each old upstream, and a reporter made its own part twice for each report. Behaviour stays.

--- a/packages/relay/src/follow/changeSource.ts
+++ b/packages/relay/src/follow/changeSource.ts
@@ -30,7 +30,7 @@
 }
 
 /** All objects of one kind. */
-export interface SourceList<T> extends ReadOrigin {
+export interface SourceList<T> {
   items: SourceItem<T>[];
   revision: number;
 }
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -148,9 +148,10 @@
     ];
   }
 
-  /** Counts the requests that living instances have at one upstream, without the own ones. */
-  countPeerCalls(upstreamId: string): number {
-    return this.sumPeerLoads(LOST_AFTER_MS)[upstreamId]?.[0] ?? 0;
+  /** Counts the requests that living instances have at upstreams, without the own ones. */
+  countPeerCalls(upstreamIds: readonly string[]): number {
+    const loads = this.sumPeerLoads(LOST_AFTER_MS);
+    return upstreamIds.reduce((sum, id) => sum + (loads[id]?.[0] ?? 0), 0);
   }
 
   /** Whether this instance waits for changes at the store, and passes them on in a large fleet. */
@@ -187,12 +188,11 @@
       return;
     }
     if (this.ticks % REPORT_TICKS !== 0) return;
-    const own = this.createOwnPart();
-    const zone = createReport('zone', [own, ...this.listZoneParts()]);
+    const message = this.createMessage();
+    const zone = createReport('zone', [{ ...message, count: 1 }, ...this.listZoneParts()]);
     const fleet = createReport('fleet', [zone, ...this.listOtherZones()]);
     const others = this.table.listZones().filter((name) => name !== self.zone);
     const remote = others.flatMap((name) => this.table.chooseReporters(name));
-    const message = this.createMessage();
     const names = new Set(remote.map(({ name }) => name));
     const echoes = Object.entries(message.echoes).filter(([name]) => names.has(name));
     this.sendTo(remote, { ...message, echoes: Object.fromEntries(echoes), report: zone });
@@ -220,15 +220,9 @@
     return loads;
   }
 
-  private createOwnPart(): ReportPart {
-    const { rollouts } = this.options;
-    const loads = this.createOwnLoads();
-    return { count: 1, loads, evidence: rollouts.exportEvidence(), pins: rollouts.exportPins() };
-  }
-
   private createMessage(): PeerMessage {
-    const { self, clock, crashes, listViews } = this.options;
-    const { loads, evidence, pins } = this.createOwnPart();
+    const { self, clock, crashes, listViews, rollouts } = this.options;
+    const loads = this.createOwnLoads();
     this.sequence += 1;
     this.sendings.set(this.sequence, { at: readClocks(clock), loads });
     this.sendings.delete(this.sequence - KEPT_SENDINGS);
@@ -240,9 +234,9 @@
       sequence: this.sequence,
       isLeaving: this.isLeaving,
       loads,
-      evidence,
+      evidence: rollouts.exportEvidence(),
       crashes: crashes.exportEntries(MAX_CRASH_ENTRIES),
-      pins,
+      pins: rollouts.exportPins(),
       views: listViews(),
       echoes: this.listEchoes(),
     };
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -260,13 +260,11 @@
   }
 
   private countOldCalls(service: string, targetVersion: string): number {
-    let count = 0;
-    for (const upstream of this.directory.listAll()) {
-      const { record } = upstream;
-      if (record.service !== service || record.version === targetVersion) continue;
-      count += upstream.calls.size + this.peers.countPeerCalls(record.id);
-    }
-    return count;
+    const old = this.directory
+      .listAll()
+      .filter(({ record }) => record.service === service && record.version !== targetVersion);
+    const own = old.reduce((sum, upstream) => sum + upstream.calls.size, 0);
+    return own + this.peers.countPeerCalls(old.map(({ id }) => id));
   }
 
   private applyConfig(config: RelayConfig): void {
