Copy streams at the caller's pace, and count only events as progress

Change: the copy loop waits for the caller and reports errors as results; the splitter is linear, bounded at 256 KiB and keeps comments with the event that follows; a stall is judged by events, not while the caller is the one that is slow; an attempt is given up only once a run, a retry and room elsewhere are in hand, and an answer is dropped for a larger model only if an engine of that size has room.

The test that the splitter throws became one that it refuses, as strict.

--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -175,6 +175,16 @@
   return chooseUpstream(context, job, sizeIndex, new Set())?.firstEventMs ?? Infinity;
 }
 
+/** Whether an upstream that is not excluded has room for the request. */
+export function hasUpstreamWithRoom(
+  context: RelayContext,
+  job: RelayJob,
+  excluded: ReadonlySet<string>,
+  sizeIndex: number | undefined,
+): boolean {
+  return chooseUpstream(context, job, sizeIndex, excluded) !== undefined;
+}
+
 /**
  * Chooses an upstream and opens a call to it.
  *
--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -48,6 +48,9 @@
 
   private isNextAttemptFree = true;
 
+  /** Whether a retry was taken from the budget for an attempt that has not started. */
+  private hasReservation = false;
+
   private lastAnswer: FailedAnswer | undefined;
 
   private reason = 'no upstream has room';
@@ -121,7 +124,8 @@
   tryStartAttempt(): boolean {
     this.tries += 1;
     if (this.tries > MAX_TRIES || this.job.exchange.isOver) return false;
-    if (this.isNextAttemptFree || this.budget.tryTake()) {
+    if (this.isNextAttemptFree || this.hasReservation || this.budget.tryTake()) {
+      if (!this.isNextAttemptFree) this.hasReservation = false;
       this.isNextAttemptFree = false;
       return true;
     }
@@ -129,6 +133,21 @@
     return false;
   }
 
+  /**
+   * Takes the retry that another attempt needs from the budget, so that the current one is given up
+   * only if another can follow. What is not used goes back with `releaseReservation`.
+   */
+  tryReserveAttempt(): boolean {
+    if (this.tries >= MAX_TRIES) return false;
+    this.hasReservation ||= this.budget.tryTake();
+    return this.hasReservation;
+  }
+
+  releaseReservation(): void {
+    if (this.hasReservation) this.budget.giveBack();
+    this.hasReservation = false;
+  }
+
   /** Reserves an attempt at a larger model, whose answer replaces the one at hand. */
   tryStartEscalation(): boolean {
     if (!this.hasRunLeft || !this.budget.tryTake()) return false;
--- a/packages/relay/src/requests/exchange.ts
+++ b/packages/relay/src/requests/exchange.ts
@@ -121,6 +121,21 @@
     this.outgoing.writeHead(status, headers as never);
   }
 
+  /** Resolves when the caller has read enough to be sent more, or has disconnected. */
+  waitForDrain(): Promise<void> {
+    const { outgoing } = this;
+    return new Promise((resolve) => {
+      const finish = () => {
+        outgoing.off('drain', finish);
+        outgoing.off('close', finish);
+        resolve();
+      };
+      outgoing.on('drain', finish);
+      outgoing.on('close', finish);
+      if (outgoing.destroyed) finish();
+    });
+  }
+
   /** Ends a complete stream. */
   endStream(): void {
     if (this.isOver) return;
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -1,13 +1,14 @@
 import type { IncomingMessage } from 'node:http';
 
 import type { Attempt, RelayJob } from './attempt.js';
-import { checkAnswer, estimateFirstEventMs, openAttempt } from './attempt.js';
+import { checkAnswer, estimateFirstEventMs, hasUpstreamWithRoom, openAttempt } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
 import { AttemptTracker } from './attemptTracker.js';
 import { EventSplitter } from './eventSplitter.js';
+import type { StreamEvent } from './eventSplitter.js';
 import type { RelayContext } from './relayContext.js';
-import type { MonitoredCall } from './stallMonitor.js';
 import { computeAcceptConfidence, estimatePressure } from './sizePolicy.js';
+import { StreamProgress } from './streamProgress.js';
 
 /** Outcome of one attempt at a stream. */
 type StreamResult =
@@ -20,18 +21,6 @@
 const ROOM_TIMEOUT_GOALS = 0.12;
 const ROOM_CHECK_INTERVAL_MS = 40;
 const RETRY_AFTER_MS = 600;
-// An upstream that has sent nothing on any connection for this long is considered dead.
-const SILENT_UPSTREAM_TIMEOUT_MS = 700;
-/** The same when its zone is known to be unreachable. */
-const UNREACHABLE_ZONE_TIMEOUT_MS = 250;
-/** Prompt processing at an upstream may take this many times its estimate. */
-const PREFILL_TIMEOUT_FACTOR = 2;
-const MAX_PREFILL_TIMEOUT_MS = 3000;
-// In latency goals; after this wait for a first event, another upstream is faster in most cases.
-const FIRST_EVENT_TIMEOUT_GOALS = 1.6;
-/** In maximum event gaps; a longer pause moves a stream even if its upstream serves others. */
-const EVENT_TIMEOUT_GAPS = 1.6;
-
 /** State of one stream over all its attempts. */
 class StreamRelay {
   private readonly tracker: AttemptTracker;
@@ -57,6 +46,14 @@
   }
 
   async run(): Promise<void> {
+    try {
+      await this.runAttempts();
+    } finally {
+      this.tracker.releaseReservation();
+    }
+  }
+
+  private async runAttempts(): Promise<void> {
     const { context, job, tracker } = this;
     const { exchange } = job;
     while (tracker.tryStartAttempt()) {
@@ -152,52 +149,68 @@
     const pressure = estimatePressure(context.directory.listUsable(job.service), latencyGoalMs);
     const elapsedMs = context.clock.monotonicMs() - job.exchange.arrivedMs;
     const firstEventMs = elapsedMs + estimateFirstEventMs(context, job, largest);
+    // A dropped answer could not be replaced.
+    if (firstEventMs === Infinity) return undefined;
     const isLate = firstEventMs > latencyGoalMs;
     if (confidence >= computeAcceptConfidence(job.request, pressure, isLate)) return undefined;
     return this.tracker.tryStartEscalation() ? largest : undefined;
   }
 
-  /** Forwards whole events as they arrive. */
-  private copyEvents(
+  /** Forwards whole events as they arrive, no faster than the caller reads them. */
+  private async copyEvents(
     attempt: Attempt,
     answer: IncomingMessage,
     progress: StreamProgress,
   ): Promise<StreamResult> {
-    const { exchange } = this.job;
     const splitter = new EventSplitter();
-    const isFramed =
-      answer.headers['transfer-encoding'] !== undefined ||
-      answer.headers['content-length'] !== undefined;
-    return new Promise((resolve) => {
-      answer.on('data', (chunk: Buffer) => {
+    try {
+      for await (const chunk of answer as AsyncIterable<Buffer>) {
         attempt.upstream.recordProgress();
-        progress.recordBytes();
-        if (exchange.isOver) return;
-        for (const event of splitter.split(chunk)) {
-          if (!this.isNewEvent(event.id)) continue;
-          if (!progress.hasEvents) {
-            progress.hasEvents = true;
-            attempt.recordFirstEvent();
-            this.recordOutcome(attempt, false);
-          }
-          this.startStream(answer);
-          if (event.id !== undefined) this.lastEventId = event.id;
-          exchange.outgoing.write(event.bytes);
-        }
-      });
-      answer.on('close', () => resolve(attempt.createFailure('the stream was cut off')));
-      answer.on('end', () => {
-        if (!attempt.isWhole(answer) || splitter.hasPartialEvent) {
-          resolve(attempt.createFailure('the stream was cut off'));
-        } else if (!isFramed) {
-          // Without framing a truncated stream looks complete, so resume at another upstream.
-          resolve(attempt.createFailure('the stream had neither chunked encoding nor a length'));
-        } else {
-          this.startStream(answer);
-          resolve({ type: 'complete' });
-        }
-      });
-    });
+        const events = splitter.split(chunk);
+        if (events.isErr()) return attempt.createFailure(events.error);
+        for (const event of events.value) this.forwardEvent(attempt, answer, event, progress);
+        await this.waitForCaller(progress);
+        if (this.job.exchange.isOver) return attempt.createFailure('the request has ended');
+      }
+    } catch {
+      return attempt.createFailure('the stream was cut off');
+    }
+    if (!attempt.isWhole(answer) || splitter.hasPartialEvent) {
+      return attempt.createFailure('the stream was cut off');
+    }
+    if (!isFramed(answer)) {
+      // Without framing a truncated stream looks complete, so resume at another upstream.
+      return attempt.createFailure('the stream had neither chunked encoding nor a length');
+    }
+    this.startStream(answer);
+    if (splitter.trailingBytes.length > 0) this.job.exchange.outgoing.write(splitter.trailingBytes);
+    return { type: 'complete' };
+  }
+
+  private forwardEvent(
+    attempt: Attempt,
+    answer: IncomingMessage,
+    event: StreamEvent,
+    progress: StreamProgress,
+  ): void {
+    const { exchange } = this.job;
+    if (exchange.isOver || !this.isNewEvent(event.id)) return;
+    if (!progress.hasEvents) {
+      attempt.recordFirstEvent();
+      this.recordOutcome(attempt, false);
+    }
+    progress.recordEvent();
+    this.startStream(answer);
+    if (event.id !== undefined) this.lastEventId = event.id;
+    exchange.outgoing.write(event.bytes);
+  }
+
+  private async waitForCaller(progress: StreamProgress): Promise<void> {
+    const { exchange } = this.job;
+    if (!exchange.outgoing.writableNeedDrain) return;
+    progress.startWaitingForCaller();
+    await exchange.waitForDrain();
+    progress.stopWaitingForCaller();
   }
 
   /** Whether an event is newer than the last one sent; a resumed stream may repeat events. */
@@ -222,63 +235,30 @@
   }
 
   private createProgress(attempt: Attempt): StreamProgress {
-    const route = this.job.exchange.route!;
-    return new StreamProgress(attempt, this.context.clock.monotonicMs(), {
-      firstEventMs: FIRST_EVENT_TIMEOUT_GOALS * route.latencyGoalMs,
-      eventGapMs: EVENT_TIMEOUT_GAPS * route.maxEventGapMs,
-      // Without another run, cancelling would only lose the stream.
-      canRetry: () => route.isResumable && this.tracker.hasRunLeft,
+    const { isResumable, latencyGoalMs, maxEventGapMs } = this.job.exchange.route!;
+    return new StreamProgress(attempt, {
+      latencyGoalMs,
+      maxEventGapMs,
+      tryReserveMove: () => isResumable && this.tryReserveMove(attempt),
       getNowMs: () => this.context.clock.monotonicMs(),
     });
   }
-}
-
-/** Tracks the progress of one attempt at a stream. */
-class StreamProgress implements MonitoredCall {
-  hasEvents = false;
-
-  private lastBytesAtMs: number;
-
-  constructor(
-    private readonly attempt: Attempt,
-    startedMs: number,
-    private readonly limits: {
-      firstEventMs: number;
-      eventGapMs: number;
-      canRetry: () => boolean;
-      getNowMs: () => number;
-    },
-  ) {
-    this.lastBytesAtMs = startedMs;
-  }
 
-  recordBytes(): void {
-    this.lastBytesAtMs = this.limits.getNowMs();
-  }
-
-  describeStall(nowMs: number): string | undefined {
-    if (!this.limits.canRetry()) return undefined;
-    const silentMs = nowMs - this.lastBytesAtMs;
-    const upstreamSilentMs = Math.min(silentMs, nowMs - this.attempt.upstream.lastProgressMs);
-    const { context, upstream } = this.attempt;
-    // An engine sends nothing while it processes prompts, whichever instance sent them.
-    const prefillTimeoutMs = Math.min(
-      MAX_PREFILL_TIMEOUT_MS,
-      PREFILL_TIMEOUT_FACTOR * upstream.backlogMs,
+  /** Reserves a run and a retry for another attempt, if another upstream has room for it. */
+  private tryReserveMove(attempt: Attempt): boolean {
+    const { context, job, tracker } = this;
+    const excluded = new Set([...tracker.excluded, attempt.upstream.id]);
+    return (
+      tracker.hasRunLeft &&
+      hasUpstreamWithRoom(context, job, excluded, this.sizeIndex) &&
+      tracker.tryReserveAttempt()
     );
-    const timeoutMs = context.reachability.isUnreachable(upstream.record.zone)
-      ? UNREACHABLE_ZONE_TIMEOUT_MS
-      : SILENT_UPSTREAM_TIMEOUT_MS + prefillTimeoutMs;
-    if (upstreamSilentMs > timeoutMs) return `the upstream sent nothing for ${timeoutMs} ms`;
-    const limitMs = this.hasEvents
-      ? this.limits.eventGapMs
-      : this.limits.firstEventMs + prefillTimeoutMs;
-    return silentMs > limitMs ? `no event for ${Math.round(silentMs)} ms` : undefined;
   }
+}
 
-  onStall(reason: string): void {
-    this.attempt.cancel(reason);
-  }
+/** Whether the end of an answer can be told from a lost connection. */
+function isFramed({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
 }
 
 /** Relays a stream of events; a resumable one continues at another upstream after a failure. */
--- a/packages/routing/src/retryBudget.ts
+++ b/packages/routing/src/retryBudget.ts
@@ -63,6 +63,12 @@
     return true;
   }
 
+  /** Returns an extra call that was taken and not used. */
+  giveBack(): void {
+    const bucket = this.getBucket();
+    bucket.taken -= 1;
+  }
+
   private getBucket(): Bucket {
     const index = Math.floor(this.clock.monotonicMs() / this.bucketMs);
     const bucket = this.buckets[index % BUCKET_COUNT]!;
--- a/tests/relay/components.test.ts
+++ b/tests/relay/components.test.ts
@@ -15,7 +15,7 @@
       const splitter = new EventSplitter();
       const found = [];
       for (let at = 0; at < events.length; at += size) {
-        found.push(...splitter.split(Buffer.from(events.slice(at, at + size))));
+        found.push(...splitter.split(Buffer.from(events.slice(at, at + size)))._unsafeUnwrap());
       }
       assert.deepEqual(
         found.map(({ id }) => id),
@@ -29,13 +29,59 @@
 
   it('buffers an incomplete event', () => {
     const splitter = new EventSplitter();
-    assert.equal(splitter.split(Buffer.from('id: 1\ndata: a\n')).length, 0);
+    assert.deepEqual(splitter.split(Buffer.from('id: 1\ndata: a\n'))._unsafeUnwrap(), []);
     assert.equal(splitter.hasPartialEvent, true);
   });
 
-  it('throws on an event that exceeds the size limit', () => {
+  it('refuses an event that exceeds the size limit', () => {
     const splitter = new EventSplitter();
-    assert.throws(() => splitter.split(Buffer.alloc(2 * 1024 * 1024, 'x')), RangeError);
+    assert.equal(splitter.split(Buffer.alloc(2 * 1024 * 1024, 'x')).isErr(), true);
+  });
+
+  describe('comments and blank lines', () => {
+    it('are passed on with the event that follows', () => {
+      const splitter = new EventSplitter();
+      const text = '\n: comment\n\nretry: 5\n\nid: 1\ndata: a\n\n';
+      const found = splitter.split(Buffer.from(text))._unsafeUnwrap();
+      assert.deepEqual(
+        found.map(({ id, bytes }) => [id, bytes.toString()]),
+        [['1', text]],
+      );
+    });
+
+    it('at the end are no partial event', () => {
+      const splitter = new EventSplitter();
+      splitter.split(Buffer.from('id: 1\ndata: a\n\n: done\n\n'));
+      assert.equal(splitter.hasPartialEvent, false);
+      assert.equal(splitter.trailingBytes.toString(), ': done\n\n');
+    });
+
+    it('without an event count toward the size limit', () => {
+      const splitter = new EventSplitter();
+      const comments = Buffer.from(': x\n\n'.repeat(1000));
+      let result = splitter.split(comments);
+      for (let count = 0; count < 100 && result.isOk(); count += 1)
+        result = splitter.split(comments);
+      assert.equal(result.isErr(), true);
+    });
+  });
+
+  it('takes time proportional to the length of an event that arrives in single bytes', () => {
+    const splitter = new EventSplitter();
+    splitter.split(Buffer.from('data: '));
+    let copied = 0;
+    const copy = Buffer.prototype.copy;
+    Buffer.prototype.copy = function count(this: Buffer, ...args: Parameters<typeof copy>) {
+      const bytes = copy.apply(this, args);
+      copied += bytes;
+      return bytes;
+    };
+    try {
+      for (let count = 0; count < 200_000; count += 1) splitter.split(Buffer.from('x'));
+    } finally {
+      Buffer.prototype.copy = copy;
+    }
+    assert.ok(copied < 4 * 200_000, `${copied} bytes were copied`);
   });
 });
 
