Learn prefill times of engines from their first events, and share them between instances

Change: PrefillEstimator (routing/engine) regresses the wait for first events on the nominal time of the prompt, by model, with the other models as prior; instances exchange decayed sums. An upstream that is slower than its like costs more.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -61,3 +61,4 @@
 export type { Selection, SelectionRequest } from './upstreams/upstreamSelector.js';
 export { selectUpstream } from './upstreams/upstreamSelector.js';
 export { ZoneReachability } from './upstreams/zoneReachability.js';
+export { EngineEstimators } from './upstreams/engineEstimators.js';
--- a/packages/relay/src/peers/fleetReport.ts
+++ b/packages/relay/src/peers/fleetReport.ts
@@ -1,5 +1,6 @@
 import { addEvidence, createEvidence } from '../rollouts/versionEvidence.js';
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
+import { addEngineSums, createEngineSums } from '../upstreams/engineEstimators.js';
 import type { FleetReport, UpstreamLoad } from './peerMessage.js';
 
 /** Load of each upstream, keyed by upstream id. */
@@ -35,7 +36,7 @@
 }
 
 /** The contribution of one instance or zone to a report. */
-export type ReportPart = Pick<FleetReport, 'count' | 'loads' | 'evidence' | 'pins'>;
+export type ReportPart = Pick<FleetReport, 'count' | 'loads' | 'evidence' | 'engines' | 'pins'>;
 
 /** Builds a report by summing its parts. */
 export function createFleetReport(
@@ -44,11 +45,13 @@
 ): FleetReport {
   const loads: UpstreamLoads = {};
   const evidence: Record<string, EvidenceSums> = {};
+  const engines = createEngineSums();
   const pins = new Set<string>();
   let count = 0;
   for (const part of parts) {
     count += part.count;
     addLoads(loads, part.loads);
+    addEngineSums(engines, part.engines ?? {});
     for (const [key, sums] of Object.entries(part.evidence)) {
       const total = evidence[key] ?? createEvidence();
       addEvidence(total, sums);
@@ -56,5 +59,5 @@
     }
     for (const pin of part.pins) if (pins.size < MAX_REPORTED_PINS) pins.add(pin);
   }
-  return { scope, count, loads, evidence, pins: [...pins] };
+  return { scope, count, loads, evidence, engines, pins: [...pins] };
 }
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -9,6 +9,8 @@
 import type { PeerRecord, SocketAddress } from '../relayOptions.js';
 import type { RolloutRouter } from '../rollouts/rolloutRouter.js';
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
+import type { EngineEstimators, EngineSums } from '../upstreams/engineEstimators.js';
+import { addEngineSums, createEngineSums } from '../upstreams/engineEstimators.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
 import type { ReportPart, UpstreamLoads } from './fleetReport.js';
 import { addLoads, createFleetReport, subtractLoads } from './fleetReport.js';
@@ -23,6 +25,7 @@
   /** Record of this instance; the socket binds to its address. */
   self: PeerRecord;
   directory: UpstreamDirectory;
+  engines: EngineEstimators;
   rollouts: RolloutRouter;
   crashes: CrashCounter;
   /** Returns the view states that this instance has confirmed. */
@@ -118,6 +121,7 @@
     while (!signal.aborted) {
       this.send();
       this.applyLoads();
+      this.options.engines.importPeerSums(this.sumPeerEngines());
       await this.options.clock.sleep(SEND_INTERVAL_MS, signal);
     }
   }
@@ -243,7 +247,7 @@
   }
 
   private createMessage(): PeerMessage {
-    const { self, clock, crashes, listViews, rollouts } = this.options;
+    const { self, clock, crashes, engines, listViews, rollouts } = this.options;
     const loads = this.createOwnLoads();
     this.sequence += 1;
     this.sentMessages.set(this.sequence, { sentAt: readClocks(clock), loads });
@@ -257,6 +261,7 @@
       isLeaving: this.isLeaving,
       loads,
       evidence: rollouts.exportEvidence(),
+      engines: engines.exportSums(),
       crashes: crashes.exportEntries(MAX_CRASH_ENTRIES),
       pins: rollouts.exportPins(),
       views: listViews(),
@@ -377,6 +382,20 @@
     return sum;
   }
 
+  /** Sums the prefill samples of the other instances; a fleet report includes those of this one. */
+  private sumPeerEngines(): EngineSums {
+    if (this.hasReporters && !this.isReporter) return this.findFleetReport()?.engines ?? {};
+    const sum = createEngineSums();
+    const peers = this.hasReporters
+      ? this.listZonePeers(LOST_AFTER_MS)
+      : this.table.listRecentPeers(LOST_AFTER_MS);
+    for (const { message } of peers) addEngineSums(sum, message.engines ?? {});
+    if (!this.hasReporters) return sum;
+    for (const { engines } of this.listOtherZoneReports(LOST_AFTER_MS))
+      addEngineSums(sum, engines ?? {});
+    return sum;
+  }
+
   private applyLoads(): void {
     const loads = this.sumPeerLoads(STALE_AFTER_MS);
     for (const upstream of this.options.directory.listAll()) {
--- a/packages/relay/src/peers/peerMessage.ts
+++ b/packages/relay/src/peers/peerMessage.ts
@@ -1,6 +1,7 @@
 import type { CrashEntry } from '@cactusstair/routing';
 
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
+import type { EngineSums } from '../upstreams/engineEstimators.js';
 
 /**
  * Load that one instance puts on one upstream: running requests, pending prompt work in ms, tokens
@@ -30,6 +31,8 @@
   count: number;
   loads: Record<string, UpstreamLoad>;
   evidence: Record<string, EvidenceSums>;
+  /** Absent in reports of older builds. */
+  engines?: EngineSums;
   pins: string[];
 }
 
@@ -45,6 +48,8 @@
   loads: Record<string, UpstreamLoad>;
   /** Rollout evidence, keyed by service and version. */
   evidence: Record<string, EvidenceSums>;
+  /** Prefill samples; absent in messages of older builds. */
+  engines?: EngineSums;
   crashes: CrashEntry[];
   /** Pin keys of sessions that stay on the old version during a rollout. */
   pins: string[];
@@ -55,6 +60,28 @@
   report?: FleetReport;
 }
 
+const PREFILL_SUMS_LENGTH = 5;
+
+function isPrefillSums(value: unknown): boolean {
+  return (
+    Array.isArray(value) &&
+    value.length === PREFILL_SUMS_LENGTH &&
+    value.every((sum) => Number.isFinite(sum) && sum >= 0)
+  );
+}
+
+/** Whether a value holds engine sums or is absent; they go into arithmetic unchecked. */
+function isEngineSums(value: unknown): boolean {
+  if (value === undefined) return true;
+  if (typeof value !== 'object' || value === null) return false;
+  return Object.values(value).every(
+    (models) =>
+      typeof models === 'object' &&
+      models !== null &&
+      Object.values(models as object).every(isPrefillSums),
+  );
+}
+
 /** Parses a datagram; returns undefined if it is not a valid peer message. */
 export function parsePeerMessage(bytes: Buffer): PeerMessage | undefined {
   let value: unknown;
@@ -80,6 +107,8 @@
     typeof message.views === 'object' &&
     message.views !== null &&
     typeof message.echoes === 'object' &&
-    message.echoes !== null;
+    message.echoes !== null &&
+    isEngineSums(message.engines) &&
+    isEngineSums(message.report?.engines);
   return isValid ? (message as PeerMessage) : undefined;
 }
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -22,6 +22,7 @@
 import { RolloutRouter } from './rollouts/rolloutRouter.js';
 import { RolloutController } from './rollouts/rolloutController.js';
 import { StoreViews } from './storeViews.js';
+import { EngineEstimators } from './upstreams/engineEstimators.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 import { ZoneReachability } from './upstreams/zoneReachability.js';
 
@@ -68,6 +69,8 @@
 
   private readonly directory: UpstreamDirectory;
 
+  private readonly engines = new EngineEstimators();
+
   private readonly rollouts: RolloutRouter;
 
   private readonly crashes: CrashCounter;
@@ -121,6 +124,7 @@
       clock: this.clock,
       self: this.self,
       directory: this.directory,
+      engines: this.engines,
       rollouts: this.rollouts,
       crashes: this.crashes,
       listViews: () => this.views.shared.listStates(),
@@ -241,6 +245,7 @@
       dialect: this.options.dialect,
       directory: this.directory,
       reachability: new ZoneReachability(this.clock),
+      engines: this.engines,
       rollouts: this.rollouts,
       crashes: this.crashes,
       stallMonitor: new StallMonitor(this.clock),
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 
+import { estimateNominalMs } from '@cactusstair/routing';
 import type { Result } from 'neverthrow';
 
 import type { EngineProfile } from '../config/relayConfig.js';
@@ -20,6 +21,8 @@
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Subtracted from the upstream's deadline to leave time for the answer to travel back. */
 const ANSWER_MARGIN_MS = 5;
+/** Added to waits that are compared, so that a difference of milliseconds is not a large ratio. */
+const MIN_EXPECTED_WAIT_MS = 50;
 /** Urgency of a request that resumes a stream at another upstream. */
 const RESUME_URGENCY = 1;
 
@@ -46,6 +49,11 @@
 export class Attempt {
   readonly startedMs: number;
 
+  /** Unfinished prefill of other requests at the upstream when the attempt started. */
+  private readonly queuedMs: number;
+
+  private readonly sizeIndex: number | undefined;
+
   private readonly call: UpstreamCall;
 
   private readonly running: RunningCall;
@@ -55,15 +63,17 @@
   constructor(
     readonly context: RelayContext,
     readonly job: RelayJob,
-    readonly upstream: Upstream,
-    readonly backlogMs: number,
+    private readonly selection: Selection,
     options: AttemptOptions,
-    model: string | undefined,
+    private readonly model: string | undefined,
   ) {
     const { exchange, request, engine } = job;
+    const { upstream } = selection;
     this.startedMs = context.clock.monotonicMs();
+    this.queuedMs = upstream.backlogMs;
+    this.sizeIndex = options.sizeIndex;
     this.running = {
-      backlogMs: engine ? backlogMs : 0,
+      backlogMs: engine ? selection.backlogMs : 0,
       heldTokens: engine ? request.promptTokens + estimateOutputTokens(request) : 0,
     };
     upstream.calls.add(this.running);
@@ -93,6 +103,10 @@
     }
   }
 
+  get upstream(): Upstream {
+    return this.selection.upstream;
+  }
+
   get wasSent(): boolean {
     return this.call.wasSent;
   }
@@ -120,6 +134,14 @@
   /** Records that the upstream has processed the prompt, so that it no longer counts as backlog. */
   recordFirstEvent(): void {
     this.running.backlogMs = 0;
+    if (this.model === undefined || !this.job.engine) return;
+    const { context, job, model, queuedMs: backlogMs, selection } = this;
+    const estimator = context.engines.get(job.service);
+    const waitMs = context.clock.monotonicMs() - this.startedMs;
+    const nominalMs = estimateJobNominalMs(job, this.sizeIndex, selection.uncachedTokens);
+    const expectedMs = estimator.estimateMs(model, nominalMs) + backlogMs + MIN_EXPECTED_WAIT_MS;
+    selection.upstream.recordWait(waitMs + MIN_EXPECTED_WAIT_MS, expectedMs);
+    estimator.record({ model, nominalMs, backlogMs, waitMs });
   }
 
   /** Removes the attempt from the upstream's load and closes its connection. */
@@ -142,24 +164,36 @@
   return job.exchange.route?.modelSizes[sizeIndex];
 }
 
+/** Nominal time in which an engine reads a part of the request's prompt. */
+function estimateJobNominalMs(
+  { exchange, request }: RelayJob,
+  sizeIndex: number | undefined,
+  uncachedTokens: number,
+): number {
+  const sizeCount = exchange.route?.modelSizes.length ?? 0;
+  const timeFactor = estimateTimeFactor(sizeIndex ?? sizeCount - 1, sizeCount);
+  return estimateNominalMs(uncachedTokens, request.promptTokens, timeFactor);
+}
+
 function chooseUpstream(
   context: RelayContext,
   job: RelayJob,
   sizeIndex: number | undefined,
   excluded: ReadonlySet<string>,
 ): Selection | undefined {
-  const { exchange, request, service, engine } = job;
+  const { request, service, engine } = job;
   const usable = context.directory.listUsable(service);
   const allowed = context.rollouts.filterUpstreams(service, request.session, usable);
   const candidates = allowed.filter((upstream) => !excluded.has(upstream.id));
-  const sizeCount = exchange.route?.modelSizes.length ?? 0;
   const model = getModel(job, sizeIndex);
+  const estimator = context.engines.get(service);
   return selectUpstream(candidates, {
     zone: context.zone,
     isZoneUnreachable: (zone) => context.reachability.isUnreachable(zone),
     ...(engine ? { engine } : {}),
     ...(model === undefined ? {} : { model }),
-    timeFactor: estimateTimeFactor(sizeIndex ?? sizeCount - 1, sizeCount),
+    estimatePrefillMs: (uncachedTokens) =>
+      estimator.estimateMs(model ?? '', estimateJobNominalMs(job, sizeIndex, uncachedTokens)),
     promptTokens: request.promptTokens,
     heldTokens: request.promptTokens + estimateOutputTokens(request),
     promptParts: request.promptParts,
@@ -197,14 +231,14 @@
 ): Attempt | undefined {
   const selection = chooseUpstream(context, job, options.sizeIndex, options.excluded);
   if (!selection) return undefined;
-  const { upstream, backlogMs } = selection;
+  const { upstream } = selection;
   const model = getModel(job, options.sizeIndex);
   job.exchange.addStep('sent', {
     upstream: upstream.id,
     version: upstream.record.version,
     ...(model === undefined ? {} : { model }),
   });
-  return new Attempt(context, job, upstream, backlogMs, options, model);
+  return new Attempt(context, job, selection, options, model);
 }
 
 /**
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -3,6 +3,7 @@
 
 import type { ConfigIndex } from '../config/configIndex.js';
 import type { RolloutRouter } from '../rollouts/rolloutRouter.js';
+import type { EngineEstimators } from '../upstreams/engineEstimators.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
 import type { ZoneReachability } from '../upstreams/zoneReachability.js';
 import type { Dialect } from './relayRequest.js';
@@ -16,6 +17,7 @@
   dialect: Dialect;
   directory: UpstreamDirectory;
   reachability: ZoneReachability;
+  engines: EngineEstimators;
   rollouts: RolloutRouter;
   crashes: CrashCounter;
   stallMonitor: StallMonitor;
--- /dev/null
+++ b/packages/relay/src/upstreams/engineEstimators.ts
@@ -0,0 +1,56 @@
+import type { PrefillSums } from '@cactusstair/routing';
+import { addPrefillSums, createPrefillSums, PrefillEstimator } from '@cactusstair/routing';
+
+/** Sums of prefill samples by service and model, as instances exchange them. */
+export type EngineSums = Record<string, Record<string, PrefillSums>>;
+
+/** Creates sums without a prototype, as their keys come from other instances. */
+export function createEngineSums(): EngineSums {
+  return Object.create(null) as EngineSums;
+}
+
+/** Adds the sums of one instance or zone to `total`. */
+export function addEngineSums(total: EngineSums, part: EngineSums): void {
+  for (const [service, models] of Object.entries(part)) {
+    const totals = (total[service] ??= Object.create(null) as EngineSums[string]);
+    for (const [model, sums] of Object.entries(models)) {
+      addPrefillSums((totals[model] ??= createPrefillSums()), sums);
+    }
+  }
+}
+
+/** The prefill estimators of all services. */
+export class EngineEstimators {
+  private readonly byService = new Map<string, PrefillEstimator>();
+
+  get(service: string): PrefillEstimator {
+    let estimator = this.byService.get(service);
+    if (!estimator) {
+      estimator = new PrefillEstimator();
+      this.byService.set(service, estimator);
+    }
+    return estimator;
+  }
+
+  /** Returns the sums of this instance, rounded for sending. */
+  exportSums(): EngineSums {
+    const all: EngineSums = {};
+    for (const [service, estimator] of this.byService) {
+      all[service] = Object.fromEntries(
+        Object.entries(estimator.exportSums()).map(([model, sums]) => [model, roundSums(sums)]),
+      );
+    }
+    return all;
+  }
+
+  /** Replaces the sums of all other instances. */
+  importPeerSums(all: EngineSums): void {
+    for (const [service, sums] of Object.entries(all)) this.get(service).importPeerSums(sums);
+  }
+}
+
+function roundSums(sums: PrefillSums): PrefillSums {
+  const [weight, ...others] = sums.map((sum) => Math.round(sum * 100) / 100);
+  const [nominal, wait, nominalSquared, nominalWait] = others.map(Math.round);
+  return [weight!, nominal!, wait!, nominalSquared!, nominalWait!];
+}
--- a/packages/relay/src/upstreams/upstream.ts
+++ b/packages/relay/src/upstreams/upstream.ts
@@ -27,6 +27,13 @@
 const OUTCOME_WEIGHT = 0.15;
 /** The failure rate halves in this time without new outcomes, so that the upstream is retried. */
 const RATE_HALF_LIFE_MS = 4000;
+// Weight of the assumption that an upstream is as fast as its like, in first events, and the weight
+// of the newest one.
+const SLOWDOWN_PRIOR_WEIGHT = 4;
+const SLOWDOWN_WEIGHT = 0.1;
+/** Bounds on the factor by which one observed wait differs from the expected one. */
+const MIN_WAIT_RATIO = 0.25;
+const MAX_WAIT_RATIO = 10;
 // Prompt parts remembered per engine; an engine's memory holds a few hundred of the longest.
 const MAX_CACHED_PARTS = 2000;
 
@@ -51,6 +58,11 @@
 
   private rateAtMs: number;
 
+  /** Mean logarithm of observed waits relative to expected ones, and the weight of the sample. */
+  private waitRatioLog = 0;
+
+  private waitRatioWeight = 0;
+
   private readonly cachedParts = new Map<string, number>();
 
   constructor(
@@ -93,6 +105,19 @@
     return this.rate * 0.5 ** (ageMs / RATE_HALF_LIFE_MS);
   }
 
+  /** Time that this upstream takes relative to others of its service; 1 while little is known. */
+  get slowdown(): number {
+    const share = this.waitRatioWeight / (this.waitRatioWeight + SLOWDOWN_PRIOR_WEIGHT);
+    return Math.exp(this.waitRatioLog * share);
+  }
+
+  /** Records how long a first event took, and how long it takes at an average upstream. */
+  recordWait(waitMs: number, expectedMs: number): void {
+    const ratio = Math.min(MAX_WAIT_RATIO, Math.max(MIN_WAIT_RATIO, waitMs / expectedMs));
+    this.waitRatioWeight = Math.min(1 / SLOWDOWN_WEIGHT, this.waitRatioWeight + 1);
+    this.waitRatioLog += (Math.log(ratio) - this.waitRatioLog) / this.waitRatioWeight;
+  }
+
   recordProgress(): void {
     this.lastProgressMs = this.clock.monotonicMs();
   }
@@ -136,6 +161,8 @@
     this.cachedParts.clear();
     this.peerLoad = NO_LOAD;
     this.rate = 0;
+    this.waitRatioWeight = 0;
+    this.waitRatioLog = 0;
     this.downUntilMs = 0;
   }
 
--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -13,8 +13,8 @@
   /** Absent for plain services. */
   engine?: EngineProfile;
   model?: string;
-  /** Processing time of the model's size relative to the engine's base speed. */
-  timeFactor: number;
+  /** Estimates the time in which an engine reads a part of the prompt, in milliseconds. */
+  estimatePrefillMs: (uncachedTokens: number) => number;
   promptTokens: number;
   /** Tokens that the request will occupy in memory when it completes. */
   heldTokens: number;
@@ -24,17 +24,14 @@
 /** A chosen upstream with the estimated cost of the request there. */
 export interface Selection {
   upstream: Upstream;
-  /** Time to process the request's prompt, in milliseconds of the upstream's time. */
+  /** Prompt tokens that are not expected in the upstream's cache. */
+  uncachedTokens: number;
+  /** Time to process these tokens, in milliseconds of the upstream's time. */
   backlogMs: number;
   /** Estimated time until the first event: the upstream's backlog and the request's prompt. */
   firstEventMs: number;
 }
 
-// Prompt tokens that an engine processes per millisecond at a time factor of 1, from the platform's
-// data sheets. Only the ratio to the other costs matters; an engine of another speed shifts it.
-const PROMPT_TOKENS_PER_MS = 112;
-// The cost of attention grows with the square of the prompt length.
-const PROMPT_MS_PER_SQUARED_TOKEN = 1.09e-7;
 // Each further request in a batch slows down all the others.
 const RUNNING_COST_MS = 4;
 /** Cost of an upstream of a plain service when all of its slots are occupied. */
@@ -159,17 +156,15 @@
   let bestCost = Infinity;
   for (const upstream of sampleCandidates(candidates, request, preferred)) {
     if (!hasRoom(upstream, request)) continue;
+    let uncachedTokens = 0;
     let backlogMs = 0;
     let cost = computeSharedCosts(upstream, request);
     if (engine) {
       const known = countCachedTokens(upstream, model, promptParts);
       const expected = upstream === preferred ? sharedTokens * EXPECTED_CACHED_SHARE : 0;
       const cached = Math.max(known, expected);
-      const uncached = Math.max(0, request.promptTokens - cached);
-      backlogMs =
-        (uncached / PROMPT_TOKENS_PER_MS +
-          uncached * request.promptTokens * PROMPT_MS_PER_SQUARED_TOKEN) *
-        request.timeFactor;
+      uncachedTokens = Math.max(0, request.promptTokens - cached);
+      backlogMs = request.estimatePrefillMs(uncachedTokens) * upstream.slowdown;
       cost +=
         upstream.backlogMs +
         backlogMs +
@@ -180,7 +175,12 @@
     }
     if (cost < bestCost) {
       bestCost = cost;
-      best = { upstream, backlogMs, firstEventMs: upstream.backlogMs + backlogMs };
+      best = {
+        upstream,
+        uncachedTokens,
+        backlogMs,
+        firstEventMs: upstream.backlogMs + backlogMs,
+      };
     }
   }
   return best;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,6 +13,13 @@
 export { CrashCounter } from './crashCounter.js';
 export type { CrashQuarantineOptions, QuarantineClass, RunOutcome } from './crashQuarantine.js';
 export { computeFingerprint, CrashQuarantine, MIN_PROGRESS_TOKENS } from './crashQuarantine.js';
+export type { PrefillSample, PrefillSums } from './engine/prefillEstimator.js';
+export {
+  addPrefillSums,
+  createPrefillSums,
+  estimateNominalMs,
+  PrefillEstimator,
+} from './engine/prefillEstimator.js';
 export type { CacheEvent, PrefixIndexOptions } from './prefixIndex.js';
 export { PrefixIndex } from './prefixIndex.js';
 export type { RetryBudgetOptions } from './retryBudget.js';
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -3,7 +3,12 @@
 import { afterEach, describe, it } from 'node:test';
 
 import type { ClockReading, PeerRecord, ViewName, ViewState } from '@cactusstair/relay';
-import { PeerExchange, RolloutRouter, UpstreamDirectory } from '@cactusstair/relay';
+import {
+  EngineEstimators,
+  PeerExchange,
+  RolloutRouter,
+  UpstreamDirectory,
+} from '@cactusstair/relay';
 import { CrashCounter } from '@cactusstair/routing';
 import { systemClock, waitFor } from '@cactusstair/utils';
 
@@ -13,6 +18,7 @@
   exchange: PeerExchange;
   directory: UpstreamDirectory;
   crashes: CrashCounter;
+  engines: EngineEstimators;
   rollouts: RolloutRouter;
   views: Partial<Record<ViewName, ViewState>>;
   receivedViews: { name: ViewName; state: string; since: ClockReading }[];
@@ -46,12 +52,14 @@
     const crashes = new CrashCounter({ clock });
     const rollouts = new RolloutRouter({ clock, sessionTtlMs: 5000, canaryShare: 0.15 });
     const port = await findPort();
-    const instance = { directory, crashes, rollouts, views: {}, receivedViews: [], port };
+    const engines = new EngineEstimators();
+    const instance = { directory, crashes, engines, rollouts, views: {}, receivedViews: [], port };
     const typed = instance as unknown as Instance;
     typed.exchange = new PeerExchange({
       clock,
       self: { host: '127.0.0.1', port: instance.port, name, zone, capacity },
       directory,
+      engines,
       rollouts,
       crashes,
       listViews: () => typed.views,
@@ -126,6 +134,20 @@
     });
   });
 
+  it('shares what is learned about the engines', async () => {
+    const [first, second] = await openPair();
+    const own = first.engines.get('service');
+    for (let count = 0; count < 50; count += 1) {
+      own.record({ model: 'large', nominalMs: 200, backlogMs: 0, waitMs: 800 });
+    }
+    const learned = second.engines.get('service');
+    const before = learned.estimateMs('large', 200);
+    await waitFor(() => learned.estimateMs('large', 200) > 2 * before, {
+      what: 'the estimate of the peer to follow',
+      timeoutMs: 3000,
+    });
+  });
+
   it('does not report a confirmation as newer than the read behind it', async () => {
     const [first, second] = await openPair();
     const ageMs = 5000;
--- a/tests/relay/upstreams.test.ts
+++ b/tests/relay/upstreams.test.ts
@@ -7,6 +7,9 @@
 
 import { createRecord } from './support/records.js';
 
+/** Prompt tokens that the engines of these tests read per millisecond. */
+const TOKENS_PER_MS = 112;
+
 describe('upstreams', () => {
   describe('UpstreamDirectory', () => {
     function createDirectory() {
@@ -100,7 +103,7 @@
     const plain: SelectionRequest = {
       zone: 'zone-1',
       isZoneUnreachable: () => false,
-      timeFactor: 1,
+      estimatePrefillMs: (tokens) => tokens / TOKENS_PER_MS,
       promptTokens: 0,
       heldTokens: 0,
       promptParts: [],
@@ -137,6 +140,13 @@
       assert.equal(choose([a, b]), 'b');
     });
 
+    it('prefers an engine that has been faster than one of the same load', () => {
+      const [a, b] = [create('a'), create('b')];
+      for (let count = 0; count < 10; count += 1) a.recordWait(1000, 100);
+      const request = { engine, model: 'large', promptTokens: 6000 };
+      assert.equal(choose([a, b], request), 'b');
+    });
+
     it('selects no engine without a free slot and memory', () => {
       const a = create('a', { slots: 1 });
       a.calls.add({ backlogMs: 0, heldTokens: 50_000 });
@@ -152,7 +162,7 @@
       const request = {
         engine,
         model: 'large',
-        timeFactor: 3,
+        estimatePrefillMs: (tokens: number) => (3 * tokens) / TOKENS_PER_MS,
         promptTokens: 6000,
         promptParts: [
           { id: 'shared', tokens: 5000 },
@@ -171,7 +181,7 @@
       const request = {
         engine,
         model: 'large',
-        timeFactor: 3,
+        estimatePrefillMs: (tokens: number) => (3 * tokens) / TOKENS_PER_MS,
         promptTokens: 6000,
         promptParts: [
           { id: 'subject', tokens: 5000 },
@@ -192,7 +202,7 @@
       zone: 'zone-1',
       isZoneUnreachable: () => false,
       engine,
-      timeFactor: 1,
+      estimatePrefillMs: (tokens) => tokens / TOKENS_PER_MS,
       promptTokens: 500,
       heldTokens: 600,
       promptParts: [],
@@ -235,7 +245,7 @@
       const long = {
         ...request,
         model: 'large',
-        timeFactor: 3,
+        estimatePrefillMs: (tokens: number) => (3 * tokens) / TOKENS_PER_MS,
         promptTokens: 6000,
         promptParts: parts,
       };
