Serve the shortest prompts first, and tell the zone of each change of an instance's load

Cause: in the grown quiz site a request to the smallest model waited 500 ms on the mean where the known backlog and its prompt led one to expect 140: loads came over the reporters, 0.5 to 1.5 s old, while the prompts behind them were read in fractions of a second; and long prompts of the largest model stood before short ones.

Change: the urgency of a request follows from the expected time of its prompt (routing/engine/requestUrgency); an instance sends its load to its zone at each change (peers/loadExchange), reports to the own zone name the load of other zones; waits beyond the known load are learned by zone and added to the cost (queueBias); eight instead of four engines of the own zone are compared; sent steps log what was expected. FleetSums is split off from PeerExchange.

--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -9,14 +9,15 @@
 import type { PeerRecord, SocketAddress } from '../relayOptions.js';
 import type { RolloutRouter } from '../rollouts/rolloutRouter.js';
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
-import type { EngineEstimators, EngineSums } from '../upstreams/engineEstimators.js';
-import { addEngineSums, createEngineSums } from '../upstreams/engineEstimators.js';
+import type { EngineEstimators } from '../upstreams/engineEstimators.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
-import type { ReportPart, UpstreamLoads } from './fleetReport.js';
+import type { UpstreamLoads } from './fleetReport.js';
 import { addLoads, createFleetReport, subtractLoads } from './fleetReport.js';
-import type { Echo, FleetReport, PeerMessage, ViewName, ViewState } from './peerMessage.js';
-import { parsePeerMessage } from './peerMessage.js';
-import type { Peer } from './peerTable.js';
+import type { PeerRole } from './fleetSums.js';
+import { FleetSums, STALE_AFTER_MS } from './fleetSums.js';
+import { LoadExchange } from './loadExchange.js';
+import type { Echo, LoadNotice, PeerMessage, ViewName, ViewState } from './peerMessage.js';
+import { parseDatagram } from './peerMessage.js';
 import { LOST_AFTER_MS, PeerTable } from './peerTable.js';
 
 /** Options of `PeerExchange`. */
@@ -48,8 +49,6 @@
  * Reporters send only on every second tick, because their messages are long and go to a whole zone.
  */
 const REPORT_INTERVAL_TICKS = 2;
-/** Messages older than this are ignored for loads, echoes and aggregated reports. */
-const STALE_AFTER_MS = 1500;
 const MAX_CRASH_ENTRIES = 20;
 /**
  * Number of sent messages to remember. At four messages a second, echoes of older ones confirm
@@ -76,6 +75,10 @@
 
   private readonly table: PeerTable;
 
+  private readonly sums: FleetSums;
+
+  private readonly loads: LoadExchange;
+
   private readonly incarnation: number;
 
   private readonly sentMessages = new Map<number, SentMessage>();
@@ -89,6 +92,15 @@
   constructor(private readonly options: PeerExchangeOptions) {
     this.incarnation = options.clock.wallMs();
     this.table = new PeerTable(options.clock, options.self);
+    this.sums = new FleetSums(this.table, options.self.zone, () => this.role);
+    this.loads = new LoadExchange({
+      clock: options.clock,
+      self: options.self,
+      directory: options.directory,
+      listReceivers: () => this.table.listRecords(options.self.zone),
+      sumRemoteLoads: (maxAgeMs) => this.sums.sumRemoteLoads(maxAgeMs),
+      send: (receivers, notice) => this.sendTo(receivers, notice),
+    });
   }
 
   /** Opens the socket. */
@@ -120,8 +132,8 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.send();
-      this.applyLoads();
-      this.options.engines.importPeerSums(this.sumPeerEngines());
+      this.loads.refresh(STALE_AFTER_MS);
+      this.options.engines.importPeerSums(this.sums.sumEngines());
       await this.options.clock.sleep(SEND_INTERVAL_MS, signal);
     }
   }
@@ -131,7 +143,13 @@
     this.send();
   }
 
+  /** Tells the neighbours soon that the load of this instance has changed. */
+  notifyLoadChange(): void {
+    this.loads.notifyChange();
+  }
+
   close(): void {
+    this.loads.close();
     this.socket.close();
   }
 
@@ -152,7 +170,7 @@
 
   /** Returns the number of live instances in all zones, including this one. */
   countInstances(): number {
-    return Math.max(this.listLiveInstances().length, this.findFleetReport()?.count ?? 0);
+    return Math.max(this.listLiveInstances().length, this.sums.findFleetReport()?.count ?? 0);
   }
 
   listEvidence(): Record<string, EvidenceSums>[] {
@@ -160,18 +178,25 @@
     if (!this.hasReporters) {
       return [own, ...this.table.listRecentPeers().map(({ message }) => message.evidence)];
     }
-    if (!this.isReporter) return [this.findFleetReport(Infinity)?.evidence ?? own];
+    if (!this.isReporter) return [this.sums.findFleetReport(Infinity)?.evidence ?? own];
     return [
       own,
-      ...this.listZonePeers(Infinity).map(({ message }) => message.evidence),
-      ...this.listOtherZoneReports(Infinity).map(({ evidence }) => evidence),
+      ...this.sums.listZonePeers(Infinity).map(({ message }) => message.evidence),
+      ...this.sums.listOtherZoneReports(Infinity).map(({ evidence }) => evidence),
     ];
   }
 
-  /** Counts the requests that other live instances are running on the given upstreams. */
+  /**
+   * Counts the requests that other live instances are running on the given upstreams. Where the
+   * ways by which loads arrive differ, the larger count is returned.
+   */
   countPeerCalls(upstreamIds: readonly string[]): number {
-    const loads = this.sumPeerLoads(LOST_AFTER_MS);
-    return upstreamIds.reduce((sum, id) => sum + (loads[id]?.[0] ?? 0), 0);
+    const current = this.loads.sumPeerLoads(LOST_AFTER_MS);
+    const reported = this.sumReportedLoads(LOST_AFTER_MS);
+    return upstreamIds.reduce(
+      (sum, id) => sum + Math.max(current[id]?.[0] ?? 0, reported[id]?.[0] ?? 0),
+      0,
+    );
   }
 
   /**
@@ -188,10 +213,15 @@
    */
   findProvider(): SocketAddress | undefined {
     if (!this.hasReporters || this.isReporter) return undefined;
-    const reporter = this.findReporter(STALE_AFTER_MS);
+    const reporter = this.sums.findReporter(STALE_AFTER_MS);
     return reporter && this.table.findAddress(reporter.message.name);
   }
 
+  private get role(): PeerRole {
+    if (!this.hasReporters) return 'mesh';
+    return this.isReporter ? 'reporter' : 'member';
+  }
+
   private get hasReporters(): boolean {
     return this.table.addressCount > MAX_MESH_PEERS;
   }
@@ -215,40 +245,31 @@
     }
     if (this.ticks % REPORT_INTERVAL_TICKS !== 0) return;
     const message = this.createMessage();
-    const zone = createFleetReport('zone', [{ ...message, count: 1 }, ...this.listZoneParts()]);
-    const fleet = createFleetReport('fleet', [zone, ...this.listOtherZoneReports()]);
-    const others = this.table.listZones().filter((name) => name !== self.zone);
-    const remote = others.flatMap((name) => this.table.chooseReporters(name));
+    const zone = createFleetReport('zone', [
+      { ...message, count: 1 },
+      ...this.sums.listZoneParts(),
+    ]);
+    const others = this.sums.listOtherZoneReports();
+    const fleet = createFleetReport('fleet', [zone, ...others]);
+    const remoteLoads: UpstreamLoads = {};
+    for (const { loads } of others) addLoads(remoteLoads, loads);
+    const otherZones = this.table.listZones().filter((name) => name !== self.zone);
+    const remote = otherZones.flatMap((name) => this.table.chooseReporters(name));
     const names = new Set(remote.map(({ name }) => name));
     const echoes = Object.entries(message.echoes).filter(([name]) => names.has(name));
     this.sendTo(remote, { ...message, echoes: Object.fromEntries(echoes), report: zone });
     const members = [...this.table.listRecords(self.zone), ...this.table.listUnnamed()];
-    this.sendTo(members, { ...message, report: fleet });
+    this.sendTo(members, { ...message, report: { ...fleet, remoteLoads } });
   }
 
-  private sendTo(addresses: readonly SocketAddress[], message: PeerMessage): void {
+  private sendTo(addresses: readonly SocketAddress[], message: PeerMessage | LoadNotice): void {
     const bytes = Buffer.from(JSON.stringify(message));
     for (const { host, port } of addresses) this.socket.send(bytes, port, host, () => {});
   }
 
-  private createOwnLoads(): UpstreamLoads {
-    const loads: UpstreamLoads = {};
-    for (const upstream of this.options.directory.listAll()) {
-      if (upstream.calls.size === 0) continue;
-      let backlogMs = 0;
-      let heldTokens = 0;
-      for (const call of upstream.calls) {
-        backlogMs += call.backlogMs;
-        heldTokens += call.heldTokens;
-      }
-      loads[upstream.id] = [upstream.calls.size, Math.round(backlogMs), Math.round(heldTokens)];
-    }
-    return loads;
-  }
-
   private createMessage(): PeerMessage {
     const { self, clock, crashes, engines, listViews, rollouts } = this.options;
-    const loads = this.createOwnLoads();
+    const loads = this.loads.createOwnLoads();
     this.sequence += 1;
     this.sentMessages.set(this.sequence, { sentAt: readClocks(clock), loads });
     this.sentMessages.delete(this.sequence - MAX_SENT_MESSAGES);
@@ -314,93 +335,38 @@
   }
 
   private receive(bytes: Buffer, sender: SocketAddress): void {
-    const message = parsePeerMessage(bytes);
+    const message = parseDatagram(bytes);
     if (!message || message.name === this.options.self.name) return;
+    if ('load' in message) {
+      this.loads.record(message.name, message.load, STALE_AFTER_MS);
+      return;
+    }
     const isNew = this.table.find(message.name) === undefined;
     if (!this.table.recordMessage(message, sender)) return;
     if (isNew) this.options.onEvent?.('peer_seen', message.name);
+    if (message.zone === this.options.self.zone) {
+      this.loads.record(message.name, message.loads, STALE_AFTER_MS);
+    }
     this.options.crashes.importEntries(message.crashes);
     this.options.rollouts.importPins([...message.pins, ...(message.report?.pins ?? [])]);
     this.applyViews(message);
   }
 
-  /** Returns the peers in the same zone whose last message is younger than `maxAgeMs`. */
-  private listZonePeers(maxAgeMs: number): Peer[] {
-    const { zone } = this.options.self;
-    return this.table.listRecentPeers(maxAgeMs).filter(({ message }) => message.zone === zone);
-  }
-
-  /** Returns the contributions of the other instances in the zone to its report. */
-  private listZoneParts(maxAgeMs = STALE_AFTER_MS): ReportPart[] {
-    return this.listZonePeers(maxAgeMs).map(({ message }) => ({ ...message, count: 1 }));
-  }
-
-  /** Returns, for each other zone, the report that covers the most instances. */
-  private listOtherZoneReports(maxAgeMs = STALE_AFTER_MS): FleetReport[] {
-    const best = new Map<string, FleetReport>();
-    for (const { message } of this.table.listRecentPeers(maxAgeMs)) {
-      const { zone, report } = message;
-      if (report?.scope !== 'zone' || zone === this.options.self.zone) continue;
-      if (report.count > (best.get(zone)?.count ?? 0)) best.set(zone, report);
-    }
-    return [...best.values()];
-  }
-
-  /** Returns the peer whose fleet report covers the most instances. */
-  private findReporter(maxAgeMs: number): Peer | undefined {
-    let best: Peer | undefined;
-    for (const peer of this.table.listRecentPeers(maxAgeMs)) {
-      const { report } = peer.message;
-      if (report?.scope !== 'fleet') continue;
-      if (report.count > (best?.message.report?.count ?? 0)) best = peer;
-    }
-    return best;
-  }
-
-  /**
-   * Returns the fleet report that covers the most instances, among those received from reporters.
-   */
-  private findFleetReport(maxAgeMs = LOST_AFTER_MS): FleetReport | undefined {
-    return this.findReporter(maxAgeMs)?.message.report;
-  }
-
-  /** Sums the loads of all other instances. */
-  private sumPeerLoads(maxAgeMs: number): UpstreamLoads {
+  /** Sums the loads of all other instances from their messages and reports. */
+  private sumReportedLoads(maxAgeMs: number): UpstreamLoads {
     const sum: UpstreamLoads = {};
     if (!this.hasReporters) {
       for (const { message } of this.table.listRecentPeers(maxAgeMs)) addLoads(sum, message.loads);
       return sum;
     }
     if (!this.isReporter) {
-      const reporter = this.findReporter(maxAgeMs);
+      const reporter = this.sums.findReporter(maxAgeMs);
       if (!reporter?.message.report) return sum;
       const own = this.findAcknowledged(reporter.message)?.sent.loads ?? {};
       return subtractLoads(reporter.message.report.loads, own);
     }
-    for (const { loads } of this.listZoneParts(maxAgeMs)) addLoads(sum, loads);
-    for (const { loads } of this.listOtherZoneReports(maxAgeMs)) addLoads(sum, loads);
-    return sum;
-  }
-
-  /** Sums the prefill samples of the other instances; a fleet report includes those of this one. */
-  private sumPeerEngines(): EngineSums {
-    if (this.hasReporters && !this.isReporter) return this.findFleetReport()?.engines ?? {};
-    const sum = createEngineSums();
-    const peers = this.hasReporters
-      ? this.listZonePeers(LOST_AFTER_MS)
-      : this.table.listRecentPeers(LOST_AFTER_MS);
-    for (const { message } of peers) addEngineSums(sum, message.engines ?? {});
-    if (!this.hasReporters) return sum;
-    for (const { engines } of this.listOtherZoneReports(LOST_AFTER_MS))
-      addEngineSums(sum, engines ?? {});
+    for (const { loads } of this.sums.listZoneParts(maxAgeMs)) addLoads(sum, loads);
+    for (const { loads } of this.sums.listOtherZoneReports(maxAgeMs)) addLoads(sum, loads);
     return sum;
   }
-
-  private applyLoads(): void {
-    const loads = this.sumPeerLoads(STALE_AFTER_MS);
-    for (const upstream of this.options.directory.listAll()) {
-      const [running, backlogMs, heldTokens] = loads[upstream.id] ?? [0, 0, 0];
-      upstream.peerLoad = { running, backlogMs, heldTokens };
-    }
-  }
 }
--- a/packages/relay/src/peers/peerMessage.ts
+++ b/packages/relay/src/peers/peerMessage.ts
@@ -30,6 +30,8 @@
   /** Number of instances covered. */
   count: number;
   loads: Record<string, UpstreamLoad>;
+  /** The part of the loads that comes from other zones; only in reports to the own zone. */
+  remoteLoads?: Record<string, UpstreamLoad>;
   evidence: Record<string, EvidenceSums>;
   /** Absent in reports of older builds. */
   engines?: EngineSums;
@@ -60,6 +62,13 @@
   report?: FleetReport;
 }
 
+/** Tells the instances of a zone at once that the load of one of them has changed. */
+export interface LoadNotice {
+  name: string;
+  /** All load of the sender; replaces what its last notice said. */
+  load: Record<string, UpstreamLoad>;
+}
+
 const PREFILL_SUMS_LENGTH = 5;
 
 function isPrefillSums(value: unknown): boolean {
@@ -82,17 +91,29 @@
   );
 }
 
-/** Parses a datagram; returns undefined if it is not a valid peer message. */
-export function parsePeerMessage(bytes: Buffer): PeerMessage | undefined {
-  let value: unknown;
-  try {
-    value = JSON.parse(bytes.toString('utf8'));
-  } catch {
-    return undefined;
-  }
-  if (typeof value !== 'object' || value === null) return undefined;
+const UPSTREAM_LOAD_LENGTH = 3;
+
+function isUpstreamLoad(value: unknown): boolean {
+  return (
+    Array.isArray(value) &&
+    value.length === UPSTREAM_LOAD_LENGTH &&
+    value.every((part) => Number.isFinite(part) && part >= 0)
+  );
+}
+
+function isLoadNotice(value: object): value is LoadNotice {
+  const { name, load } = value as Partial<LoadNotice>;
+  return (
+    typeof name === 'string' &&
+    typeof load === 'object' &&
+    load !== null &&
+    Object.values(load).every(isUpstreamLoad)
+  );
+}
+
+function isPeerMessage(value: object): value is PeerMessage {
   const message = value as Partial<PeerMessage>;
-  const isValid =
+  return (
     typeof message.name === 'string' &&
     typeof message.zone === 'string' &&
     typeof message.capacity === 'number' &&
@@ -109,6 +130,19 @@
     typeof message.echoes === 'object' &&
     message.echoes !== null &&
     isEngineSums(message.engines) &&
-    isEngineSums(message.report?.engines);
-  return isValid ? (message as PeerMessage) : undefined;
+    isEngineSums(message.report?.engines)
+  );
+}
+
+/** Parses a datagram; returns undefined if it is neither a peer message nor a load notice. */
+export function parseDatagram(bytes: Buffer): PeerMessage | LoadNotice | undefined {
+  let value: unknown;
+  try {
+    value = JSON.parse(bytes.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+  if (typeof value !== 'object' || value === null) return undefined;
+  if (isLoadNotice(value)) return value;
+  return isPeerMessage(value) ? value : undefined;
 }
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -249,6 +249,7 @@
       rollouts: this.rollouts,
       crashes: this.crashes,
       stallMonitor: new StallMonitor(this.clock),
+      onLoadChange: () => this.peers.notifyLoadChange(),
       getConfig: () => this.config,
       getBudget: (service) => this.budgets.get(service),
     };
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 
-import { estimateNominalMs } from '@cactusstair/routing';
+import { computeUrgency, estimateNominalMs } from '@cactusstair/routing';
 import type { Result } from 'neverthrow';
 
 import type { EngineProfile } from '../config/relayConfig.js';
@@ -23,8 +23,7 @@
 const ANSWER_MARGIN_MS = 5;
 /** Added to waits that are compared, so that a difference of milliseconds is not a large ratio. */
 const MIN_EXPECTED_WAIT_MS = 50;
-/** Urgency of a request that resumes a stream at another upstream. */
-const RESUME_URGENCY = 1;
+const DEFAULT_PRIORITY = 1;
 
 /** A request with the service, engine and fingerprint resolved for it. */
 export interface RelayJob {
@@ -77,12 +76,19 @@
       heldTokens: engine ? request.promptTokens + estimateOutputTokens(request) : 0,
     };
     upstream.calls.add(this.running);
+    context.onLoadChange();
     const headers = context.dialect.encodeAttempt(request, {
       upstreamId: upstream.id,
       deadlineMs: Math.max(1, Math.floor(exchange.timeLeftMs - ANSWER_MARGIN_MS)),
       workspace: exchange.workspace?.name,
       model,
-      urgency: engine ? computeUrgency(exchange, options.lastEventId !== undefined) : undefined,
+      urgency: engine
+        ? computeUrgency({
+            prefillMs: selection.backlogMs,
+            priority: getPriority(exchange),
+            isResumed: options.lastEventId !== undefined,
+          })
+        : undefined,
       lastEventId: options.lastEventId,
       bodyBytes: request.body.length,
     });
@@ -134,6 +140,7 @@
   /** Records that the upstream has processed the prompt, so that it no longer counts as backlog. */
   recordFirstEvent(): void {
     this.running.backlogMs = 0;
+    this.context.onLoadChange();
     if (this.model === undefined || !this.job.engine) return;
     const { context, job, model, queuedMs: backlogMs, selection } = this;
     const estimator = context.engines.get(job.service);
@@ -141,22 +148,24 @@
     const nominalMs = estimateJobNominalMs(job, this.sizeIndex, selection.uncachedTokens);
     const expectedMs = estimator.estimateMs(model, nominalMs) + backlogMs + MIN_EXPECTED_WAIT_MS;
     selection.upstream.recordWait(waitMs + MIN_EXPECTED_WAIT_MS, expectedMs);
+    context.engines
+      .getQueueBias(job.service)
+      .record(selection.upstream.record.zone, waitMs, backlogMs + selection.backlogMs);
     estimator.record({ model, nominalMs, backlogMs, waitMs });
   }
 
   /** Removes the attempt from the upstream's load and closes its connection. */
   close(): void {
     this.upstream.calls.delete(this.running);
+    this.context.onLoadChange();
     this.job.exchange.offCancel(this.cancelListener);
     this.job.exchange.attempt = undefined;
     this.call.cancel('the attempt was closed');
   }
 }
 
-function computeUrgency(exchange: Exchange, isResumed: boolean): number {
-  if (isResumed) return RESUME_URGENCY;
-  const priority = exchange.workspace?.priority ?? exchange.route?.priority ?? 1;
-  return Math.min(9, 3 + 2 * priority);
+function getPriority({ workspace, route }: Exchange): number {
+  return workspace?.priority ?? route?.priority ?? DEFAULT_PRIORITY;
 }
 
 function getModel(job: RelayJob, sizeIndex: number | undefined): string | undefined {
@@ -194,6 +203,7 @@
     ...(model === undefined ? {} : { model }),
     estimatePrefillMs: (uncachedTokens) =>
       estimator.estimateMs(model ?? '', estimateJobNominalMs(job, sizeIndex, uncachedTokens)),
+    getQueueBiasMs: (zone) => context.engines.getQueueBias(service).getMs(zone),
     promptTokens: request.promptTokens,
     heldTokens: request.promptTokens + estimateOutputTokens(request),
     promptParts: request.promptParts,
@@ -236,7 +246,14 @@
   job.exchange.addStep('sent', {
     upstream: upstream.id,
     version: upstream.record.version,
-    ...(model === undefined ? {} : { model }),
+    ...(model === undefined
+      ? {}
+      : {
+          model,
+          queuedMs: Math.round(upstream.backlogMs),
+          prefillMs: Math.round(selection.backlogMs),
+          running: upstream.running,
+        }),
   });
   return new Attempt(context, job, selection, options, model);
 }
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -21,6 +21,8 @@
   rollouts: RolloutRouter;
   crashes: CrashCounter;
   stallMonitor: StallMonitor;
+  /** Called when a request has been sent to an upstream, has its first event or has ended. */
+  onLoadChange: () => void;
   /** Returns the configuration in force; undefined before the first was read. */
   getConfig: () => ConfigIndex | undefined;
   /** Returns this instance's share of the retry budget of a service. */
--- a/packages/relay/src/upstreams/engineEstimators.ts
+++ b/packages/relay/src/upstreams/engineEstimators.ts
@@ -1,5 +1,10 @@
 import type { PrefillSums } from '@cactusstair/routing';
-import { addPrefillSums, createPrefillSums, PrefillEstimator } from '@cactusstair/routing';
+import {
+  addPrefillSums,
+  createPrefillSums,
+  PrefillEstimator,
+  QueueBias,
+} from '@cactusstair/routing';
 
 /** Sums of prefill samples by service and model, as instances exchange them. */
 export type EngineSums = Record<string, Record<string, PrefillSums>>;
@@ -19,10 +24,12 @@
   }
 }
 
-/** The prefill estimators of all services. */
+/** The prefill estimators and queue biases of all services. */
 export class EngineEstimators {
   private readonly byService = new Map<string, PrefillEstimator>();
 
+  private readonly biases = new Map<string, QueueBias>();
+
   get(service: string): PrefillEstimator {
     let estimator = this.byService.get(service);
     if (!estimator) {
@@ -32,6 +39,15 @@
     return estimator;
   }
 
+  getQueueBias(service: string): QueueBias {
+    let bias = this.biases.get(service);
+    if (!bias) {
+      bias = new QueueBias();
+      this.biases.set(service, bias);
+    }
+    return bias;
+  }
+
   /** Returns the sums of this instance, rounded for sending. */
   exportSums(): EngineSums {
     const all: EngineSums = {};
--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -15,6 +15,8 @@
   model?: string;
   /** Estimates the time in which an engine reads a part of the prompt, in milliseconds. */
   estimatePrefillMs: (uncachedTokens: number) => number;
+  /** Returns the wait beyond the known loads to expect in a zone, in milliseconds. */
+  getQueueBiasMs: (zone: string) => number;
   promptTokens: number;
   /** Tokens that the request will occupy in memory when it completes. */
   heldTokens: number;
@@ -51,7 +53,7 @@
 // In a large fleet all instances see the same loads, which are a few hundred milliseconds old, and
 // would all choose the upstream that looks best. Each request compares a random sample instead.
 const MAX_COMPARED = 40;
-const SAMPLED_OWN_ZONE = 4;
+const SAMPLED_OWN_ZONE = 8;
 const SAMPLED_OTHER_ZONES = 2;
 /** Share of an engine's memory to fill; the rest is kept free for growing requests. */
 const USABLE_MEMORY_SHARE = 0.92;
@@ -167,6 +169,7 @@
       backlogMs = request.estimatePrefillMs(uncachedTokens) * upstream.slowdown;
       cost +=
         upstream.backlogMs +
+        request.getQueueBiasMs(upstream.record.zone) +
         backlogMs +
         upstream.running * RUNNING_COST_MS +
         Math.max(0, sharedTokens - cached) * REREAD_COST_MS_PER_TOKEN;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -20,6 +20,9 @@
   estimateNominalMs,
   PrefillEstimator,
 } from './engine/prefillEstimator.js';
+export { QueueBias } from './engine/queueBias.js';
+export type { UrgencyRequest } from './engine/requestUrgency.js';
+export { computeUrgency } from './engine/requestUrgency.js';
 export type { CacheEvent, PrefixIndexOptions } from './prefixIndex.js';
 export { PrefixIndex } from './prefixIndex.js';
 export type { RetryBudgetOptions } from './retryBudget.js';
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -125,6 +125,19 @@
     });
   });
 
+  it('tells the neighbours of a change of its load at once', async () => {
+    const [first, second] = await openPair();
+    // Without its periodic messages, only a notice can tell.
+    first.stop.abort();
+    await first.task;
+    first.directory.find('upstream')?.calls.add({ backlogMs: 40, heldTokens: 1000 });
+    first.exchange.notifyLoadChange();
+    await waitFor(() => second.directory.find('upstream')?.running === 1, {
+      what: 'the notice of the load',
+      timeoutMs: 3000,
+    });
+  });
+
   it('shares crash counts with peers', async () => {
     const [first, second] = await openPair();
     first.crashes.recordCrash('request');
--- a/tests/relay/upstreams.test.ts
+++ b/tests/relay/upstreams.test.ts
@@ -104,6 +104,7 @@
       zone: 'zone-1',
       isZoneUnreachable: () => false,
       estimatePrefillMs: (tokens) => tokens / TOKENS_PER_MS,
+      getQueueBiasMs: () => 0,
       promptTokens: 0,
       heldTokens: 0,
       promptParts: [],
@@ -147,6 +148,15 @@
       assert.equal(choose([a, b], request), 'b');
     });
 
+    it('prefers an engine whose queue is known to one in a zone where waits exceed the known', () => {
+      const [a, b] = [create('a'), create('b', { zone: 'zone-2' })];
+      a.peerLoad = { running: 1, backlogMs: 200, heldTokens: 0 };
+      const request = { engine, model: 'large', promptTokens: 6000 };
+      assert.equal(choose([a, b], request), 'b');
+      const getQueueBiasMs = (zone: string) => (zone === 'zone-2' ? 300 : 0);
+      assert.equal(choose([a, b], { ...request, getQueueBiasMs }), 'a');
+    });
+
     it('selects no engine without a free slot and memory', () => {
       const a = create('a', { slots: 1 });
       a.calls.add({ backlogMs: 0, heldTokens: 50_000 });
@@ -203,6 +213,7 @@
       isZoneUnreachable: () => false,
       engine,
       estimatePrefillMs: (tokens) => tokens / TOKENS_PER_MS,
+      getQueueBiasMs: () => 0,
       promptTokens: 500,
       heldTokens: 600,
       promptParts: [],
