Let lists of objects name the revision up to which they are complete

A list from a replica that lags lacked a change up to that revision; the watch started after it, so the change was never applied, and an object that the old list lacked counted as deleted.

The platform stand-in named the current revision for stale pages; it names that of the state it shows.

--- a/packages/bench/src/journalWrites.ts
+++ b/packages/bench/src/journalWrites.ts
@@ -7,6 +7,7 @@
  */
 import type {
   BillCopier,
+  ObjectList,
   ObjectStore,
   StoredObject,
   StoreResult,
@@ -81,7 +82,7 @@
     return ok({ kind, name, version, revision: this.revision, value });
   }
 
-  async list(): StoreResult<StoredObject[]> {
+  async list(): StoreResult<ObjectList> {
     return err({ type: 'unavailable', message: 'not supported by CountingStore' });
   }
 
--- a/packages/coordination/src/billSegments.ts
+++ b/packages/coordination/src/billSegments.ts
@@ -96,7 +96,7 @@
     throw new Error(`the bills cannot be listed: ${listed.error.type}; repeat the export later`);
   }
   const seen = new Set<string>();
-  for (const object of listed.value.sort((a, b) => a.revision - b.revision)) {
+  for (const object of listed.value.objects.sort((a, b) => a.revision - b.revision)) {
     for (const bill of readSegment(object.value)) {
       const key = computeBillKey(bill);
       if (seen.has(key) || (workspace !== undefined && bill.workspace !== workspace)) continue;
--- a/packages/coordination/src/httpObjectStore.ts
+++ b/packages/coordination/src/httpObjectStore.ts
@@ -4,6 +4,7 @@
 import type { Dispatcher } from 'undici';
 
 import type {
+  ObjectList,
   ObjectStore,
   StoredObject,
   StoreFailure,
@@ -65,19 +66,22 @@
     return this.call({ method: 'GET', path: formatObjectPath(kind, name) }, parseObject);
   }
 
-  async list(kind: string): StoreResult<StoredObject[]> {
+  async list(kind: string): StoreResult<ObjectList> {
     const limit = this.options.pageSize ?? DEFAULT_PAGE_SIZE;
     const objects: StoredObject[] = [];
+    // Pages may come from replicas of different age, so the oldest one counts.
+    let revision = Infinity;
     let after = '';
     for (;;) {
       const query = new URLSearchParams({ after, limit: String(limit) });
       const path = `/v1/objects/${encodeURIComponent(kind)}?${query.toString()}`;
       const page = await this.call({ method: 'GET', path }, parsePage);
       if (page.isErr()) return err(page.error);
-      objects.push(...page.value);
+      objects.push(...page.value.objects);
+      revision = Math.min(revision, page.value.revision);
       // The store may return fewer objects than requested, so only an empty page ends the list.
-      const last = page.value.at(-1);
-      if (!last) return ok(objects);
+      const last = page.value.objects.at(-1);
+      if (!last) return ok({ objects, revision });
       if (last.name <= after) {
         return err({ type: 'unavailable', message: `the list of ${kind} repeats a page` });
       }
@@ -220,10 +224,10 @@
   return { kind, name, version: Number(version), revision: Number(revision), value };
 }
 
-function parsePage(body: unknown): StoredObject[] {
+function parsePage(body: unknown): ObjectList {
   const { objects } = (body ?? {}) as JsonFields;
   if (!Array.isArray(objects)) throw new Error('the answer is not a page of objects');
-  return objects.map(parseObject);
+  return { objects: objects.map(parseObject), revision: parseRevision(body) };
 }
 
 function parseRevision(body: unknown): number {
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -12,6 +12,7 @@
 export type { StoreFault } from './memoryObjectStore.js';
 export { MemoryObjectStore } from './memoryObjectStore.js';
 export type {
+  ObjectList,
   ObjectStore,
   StoredObject,
   StoreFailure,
--- a/packages/coordination/src/instanceDirectory.ts
+++ b/packages/coordination/src/instanceDirectory.ts
@@ -34,7 +34,7 @@
   async listInstances(): Promise<InstanceRecord[]> {
     const listed = await this.store.list(INSTANCE_KIND);
     if (listed.isErr()) return [];
-    return listed.value
+    return listed.value.objects
       .map((object) => object.value as InstanceRecord)
       .filter((record) => !record.leaving);
   }
--- a/packages/coordination/src/memoryObjectStore.ts
+++ b/packages/coordination/src/memoryObjectStore.ts
@@ -3,6 +3,7 @@
 import { err, ok } from 'neverthrow';
 
 import type {
+  ObjectList,
   ObjectStore,
   StoredObject,
   StoreFailure,
@@ -36,10 +37,11 @@
     });
   }
 
-  async list(kind: string): StoreResult<StoredObject[]> {
+  async list(kind: string): StoreResult<ObjectList> {
     return this.read(() => {
       const found = [...this.objects.values()].filter((object) => object.kind === kind);
-      return ok(structuredClone(found.sort((a, b) => (a.name < b.name ? -1 : 1))));
+      const objects = structuredClone(found.sort((a, b) => (a.name < b.name ? -1 : 1)));
+      return ok({ objects, revision: this.revision });
     });
   }
 
--- a/packages/coordination/src/objectStore.ts
+++ b/packages/coordination/src/objectStore.ts
@@ -12,6 +12,16 @@
   value: unknown;
 }
 
+/** The objects of a kind as they were at one revision or later. */
+export interface ObjectList {
+  objects: StoredObject[];
+  /**
+   * Every change up to this revision is included. The list may be older than the store's latest
+   * write, and may include some of the changes after this revision.
+   */
+  revision: number;
+}
+
 /** Expected failures of a call to the object API. */
 export type StoreFailure =
   /** The object has another version than expected, or exists already. */
@@ -35,7 +45,7 @@
 export interface ObjectStore {
   get(kind: string, name: string): StoreResult<StoredObject>;
   /** Returns every object of a kind, following pages. */
-  list(kind: string): StoreResult<StoredObject[]>;
+  list(kind: string): StoreResult<ObjectList>;
   create(kind: string, name: string, value: unknown): StoreResult<StoredObject>;
   update(
     kind: string,
--- a/packages/coordination/src/storeFollower.ts
+++ b/packages/coordination/src/storeFollower.ts
@@ -58,21 +58,26 @@
     }
   }
 
-  /** Reads the revision before the lists, so that the lists include every change up to it. */
+  /**
+   * Lists all kinds. Reads may lag behind the store, each by another time, so the snapshot is
+   * complete only up to the oldest of the lists, from where the watch goes on.
+   */
   private async loadSnapshot(): Promise<{ ok: true; revision: number } | { ok: false }> {
     const { store, replica } = this.options;
     const startedAtMs = this.clock.monotonicMs();
     const revision = await store.getRevision();
     if (revision.isErr()) return { ok: false };
     const objects: ConfigObject[] = [];
+    let completeTo = revision.value;
     for (const kind of configKinds) {
       const listed = await store.list(kind);
       if (listed.isErr()) return { ok: false };
-      objects.push(...listed.value.map(toConfigObject));
+      objects.push(...listed.value.objects.map(toConfigObject));
+      completeTo = Math.min(completeTo, listed.value.revision);
     }
-    replica.applySnapshot(objects, revision.value);
+    replica.applySnapshot(objects, completeTo);
     replica.confirm(startedAtMs, revision.value);
-    return { ok: true, revision: revision.value };
+    return { ok: true, revision: completeTo };
   }
 
   /** Watches and polls until one of them ends, and returns the reason. */
--- a/packages/server/src/operators/configEditor.ts
+++ b/packages/server/src/operators/configEditor.ts
@@ -65,7 +65,9 @@
 
   async list(kind: string): Promise<Result<StoredObject[], Failure>> {
     const found = await this.store.list(kind);
-    return found.mapErr((failure) => convertStoreFailure(failure, `the list of ${kind}s`, 0));
+    return found
+      .map(({ objects }) => objects)
+      .mapErr((failure) => convertStoreFailure(failure, `the list of ${kind}s`, 0));
   }
 
   async remove(
--- a/packages/standins/src/platformStandin.ts
+++ b/packages/standins/src/platformStandin.ts
@@ -255,7 +255,8 @@
     return {
       objects: objects.slice(0, size),
       more: objects.length > size,
-      revision: this.table.revision,
+      revision:
+        staleAtMs === undefined ? this.table.revision : this.table.getRevisionAt(staleAtMs),
     };
   }
 
--- a/tests/coordination/billingAdoption.test.ts
+++ b/tests/coordination/billingAdoption.test.ts
@@ -98,7 +98,7 @@
     for (const holder of holders) holder.holdCopies(bills.slice(0, 1));
     await run(Promise.all(holders.map((holder) => holder.adoptLostOrigin('a', 1))));
     assert.deepEqual(await exportIds(memory), ['r1', 'r2', 'r3', 'r4']);
-    const stored = (await memory.list('bill'))._unsafeUnwrap();
+    const stored = (await memory.list('bill'))._unsafeUnwrap().objects;
     const total = stored.flatMap((object) => (object.value as { bills: Bill[] }).bills).length;
     assert.equal(total, 4, 'the second holder writes only the missing bills');
   });
@@ -114,7 +114,7 @@
     await run(a.record(createBill('r3')));
     assert.ok((await run(a.flush())).isOk());
     assert.deepEqual(await exportIds(memory), ['r1', 'r2', 'r3']);
-    const names = (await memory.list('bill'))._unsafeUnwrap().map((object) => object.name);
+    const names = (await memory.list('bill'))._unsafeUnwrap().objects.map((object) => object.name);
     assert.deepEqual(names, ['a.1.1', 'a.1.3.a.1.1']);
     assert.equal(holder.getSizes().held, 0);
   });
--- a/tests/coordination/billingJournal.test.ts
+++ b/tests/coordination/billingJournal.test.ts
@@ -222,7 +222,7 @@
       const bills = Array.from({ length: 40 }, (_, index) => a.record(createBill(`r${index}`)));
       await run(Promise.all(bills));
       await run(a.flush());
-      const objects = (await memory.list('bill'))._unsafeUnwrap();
+      const objects = (await memory.list('bill'))._unsafeUnwrap().objects;
       assert.ok(objects.length > 1);
       for (const { value } of objects) assert.ok(JSON.stringify(value).length <= 2000);
       assert.equal((await exportIds(memory)).length, 40);
--- a/tests/coordination/httpObjectStore.test.ts
+++ b/tests/coordination/httpObjectStore.test.ts
@@ -69,13 +69,15 @@
     const store = await createStore((request, response) => {
       const after = new URL(request.url ?? '', 'http://store').searchParams.get('after') ?? '';
       const name = names.find((candidate) => candidate > after);
-      answer(200, { objects: name ? [{ ...object, name }] : [] })(request, response);
+      const revision = 7 + (name ? names.indexOf(name) : 5);
+      answer(200, { objects: name ? [{ ...object, name }] : [], revision })(request, response);
     });
     const listed = (await store.list('model'))._unsafeUnwrap();
     assert.deepEqual(
-      listed.map((item) => item.name),
+      listed.objects.map((item) => item.name),
       names,
     );
+    assert.equal(listed.revision, 7, 'complete up to the oldest page');
   });
 
   describe('distinguishes writes without effect from writes with an unknown outcome', () => {
--- a/tests/coordination/storeFollower.test.ts
+++ b/tests/coordination/storeFollower.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
 
+import { ok } from 'neverthrow';
+
 import { ConfigReplica, MemoryObjectStore, StoreFollower } from '@cactusstair/coordination';
-import type { StoreResult, WatchEvent } from '@cactusstair/coordination';
+import type { ObjectList, StoreResult, WatchEvent } from '@cactusstair/coordination';
 import { createRandom, LifecycleManager, ManualClock } from '@cactusstair/utils';
 
 import { clusterKey, waitUntil } from './support.js';
@@ -79,6 +81,51 @@
     assert.equal(store.calls.watch, 1);
   });
 
+  describe('with a list that is older than the revision read before it', () => {
+    /** A store whose first list of workspaces shows an earlier state. */
+    class LaggingStore extends MemoryObjectStore {
+      earlier: ObjectList | undefined;
+
+      override async list(kind: string): StoreResult<ObjectList> {
+        const { earlier } = this;
+        if (kind !== 'workspace' || !earlier) return super.list(kind);
+        this.earlier = undefined;
+        return ok(earlier);
+      }
+    }
+
+    async function createLaggingStore() {
+      const store = new LaggingStore();
+      await store.create('workspace', 'w', { name: 'w', weight: 1 });
+      store.earlier = (await store.list('workspace'))._unsafeUnwrap();
+      return store;
+    }
+
+    it('applies the changes that the list lacks', async () => {
+      const store = await createLaggingStore();
+      await store.update('workspace', 'w', { name: 'w', weight: 2 }, 1);
+      await store.create('workspace', 'x', { name: 'x', weight: 1 });
+      const { replica } = startFollower(store);
+      await waitUntil('the change', () => replica.getWorkspace('w')?.weight === 2);
+      await waitUntil('the new object', () => replica.getWorkspace('x') !== undefined);
+    });
+
+    it('does not delete an object that was created since', async () => {
+      const store = await createLaggingStore();
+      const created = await store.create('workspace', 'x', { name: 'x', weight: 1 });
+      await store.create('claims', 'other', {});
+      const { replica } = startFollower(store);
+      const { version, revision } = created._unsafeUnwrap();
+      const value = JSON.stringify({ name: 'x', weight: 1 });
+      replica.applyObjects(
+        [{ kind: 'workspace', name: 'x', version, revision, deleted: false, value }],
+        revision,
+      );
+      await waitUntil('the watch', () => store.calls.watch === 1);
+      assert.equal(replica.getWorkspace('x')?.weight, 1);
+    });
+  });
+
   it('lists again when an open watch stalls', async () => {
     const store = new BreakableStore();
     store.replaceWatch = async function* wait(signal) {
