--- a/packages/coordination/src/billingJournal.ts
+++ b/packages/coordination/src/billingJournal.ts
@@ -105,6 +105,8 @@
     const { lifecycle, clock, flushIntervalMs } = this.options;
     lifecycle.addCleanup('billing journal', async () => {
       await this.flush();
+      // Nobody else may hold the copies of an origin that is lost before it has flushed.
+      await this.flushHeld(0);
     });
     lifecycle.startTask('billing flush', async (signal) => {
       while (!signal.aborted) {
@@ -186,7 +188,7 @@
 
   private async flushOnce(): Promise<Result<void, StoreFailure>> {
     const ownResult = await this.flushOwn();
-    const heldResult = await this.flushHeld();
+    const heldResult = await this.flushHeld(this.options.maxHoldMs);
     return ownResult.andThen(() => heldResult);
   }
 
@@ -203,8 +205,8 @@
     return result;
   }
 
-  private async flushHeld(): Promise<Result<void, StoreFailure>> {
-    const { store, maxSegmentBytes, maxHoldMs } = this.options;
+  private async flushHeld(maxHoldMs: number): Promise<Result<void, StoreFailure>> {
+    const { store, maxSegmentBytes } = this.options;
     for (const bills of this.held.listDue(maxHoldMs)) {
       for (const segment of splitSegments(bills, maxSegmentBytes)) {
         const result = await storeSegment(store, segment, this.options);
--- a/packages/coordination/src/heldBills.ts
+++ b/packages/coordination/src/heldBills.ts
@@ -39,6 +39,7 @@
 
   /** Holds all the bills, or none of them if they do not all fit. */
   tryHold(bills: readonly Bill[]): boolean {
+    for (const bill of bills) this.markEarlierRunsLost(bill);
     const added = bills.filter((bill) => this.isNew(bill));
     if (this.count + added.length > this.maxBills) return false;
     for (const bill of added) {
@@ -51,6 +52,7 @@
   }
 
   release(run: InstanceRun, upToSequence: number): void {
+    this.markEarlierRunsLost(run);
     const held = this.getRun(run);
     held.releasedUpTo = Math.max(held.releasedUpTo, upToSequence);
     for (const sequence of held.bills.keys()) {
@@ -75,7 +77,7 @@
 
   /**
    * Returns, for each run, the bills that this instance has to store: those of lost runs and those
-   * held for longer than `maxHoldMs`. They are sorted by sequence number.
+   * held for `maxHoldMs` or longer. They are sorted by sequence number.
    */
   listDue(maxHoldMs: number): Bill[][] {
     const heldBeforeMs = this.clock.monotonicMs() - maxHoldMs;
@@ -83,13 +85,19 @@
     for (const { run, bills } of this.runs.values()) {
       const isLost = run.incarnation <= (this.lostIncarnations.get(run.origin) ?? -1);
       const selected = [...bills.values()]
-        .filter((held) => isLost || held.heldSinceMs < heldBeforeMs)
+        .filter((held) => isLost || held.heldSinceMs <= heldBeforeMs)
         .map((held) => held.bill);
       if (selected.length > 0) due.push(selected.sort((a, b) => a.sequence - b.sequence));
     }
     return due;
   }
 
+  /** An origin that has started again stores no bill of its earlier runs. */
+  private markEarlierRunsLost({ origin, incarnation }: InstanceRun): void {
+    if (this.runs.has(formatRun({ origin, incarnation }))) return;
+    this.markLost({ origin, incarnation: incarnation - 1 });
+  }
+
   private isNew(bill: Bill): boolean {
     const held = this.runs.get(formatRun(bill));
     return !held || (bill.sequence > held.releasedUpTo && !held.bills.has(bill.sequence));
--- a/tests/coordination/billingAdoption.test.ts
+++ b/tests/coordination/billingAdoption.test.ts
@@ -4,6 +4,7 @@
 import type { BillCopier } from '@cactusstair/coordination';
 import { MemoryObjectStore } from '@cactusstair/coordination';
 import type { Bill } from '@cactusstair/protocol';
+import { LifecycleManager } from '@cactusstair/utils';
 
 import { createBill, createBillingFixture, exportIds, MemoryCopier } from './billingFixture.js';
 import { FaultyStore } from './faultyStore.js';
@@ -119,6 +120,29 @@
     assert.equal(holder.getSizes().held, 0);
   });
 
+  it('stores all copies that a holder has when it stops', async () => {
+    const { memory, startJournal, run } = createBillingFixture();
+    const lifecycle = new LifecycleManager();
+    const holder = startJournal('b', undefined, { lifecycle });
+    const a = startJournal('a', new MemoryCopier([holder]), { flushIntervalMs: 1e9 });
+    await run(a.record(createBill('r1')));
+    // The origin is killed here and has started again before anybody missed it.
+    await run(lifecycle.close());
+    assert.deepEqual(await exportIds(memory), ['r1']);
+  });
+
+  it('stores the copies of a run whose origin has started again', async () => {
+    const { clock, memory, startJournal, run } = createBillingFixture();
+    const holder = startJournal('b');
+    const copier = new MemoryCopier([holder]);
+    await run(startJournal('a', copier, { flushIntervalMs: 1e9 }).record(createBill('r1')));
+    const next = startJournal('a', copier, { flushIntervalMs: 1e9, incarnation: 2 });
+    await run(next.record(createBill('r2')));
+    await clock.advance(2000);
+    await runPending();
+    assert.deepEqual(await exportIds(memory), ['r1']);
+  });
+
   it('stores copies that arrive after their origin was reported lost', async () => {
     const { clock, memory, startJournal, run } = createBillingFixture();
     const holder = startJournal('b');
