Give the small model ratings before the test of bills with several steps

The test now rates every answer, sends rated requests to the small model first and repeats rounds until one escalates, five at most; its checks are as they were.

--- a/tests/guarantees/billedOnce.test.ts
+++ b/tests/guarantees/billedOnce.test.ts
@@ -11,6 +11,9 @@
 const REQUESTS = 12;
 const FLUSH_ATTEMPTS = 4;
 const CASCADE_REQUESTS = 20;
+/** Rated answers after which the cascade trusts the small model with a first attempt. */
+const RATED_REQUESTS = 40;
+const MAX_CASCADE_ROUNDS = 5;
 // After a kill, the peers first have to declare the instance lost and then store their copies of
 // its bills.
 const ADOPTION_TIMEOUT_MS = 90_000;
@@ -47,6 +50,7 @@
         },
       ],
       seed: 12,
+      entrySettings: { ratings: { sampleShare: 1 } },
     });
   });
 
@@ -112,13 +116,18 @@
   });
 
   it('contains all steps when the cascade escalates', async () => {
-    const answers: CallerAnswer[] = [];
-    for (let index = 0; index < CASCADE_REQUESTS; index += 1) {
-      answers.push(await chat('riga-a-1', 'auto'));
+    // Without ratings of the small model, the cascade starts at the large one.
+    assertComplete(await chatMany('riga-a-1', 'small', RATED_REQUESTS));
+    let escalated: Bill[] = [];
+    for (let round = 0; round < MAX_CASCADE_ROUNDS && escalated.length === 0; round += 1) {
+      const answers: CallerAnswer[] = [];
+      for (let index = 0; index < CASCADE_REQUESTS; index += 1) {
+        answers.push(await chat('riga-a-1', 'auto'));
+      }
+      assertComplete(answers);
+      const bills = await awaitBills(answers);
+      escalated = bills.filter(({ steps }) => steps.length > 1);
     }
-    assertComplete(answers);
-    const bills = await awaitBills(answers);
-    const escalated = bills.filter(({ steps }) => steps.length > 1);
     assert.ok(escalated.length > 0, 'no request escalated');
     for (const { steps, costMicros } of escalated) {
       assert.equal(
