--- a/packages/relay/src/observe/requestMetrics.ts
+++ b/packages/relay/src/observe/requestMetrics.ts
@@ -21,6 +21,8 @@
   upstreams: number;
   peers: number;
   droppedLogLines: number;
+  /** Errors that no part of the program expected. */
+  faults: number;
 }
 
 /**
@@ -78,6 +80,7 @@
     create('log_lines_dropped_total', 'Lines that a slow reader did not take.', []).set(
       readings.droppedLogLines,
     );
+    create('faults_total', 'Errors that no part of the program expected.', []).set(readings.faults);
     return registry.metrics();
   }
 
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -89,6 +89,8 @@
 
   private isStopping = false;
 
+  private faults = 0;
+
   constructor(private readonly options: RelayNodeOptions) {
     const { bounds, log, store } = options;
     this.clock = options.clock ?? systemClock;
@@ -98,9 +100,7 @@
       zone: options.zone,
       capacity: options.capacity,
     };
-    this.lifecycle = new LifecycleManager((task, error) =>
-      log.write('task_failed', { task, error: (error as Error).stack }),
-    );
+    this.lifecycle = new LifecycleManager((task, error) => this.recordFault(task, error as Error));
     this.budgets = new RetryBudgets(this.clock, bounds, () => this.peers.countInstances());
     this.crashes = new CrashCounter({ clock: this.clock });
     this.directory = new UpstreamDirectory({
@@ -154,7 +154,7 @@
     });
     this.callerServer = new CallerServer((incoming, outgoing) => {
       handler.handle(incoming, outgoing).catch((error: unknown) => {
-        log.write('request_fault', { error: (error as Error).stack });
+        this.recordFault('request', error as Error);
       });
     });
     this.readinessServer = createStatusServer({
@@ -175,6 +175,17 @@
     );
   }
 
+  /**
+   * Counts and logs an error that no part of the program expected. The requests that it did not
+   * meet go on.
+   *
+   * @param where the part of the program that was running
+   */
+  recordFault(where: string, error: Error): void {
+    this.faults += 1;
+    this.options.log.write('fault', { where, error: error.stack });
+  }
+
   async start(): Promise<void> {
     const { options, lifecycle } = this;
     for (const host of options.seedHosts) {
@@ -308,6 +319,7 @@
       upstreams: this.directory.listAll().length,
       peers: this.peers.listLiveInstances().length,
       droppedLogLines: this.options.log.dropped,
+      faults: this.faults,
     });
   }
 }
--- a/packages/relay/src/requests/bufferedRelay.ts
+++ b/packages/relay/src/requests/bufferedRelay.ts
@@ -27,8 +27,12 @@
     answer.on('error', () => {});
     return mismatch;
   }
+  if (answerHead.isNotRun) {
+    // The status says all, and the body might never end.
+    answer.on('error', () => {});
+    return { type: 'not_run', status };
+  }
   const body = await attempt.readBody(answer);
-  if (answerHead.isNotRun) return { type: 'not_run', status };
   if (body.isErr()) return body.error;
   const headers = context.dialect.listAnswerHeaders(answer.rawHeaders);
   return { type: status < 500 ? 'answer' : 'failed_answer', status, headers, body: body.value };
