Do not long-poll the store before an instance can have heard of its peers

Each instance of a large fleet opened three long polls in its first moments, before it knew that a reporter of its zone reads the changes: three calls an instance at each start. It now confirms by short reads for 1.5 s. Test: peers, on a manual clock.

--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -49,6 +49,8 @@
  * Reporters send only on every second tick, because their messages are long and go to a whole zone.
  */
 const REPORT_INTERVAL_TICKS = 2;
+/** Time in which an instance that starts hears of its peers and the reporters of its zone. */
+const DISCOVERY_MS = 1500;
 const MAX_CRASH_ENTRIES = 20;
 /**
  * Number of sent messages to remember. At four messages a second, echoes of older ones confirm
@@ -87,10 +89,13 @@
 
   private ticks = 0;
 
+  private readonly startedAtMs: number;
+
   private isLeaving = false;
 
   constructor(private readonly options: PeerExchangeOptions) {
     this.incarnation = options.clock.wallMs();
+    this.startedAtMs = options.clock.monotonicMs();
     this.table = new PeerTable(options.clock, options.self);
     this.sums = new FleetSums(this.table, options.self.zone, () => this.role);
     this.loads = new LoadExchange({
@@ -201,9 +206,11 @@
 
   /**
    * Whether this instance long-polls the store for changes. In a large fleet the other instances
-   * read the changes from it.
+   * read the changes from it. An instance that has just started does not poll before it can know
+   * whether it has to; its state is confirmed by short reads until then.
    */
   get isWatcher(): boolean {
+    if (this.options.clock.monotonicMs() - this.startedAtMs < DISCOVERY_MS) return false;
     return !this.hasReporters || this.isReporter || this.findProvider() === undefined;
   }
 
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -10,7 +10,8 @@
   UpstreamDirectory,
 } from '@cactusstair/relay';
 import { CrashCounter } from '@cactusstair/routing';
-import { systemClock, waitFor } from '@cactusstair/utils';
+import type { Clock } from '@cactusstair/utils';
+import { ManualClock, systemClock, waitFor } from '@cactusstair/utils';
 
 import { createRecord } from './support/records.js';
 
@@ -40,8 +41,12 @@
 describe('PeerExchange', () => {
   const instances: Instance[] = [];
 
-  async function open(name: string, zone = 'zone-1', capacity = 1): Promise<Instance> {
-    const clock = systemClock;
+  async function open(
+    name: string,
+    zone = 'zone-1',
+    capacity = 1,
+    clock: Clock = systemClock,
+  ): Promise<Instance> {
     const directory = new UpstreamDirectory({
       clock,
       isStoreDisturbed: () => false,
@@ -138,6 +143,15 @@
     });
   });
 
+  it('does not poll the store before it can have heard of its peers', async () => {
+    const clock = new ManualClock(1000);
+    const first = await open('first', 'zone-1', 1, clock);
+    start(first);
+    assert.equal(first.exchange.isWatcher, false);
+    await clock.advance(1500);
+    assert.equal(first.exchange.isWatcher, true);
+  });
+
   it('shares crash counts with peers', async () => {
     const [first, second] = await openPair();
     first.crashes.recordCrash('request');
