--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -141,16 +141,21 @@
   recordFirstEvent(): void {
     this.running.backlogMs = 0;
     this.context.onLoadChange();
-    if (this.model === undefined || !this.job.engine) return;
-    const { context, job, model, queuedMs: backlogMs, selection } = this;
-    const estimator = context.engines.get(job.service);
+    if (this.model !== undefined && this.job.engine) this.recordWait(this.model);
+  }
+
+  /** Records how long the first event took, to learn from it for later requests. */
+  private recordWait(model: string): void {
+    const { context, job, queuedMs: backlogMs, selection } = this;
+    const { upstream } = selection;
+    const { engines } = context;
+    const estimator = engines.get(job.service);
     const waitMs = context.clock.monotonicMs() - this.startedMs;
     const nominalMs = estimateJobNominalMs(job, this.sizeIndex, selection.uncachedTokens);
-    const expectedMs = estimator.estimateMs(model, nominalMs) + backlogMs + MIN_EXPECTED_WAIT_MS;
-    selection.upstream.recordWait(waitMs + MIN_EXPECTED_WAIT_MS, expectedMs);
-    context.engines
-      .getQueueBias(job.service)
-      .record(selection.upstream.record.zone, waitMs, backlogMs + selection.backlogMs);
+    const averageMs = estimator.estimateMs(model, nominalMs) + backlogMs;
+    upstream.recordWait(waitMs + MIN_EXPECTED_WAIT_MS, averageMs + MIN_EXPECTED_WAIT_MS);
+    const expectedMs = backlogMs + selection.backlogMs;
+    engines.getQueueBias(job.service).record(upstream.record.zone, waitMs, expectedMs);
     estimator.record({ model, nominalMs, backlogMs, waitMs });
   }
 
--- a/packages/relay/src/upstreams/upstream.ts
+++ b/packages/relay/src/upstreams/upstream.ts
@@ -27,10 +27,10 @@
 const OUTCOME_WEIGHT = 0.15;
 /** The failure rate halves in this time without new outcomes, so that the upstream is retried. */
 const RATE_HALF_LIFE_MS = 4000;
-// Weight of the assumption that an upstream is as fast as its like, in first events, and the weight
-// of the newest one.
+/** Weight of the assumption that an upstream is as fast as its like, in first events. */
 const SLOWDOWN_PRIOR_WEIGHT = 4;
-const SLOWDOWN_WEIGHT = 0.1;
+/** Number of first events over which the slowdown is averaged. */
+const MAX_WAIT_SAMPLES = 10;
 /** Bounds on the factor by which one observed wait differs from the expected one. */
 const MIN_WAIT_RATIO = 0.25;
 const MAX_WAIT_RATIO = 10;
@@ -58,10 +58,10 @@
 
   private rateAtMs: number;
 
-  /** Mean logarithm of observed waits relative to expected ones, and the weight of the sample. */
+  /** Mean logarithm of observed waits relative to expected ones. */
   private waitRatioLog = 0;
 
-  private waitRatioWeight = 0;
+  private waitSamples = 0;
 
   private readonly cachedParts = new Map<string, number>();
 
@@ -107,15 +107,15 @@
 
   /** Time that this upstream takes relative to others of its service; 1 while little is known. */
   get slowdown(): number {
-    const share = this.waitRatioWeight / (this.waitRatioWeight + SLOWDOWN_PRIOR_WEIGHT);
+    const share = this.waitSamples / (this.waitSamples + SLOWDOWN_PRIOR_WEIGHT);
     return Math.exp(this.waitRatioLog * share);
   }
 
   /** Records how long a first event took, and how long it takes at an average upstream. */
   recordWait(waitMs: number, expectedMs: number): void {
     const ratio = Math.min(MAX_WAIT_RATIO, Math.max(MIN_WAIT_RATIO, waitMs / expectedMs));
-    this.waitRatioWeight = Math.min(1 / SLOWDOWN_WEIGHT, this.waitRatioWeight + 1);
-    this.waitRatioLog += (Math.log(ratio) - this.waitRatioLog) / this.waitRatioWeight;
+    this.waitSamples = Math.min(MAX_WAIT_SAMPLES, this.waitSamples + 1);
+    this.waitRatioLog += (Math.log(ratio) - this.waitRatioLog) / this.waitSamples;
   }
 
   recordProgress(): void {
@@ -161,7 +161,7 @@
     this.cachedParts.clear();
     this.peerLoad = NO_LOAD;
     this.rate = 0;
-    this.waitRatioWeight = 0;
+    this.waitSamples = 0;
     this.waitRatioLog = 0;
     this.downUntilMs = 0;
   }
