--- a/packages/standins/src/platformStandin.ts
+++ b/packages/standins/src/platformStandin.ts
@@ -255,8 +255,7 @@
     return {
       objects: objects.slice(0, size),
       more: objects.length > size,
-      revision:
-        staleAtMs === undefined ? this.table.revision : this.table.getRevisionAt(staleAtMs),
+      revision: staleAtMs === undefined ? this.table.revision : this.table.getRevisionAt(staleAtMs),
     };
   }
 
--- a/tests/relay/upstreamTrouble.test.ts
+++ b/tests/relay/upstreamTrouble.test.ts
@@ -9,6 +9,7 @@
 import { API_KEY, createRoute, HOST, RelayFixture } from './support/relayFixture.js';
 import type { Script } from './support/scriptedUpstream.js';
 import {
+  formatAnswer,
   formatChunk,
   formatEvents,
   formatStreamHead,
@@ -167,6 +168,25 @@
     });
   });
 
+  it('a rejection whose body never ends is known by its head', async () => {
+    let count = 0;
+    const script: Script = (socket, received) => {
+      count += 1;
+      if (count > 1) {
+        socket.end(formatAnswer(received, 200, 'whole'));
+        return;
+      }
+      const headers = { 'X-Not-Executed': '1', 'Content-Length': '1000' };
+      socket.write(formatAnswer(received, 503, '', headers));
+      writeSlowly(socket, 'x', 50);
+    };
+    fixture = await RelayFixture.open([createRoute({ kind: 'non_idempotent', maxAttempts: 2 })]);
+    await fixture.addUpstream('a', script);
+    await fixture.addUpstream('b', script);
+    await fixture.waitReady();
+    assert.equal((await sendRequest(fixture.callerPort)).body, 'whole');
+  });
+
   describe('slow caller', () => {
     it('receives a whole stream without another run', async () => {
       const large = `id: 1\ndata: ${'x'.repeat(200_000)}\n\n`;
