Bound the load notices that an instance receives

Senders now wait so that 500 a second are received at most; an instance with few requests still reports each change without delay. Test: loadExchange.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -62,3 +62,5 @@
 export { selectUpstream } from './upstreams/upstreamSelector.js';
 export { ZoneReachability } from './upstreams/zoneReachability.js';
 export { EngineEstimators } from './upstreams/engineEstimators.js';
+export { LoadExchange } from './peers/loadExchange.js';
+export type { LoadNotice } from './peers/peerMessage.js';
--- a/packages/relay/src/peers/loadExchange.ts
+++ b/packages/relay/src/peers/loadExchange.ts
@@ -25,6 +25,9 @@
 
 /** Shortest time between two notices; changes in between are sent together. */
 const MIN_NOTICE_GAP_MS = 5;
+/** Notices that an instance receives in a second at most; busy zones send their changes together. */
+const MAX_RECEIVED_PER_S = 500;
+const MS_PER_SECOND = 1000;
 /** A load that does not change is sent again after this time. */
 const REFRESH_INTERVAL_MS = 500;
 
@@ -34,7 +37,8 @@
  * are read in fractions of a second, so a sum that is older than that says little.
  *
  * Serves many instances that each send a few requests a second to the same engines. What an
- * instance sends grows with its own requests and the instances of its zone.
+ * instance sends grows with its own requests and the instances of its zone; what it receives is
+ * bounded, and an instance with few requests reports each change without delay.
  */
 export class LoadExchange {
   private readonly peers = new Map<string, InstanceLoads>();
@@ -50,8 +54,14 @@
   /** Reports a change of this instance's load soon. */
   notifyChange(): void {
     if (this.timer) return;
-    const gapMs = this.options.clock.monotonicMs() - this.sentAtMs;
-    this.timer = setTimeout(() => this.sendNotice(), Math.max(0, MIN_NOTICE_GAP_MS - gapMs));
+    const ageMs = this.options.clock.monotonicMs() - this.sentAtMs;
+    this.timer = setTimeout(() => this.sendNotice(), Math.max(0, this.noticeGapMs - ageMs));
+  }
+
+  /** Time between two notices of this instance, by the number of instances that send them. */
+  private get noticeGapMs(): number {
+    const senders = this.options.listReceivers().length + 1;
+    return Math.max(MIN_NOTICE_GAP_MS, (senders * MS_PER_SECOND) / MAX_RECEIVED_PER_S);
   }
 
   /** Repeats the last notice when it is due, and applies the loads of all instances. */
--- /dev/null
+++ b/tests/relay/loadExchange.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+
+import type { LoadNotice } from '@cactusstair/relay';
+import { LoadExchange, UpstreamDirectory } from '@cactusstair/relay';
+import { systemClock, waitFor } from '@cactusstair/utils';
+
+import { createRecord } from './support/records.js';
+
+const SENDERS = 100;
+/** Gap at which 100 instances together send 500 notices a second. */
+const EXPECTED_GAP_MS = 200;
+
+describe('LoadExchange', () => {
+  let exchange: LoadExchange;
+
+  afterEach(() => exchange.close());
+
+  function open(receivers: number) {
+    const clock = systemClock;
+    const directory = new UpstreamDirectory({
+      clock,
+      isStoreDisturbed: () => false,
+      getStoreRestoredAgeMs: () => Infinity,
+    });
+    directory.applySnapshot([{ name: 'a', revision: 1, value: createRecord('a') }]);
+    const sent: { notice: LoadNotice; atMs: number }[] = [];
+    exchange = new LoadExchange({
+      clock,
+      self: { host: '127.0.0.1', port: 1, name: 'self', zone: 'zone-1', capacity: 1 },
+      directory,
+      listReceivers: () =>
+        Array.from({ length: receivers }, (_, index) => ({ host: '127.0.0.1', port: index + 2 })),
+      sumRemoteLoads: () => ({}),
+      send: (_receivers, notice) => sent.push({ notice, atMs: clock.monotonicMs() }),
+    });
+    const addCall = () => {
+      directory.find('a')!.calls.add({ backlogMs: 10, heldTokens: 5 });
+      exchange.notifyChange();
+    };
+    return { addCall, directory, sent };
+  }
+
+  it('sends the changes of a busy moment together, with the whole load', async () => {
+    const { addCall, sent } = open(SENDERS - 1);
+    for (let count = 0; count < 50; count += 1) addCall();
+    await waitFor(() => sent.length === 1, { what: 'the first notice', timeoutMs: 5000 });
+    for (let count = 0; count < 50; count += 1) addCall();
+    await waitFor(() => sent.length === 2, { what: 'the second notice', timeoutMs: 5000 });
+    assert.deepEqual(sent[1]!.notice.load, { a: [100, 1000, 500] });
+    // A timer may fire a millisecond early.
+    assert.ok(sent[1]!.atMs - sent[0]!.atMs >= EXPECTED_GAP_MS - 2);
+  });
+
+  it('replaces what an instance said before, and adds what different ones say', () => {
+    const { directory } = open(1);
+    exchange.record('b', { a: [2, 20, 200] }, 1500);
+    exchange.record('c', { a: [1, 10, 100] }, 1500);
+    exchange.record('b', { a: [3, 30, 300] }, 1500);
+    assert.deepEqual(directory.find('a')!.peerLoad, {
+      running: 4,
+      backlogMs: 40,
+      heldTokens: 400,
+    });
+    exchange.record('b', {}, 1500);
+    assert.equal(directory.find('a')!.running, 1);
+  });
+});
