Bound the notices of a zone together, and report only growth of the load at once

Change: growth of a backlog by 100 ms is reported at once, the rest each second; the notices of a zone take 1,000 datagrams a second at most, and zones beyond 22 instances rely on the reports, as before. Tests: loadExchange.

--- a/packages/relay/src/peers/loadExchange.ts
+++ b/packages/relay/src/peers/loadExchange.ts
@@ -15,6 +15,8 @@
   listReceivers: () => readonly SocketAddress[];
   /** Returns the loads of instances that do not report to this one. */
   sumRemoteLoads: (maxAgeMs: number) => UpstreamLoads;
+  /** Returns the loads of all other instances, as far as their periodic messages say. */
+  sumReportedLoads: (maxAgeMs: number) => UpstreamLoads;
   send: (receivers: readonly SocketAddress[], notice: LoadNotice) => void;
 }
 
@@ -25,25 +27,28 @@
 
 /** Shortest time between two notices; changes in between are sent together. */
 const MIN_NOTICE_GAP_MS = 5;
-/** Notices that an instance receives in a second at most; busy zones send their changes together. */
-const MAX_RECEIVED_PER_S = 500;
+/** Datagrams that the notices of a zone may take in a second, counted at their receivers. */
+const MAX_ZONE_DATAGRAMS_PER_S = 1000;
+/** With a longer time between its notices, a zone learns the loads from its reporters instead. */
+const MAX_NOTICE_GAP_MS = 500;
 const MS_PER_SECOND = 1000;
-/** A load that does not change is sent again after this time. */
-const REFRESH_INTERVAL_MS = 500;
+/** Growth of the backlog at an upstream that is reported at once; less waits for the next notice. */
+const SIGNIFICANT_BACKLOG_MS = 100;
+/** A load that changes little, or not at all, is sent again after this time. */
+const REFRESH_INTERVAL_MS = 1000;
 
 /**
- * Tells the instances of the zone of each change of this instance's load, and keeps theirs. The
+ * Tells the instances of the zone at once when this instance's load grows, and keeps theirs. The
  * choice of an upstream depends on what the neighbours have sent there in the last moments: prompts
  * are read in fractions of a second, so a sum that is older than that says little.
  *
- * Serves many instances that each send a few requests a second to the same engines. What an
- * instance sends grows with its own requests and the instances of its zone; what it receives is
- * bounded, and an instance with few requests reports each change without delay.
+ * Serves some twenty instances that each send a few requests a second to the same engines. The
+ * notices of a zone are bounded together; a zone that is too large for them relies on the reports.
  */
 export class LoadExchange {
   private readonly peers = new Map<string, InstanceLoads>();
 
-  private lastSent = '{}';
+  private lastSent: UpstreamLoads = {};
 
   private sentAtMs = -Infinity;
 
@@ -51,30 +56,51 @@
 
   constructor(private readonly options: LoadExchangeOptions) {}
 
-  /** Reports a change of this instance's load soon. */
+  /** Whether the zone is small enough for notices. */
+  get isEnabled(): boolean {
+    return this.noticeGapMs <= MAX_NOTICE_GAP_MS;
+  }
+
+  /** Reports the load of this instance soon if much has been added since the last notice. */
   notifyChange(): void {
-    if (this.timer) return;
+    if (this.timer || !this.isEnabled || !this.hasGrown()) return;
+    this.scheduleNotice();
+  }
+
+  private scheduleNotice(): void {
     const ageMs = this.options.clock.monotonicMs() - this.sentAtMs;
     this.timer = setTimeout(() => this.sendNotice(), Math.max(0, this.noticeGapMs - ageMs));
   }
 
-  /** Time between two notices of this instance, by the number of instances that send them. */
+  /** Time between two notices of this instance; each instance of the zone sends to all others. */
   private get noticeGapMs(): number {
-    const senders = this.options.listReceivers().length + 1;
-    return Math.max(MIN_NOTICE_GAP_MS, (senders * MS_PER_SECOND) / MAX_RECEIVED_PER_S);
+    const receivers = this.options.listReceivers().length;
+    const datagrams = (receivers + 1) * receivers;
+    return Math.max(MIN_NOTICE_GAP_MS, (datagrams * MS_PER_SECOND) / MAX_ZONE_DATAGRAMS_PER_S);
+  }
+
+  /** Whether the backlog of this instance at any upstream has grown much since the last notice. */
+  private hasGrown(): boolean {
+    return Object.entries(this.createOwnLoads()).some(
+      ([id, [, backlogMs]]) => backlogMs - (this.lastSent[id]?.[1] ?? 0) >= SIGNIFICANT_BACKLOG_MS,
+    );
   }
 
   /** Repeats the last notice when it is due, and applies the loads of all instances. */
   refresh(maxAgeMs: number): void {
-    const loads = JSON.stringify(this.createOwnLoads());
-    const ageMs = this.options.clock.monotonicMs() - this.sentAtMs;
-    const isDue = loads !== this.lastSent || (loads !== '{}' && ageMs >= REFRESH_INTERVAL_MS);
-    if (isDue) this.notifyChange();
+    if (this.isEnabled && !this.timer && this.isRefreshDue()) this.scheduleNotice();
     this.applyLoads(maxAgeMs);
   }
 
+  private isRefreshDue(): boolean {
+    if (this.options.clock.monotonicMs() - this.sentAtMs < REFRESH_INTERVAL_MS) return false;
+    const loads = this.createOwnLoads();
+    return Object.keys({ ...loads, ...this.lastSent }).length > 0;
+  }
+
   /** Stores the load of an instance that reports to this one. */
   record(name: string, loads: UpstreamLoads, maxAgeMs: number): void {
+    if (!this.isEnabled) return;
     const known = this.peers.get(name)?.loads ?? {};
     this.peers.set(name, { loads, receivedAtMs: this.options.clock.monotonicMs() });
     const remote = this.options.sumRemoteLoads(maxAgeMs);
@@ -85,6 +111,7 @@
 
   /** Sums the loads of all other instances, leaving out what is older than `maxAgeMs`. */
   sumPeerLoads(maxAgeMs: number): UpstreamLoads {
+    if (!this.isEnabled) return this.options.sumReportedLoads(maxAgeMs);
     const sum: UpstreamLoads = {};
     for (const loads of this.listRecentLoads(maxAgeMs)) addLoads(sum, loads);
     addLoads(sum, this.options.sumRemoteLoads(maxAgeMs));
@@ -115,7 +142,7 @@
     this.timer = undefined;
     this.sentAtMs = clock.monotonicMs();
     const load = this.createOwnLoads();
-    this.lastSent = JSON.stringify(load);
+    this.lastSent = load;
     send(listReceivers(), { name: self.name, load });
   }
 
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -104,6 +104,7 @@
       directory: options.directory,
       listReceivers: () => this.table.listRecords(options.self.zone),
       sumRemoteLoads: (maxAgeMs) => this.sums.sumRemoteLoads(maxAgeMs),
+      sumReportedLoads: (maxAgeMs) => this.sumReportedLoads(maxAgeMs),
       send: (receivers, notice) => this.sendTo(receivers, notice),
     });
   }
