Take the ports of relay tests from findFreePorts

Found in this read: bufferedRelay failed once with EADDRINUSE, and hung, because the node that had not started whole kept the process alive; one whole run of tests/relay hung before it, without a trace, most likely for the same reason. The fixture had a second way to find ports, in the range of outgoing connections, which the launcher's findFreePorts avoids.

--- a/tests/relay/peerSource.test.ts
+++ b/tests/relay/peerSource.test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
 
+import { findFreePorts } from '@cactusstair/place';
 import { PeerSource, SourceFollower, ViewServer } from '@cactusstair/relay';
 import type { SocketAddress } from '@cactusstair/relay';
 import { ManualClock, waitFor } from '@cactusstair/utils';
 
 import { MemorySource } from './support/memorySource.js';
-import { findFreePort } from './support/relayFixture.js';
 
 /** Runs one instance that follows the store and one that reads from the first. */
 describe('PeerSource', () => {
@@ -61,7 +61,7 @@
     source.put('a', 'first');
     const provider = createFollower(source);
     await follow(provider, source);
-    const address = { host: '127.0.0.1', port: await findFreePort() };
+    const address = { host: '127.0.0.1', port: (await findFreePorts(1))[0]! };
     const nothing = { exportSince: () => undefined };
     const server = new ViewServer({
       config: nothing,
@@ -111,7 +111,7 @@
   it('reads the store when the peer is behind', async () => {
     const { source, provider } = await openPair();
     source.put('b', 'second');
-    const port = await findFreePort();
+    const [port] = (await findFreePorts(1)) as [number];
     const server = new ViewServer({
       config: { exportSince: () => undefined },
       upstreams: {
@@ -148,7 +148,7 @@
   it('answers only for views and revisions that the peer holds', async () => {
     const { provider } = await openPair();
     assert.equal(provider.follower.exportSince(0), undefined);
-    const port = await findFreePort();
+    const [port] = (await findFreePorts(1)) as [number];
     const server = new ViewServer({
       config: { exportSince: () => undefined },
       upstreams: provider.follower,
--- a/tests/relay/support/relayFixture.ts
+++ b/tests/relay/support/relayFixture.ts
@@ -1,6 +1,3 @@
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
-
 import { platformDialect } from '@cactusstair/platform';
 import { EventLog, RelayNode } from '@cactusstair/relay';
 import type {
@@ -13,6 +10,7 @@
   UpstreamRecord,
   WriteOutcome,
 } from '@cactusstair/relay';
+import { findFreePorts } from '@cactusstair/place';
 import type { Clock } from '@cactusstair/utils';
 import { waitFor } from '@cactusstair/utils';
 
@@ -71,19 +69,6 @@
   };
 }
 
-/** Finds a TCP port that is free at the moment. */
-export async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-}
-
 /** In-memory store of the objects that a relay follows. */
 class MemoryStore {
   readonly config = new MemorySource<RelayConfig>();
@@ -128,8 +113,7 @@
   ) {}
 
   static async open(routes: Route[], clock?: Clock): Promise<RelayFixture> {
-    const callerPort = await findFreePort();
-    const readinessPort = await findFreePort();
+    const [callerPort, readinessPort] = (await findFreePorts(2)) as [number, number];
     const host = '127.0.0.1';
     const store = new MemoryStore();
     store.config.put('main', createConfig(1, routes));
@@ -150,8 +134,15 @@
       log: new EventLog({ fields: {}, sink }),
       ...(clock ? { clock } : {}),
     });
-    await node.start();
-    return new RelayFixture(node, store, lines, callerPort, readinessPort);
+    const fixture = new RelayFixture(node, store, lines, callerPort, readinessPort);
+    try {
+      await node.start();
+    } catch (error) {
+      // A node that is left running would keep the test process alive.
+      await fixture.close();
+      throw error;
+    }
+    return fixture;
   }
 
   /** Adds an upstream of the service `app`. */
