Say once what the load exchange, the estimators and the stream tests said twice

Found in a read of the whole change: - The loads of a message were summed in three places: sumReportedLoads and the reports use FleetSums now, and LoadExchange has one way to apply loads. - Each start, first event and end of a request summed the load at all upstreams, although only a start can make a notice due: the start names its upstream, and only that one is summed. - Two look-ups by service in EngineEstimators are one; two checks of lists of numbers are one; the queue that an attempt met is part of its selection; a default priority that no route could need is gone. - Bytes of a stream are written through Exchange.writeStream, which drops them when the exchange is over. Only events were checked for that; trailing comments that arrived just at the deadline could be written after the end of the answer. No test plays that moment. - streamRest stood in two test files and, in part, in a third.

--- a/packages/relay/src/peers/loadExchange.ts
+++ b/packages/relay/src/peers/loadExchange.ts
@@ -1,17 +1,18 @@
 import type { Clock } from '@cactusstair/utils';
 
 import type { PeerRecord, SocketAddress } from '../relayOptions.js';
+import type { Upstream } from '../upstreams/upstream.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
 import type { UpstreamLoads } from './fleetReport.js';
 import { addLoads } from './fleetReport.js';
-import type { LoadNotice } from './peerMessage.js';
+import type { LoadNotice, UpstreamLoad } from './peerMessage.js';
 
 /** Options of `LoadExchange`. */
 export interface LoadExchangeOptions {
   clock: Clock;
   self: PeerRecord;
   directory: UpstreamDirectory;
-  /** Returns the instances to which this one reports each change of its load. */
+  /** Returns the instances to which this one sends notices. */
   listReceivers: () => readonly SocketAddress[];
   /** Returns the loads of instances that do not report to this one. */
   sumRemoteLoads: (maxAgeMs: number) => UpstreamLoads;
@@ -25,6 +26,7 @@
   receivedAtMs: number;
 }
 
+const NO_LOAD: UpstreamLoad = [0, 0, 0];
 /** Shortest time between two notices; changes in between are sent together. */
 const MIN_NOTICE_GAP_MS = 5;
 /** Datagrams that the notices of a zone may take in a second, counted at their receivers. */
@@ -61,41 +63,18 @@
     return this.noticeGapMs <= MAX_NOTICE_GAP_MS;
   }
 
-  /** Reports the load of this instance soon if much has been added since the last notice. */
-  notifyChange(): void {
-    if (this.timer || !this.isEnabled || !this.hasGrown()) return;
-    this.scheduleNotice();
-  }
-
-  private scheduleNotice(): void {
-    const ageMs = this.options.clock.monotonicMs() - this.sentAtMs;
-    this.timer = setTimeout(() => this.sendNotice(), Math.max(0, this.noticeGapMs - ageMs));
-  }
-
-  /** Time between two notices of this instance; each instance of the zone sends to all others. */
-  private get noticeGapMs(): number {
-    const receivers = this.options.listReceivers().length;
-    const datagrams = (receivers + 1) * receivers;
-    return Math.max(MIN_NOTICE_GAP_MS, (datagrams * MS_PER_SECOND) / MAX_ZONE_DATAGRAMS_PER_S);
-  }
-
-  /** Whether the backlog of this instance at any upstream has grown much since the last notice. */
-  private hasGrown(): boolean {
-    return Object.entries(this.createOwnLoads()).some(
-      ([id, [, backlogMs]]) => backlogMs - (this.lastSent[id]?.[1] ?? 0) >= SIGNIFICANT_BACKLOG_MS,
-    );
+  /** Reports the load of this instance soon if its backlog at `upstream` has grown much. */
+  notifyGrowth(upstream: Upstream): void {
+    if (this.timer || !this.isEnabled) return;
+    const [, backlogMs] = createOwnLoad(upstream);
+    const [, sentMs] = this.lastSent[upstream.id] ?? NO_LOAD;
+    if (backlogMs - sentMs >= SIGNIFICANT_BACKLOG_MS) this.scheduleNotice();
   }
 
   /** Repeats the last notice when it is due, and applies the loads of all instances. */
   refresh(maxAgeMs: number): void {
     if (this.isEnabled && !this.timer && this.isRefreshDue()) this.scheduleNotice();
-    this.applyLoads(maxAgeMs);
-  }
-
-  private isRefreshDue(): boolean {
-    if (this.options.clock.monotonicMs() - this.sentAtMs < REFRESH_INTERVAL_MS) return false;
-    const loads = this.createOwnLoads();
-    return Object.keys({ ...loads, ...this.lastSent }).length > 0;
+    this.applyLoads(this.options.directory.listAll(), maxAgeMs);
   }
 
   /** Stores the load of an instance that reports to this one. */
@@ -103,10 +82,10 @@
     if (!this.isEnabled) return;
     const known = this.peers.get(name)?.loads ?? {};
     this.peers.set(name, { loads, receivedAtMs: this.options.clock.monotonicMs() });
-    const remote = this.options.sumRemoteLoads(maxAgeMs);
-    for (const id of new Set([...Object.keys(known), ...Object.keys(loads)])) {
-      this.applyLoad(id, remote, maxAgeMs);
-    }
+    const touched = Object.keys({ ...known, ...loads }).flatMap(
+      (id) => this.options.directory.find(id) ?? [],
+    );
+    this.applyLoads(touched, maxAgeMs);
   }
 
   /** Sums the loads of all other instances, leaving out what is older than `maxAgeMs`. */
@@ -121,14 +100,7 @@
   createOwnLoads(): UpstreamLoads {
     const loads: UpstreamLoads = {};
     for (const upstream of this.options.directory.listAll()) {
-      if (upstream.calls.size === 0) continue;
-      let backlogMs = 0;
-      let heldTokens = 0;
-      for (const call of upstream.calls) {
-        backlogMs += call.backlogMs;
-        heldTokens += call.heldTokens;
-      }
-      loads[upstream.id] = [upstream.calls.size, Math.round(backlogMs), Math.round(heldTokens)];
+      if (upstream.calls.size > 0) loads[upstream.id] = createOwnLoad(upstream);
     }
     return loads;
   }
@@ -137,13 +109,30 @@
     clearTimeout(this.timer);
   }
 
+  private scheduleNotice(): void {
+    const ageMs = this.options.clock.monotonicMs() - this.sentAtMs;
+    this.timer = setTimeout(() => this.sendNotice(), Math.max(0, this.noticeGapMs - ageMs));
+  }
+
+  /** Time between two notices of this instance; each instance of the zone sends to all others. */
+  private get noticeGapMs(): number {
+    const receivers = this.options.listReceivers().length;
+    const datagrams = (receivers + 1) * receivers;
+    return Math.max(MIN_NOTICE_GAP_MS, (datagrams * MS_PER_SECOND) / MAX_ZONE_DATAGRAMS_PER_S);
+  }
+
+  private isRefreshDue(): boolean {
+    if (this.options.clock.monotonicMs() - this.sentAtMs < REFRESH_INTERVAL_MS) return false;
+    const loads = this.createOwnLoads();
+    return Object.keys({ ...loads, ...this.lastSent }).length > 0;
+  }
+
   private sendNotice(): void {
     const { clock, listReceivers, self, send } = this.options;
     this.timer = undefined;
     this.sentAtMs = clock.monotonicMs();
-    const load = this.createOwnLoads();
-    this.lastSent = load;
-    send(listReceivers(), { name: self.name, load });
+    this.lastSent = this.createOwnLoads();
+    send(listReceivers(), { name: self.name, load: this.lastSent });
   }
 
   private listRecentLoads(maxAgeMs: number): UpstreamLoads[] {
@@ -153,25 +142,22 @@
       .map(({ loads }) => loads);
   }
 
-  private applyLoads(maxAgeMs: number): void {
+  private applyLoads(upstreams: readonly Upstream[], maxAgeMs: number): void {
     const sum = this.sumPeerLoads(maxAgeMs);
-    for (const upstream of this.options.directory.listAll()) {
-      const [running, backlogMs, heldTokens] = sum[upstream.id] ?? [0, 0, 0];
+    for (const upstream of upstreams) {
+      const [running, backlogMs, heldTokens] = sum[upstream.id] ?? NO_LOAD;
       upstream.peerLoad = { running, backlogMs, heldTokens };
     }
   }
+}
 
-  private applyLoad(id: string, remote: UpstreamLoads, maxAgeMs: number): void {
-    const upstream = this.options.directory.find(id);
-    if (!upstream) return;
-    let [running, backlogMs, heldTokens] = remote[id] ?? [0, 0, 0];
-    for (const loads of this.listRecentLoads(maxAgeMs)) {
-      const load = loads[id];
-      if (!load) continue;
-      running += load[0];
-      backlogMs += load[1];
-      heldTokens += load[2];
-    }
-    upstream.peerLoad = { running, backlogMs, heldTokens };
+/** Sums the requests of this instance at an upstream. */
+function createOwnLoad({ calls }: Upstream): UpstreamLoad {
+  let backlogMs = 0;
+  let heldTokens = 0;
+  for (const call of calls) {
+    backlogMs += call.backlogMs;
+    heldTokens += call.heldTokens;
   }
+  return [calls.size, Math.round(backlogMs), Math.round(heldTokens)];
 }
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -10,6 +10,7 @@
 import type { RolloutRouter } from '../rollouts/rolloutRouter.js';
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
 import type { EngineEstimators } from '../upstreams/engineEstimators.js';
+import type { Upstream } from '../upstreams/upstream.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
 import type { UpstreamLoads } from './fleetReport.js';
 import { addLoads, createFleetReport, subtractLoads } from './fleetReport.js';
@@ -149,9 +150,9 @@
     this.send();
   }
 
-  /** Tells the neighbours soon that the load of this instance has changed. */
-  notifyLoadChange(): void {
-    this.loads.notifyChange();
+  /** Tells the neighbours soon if this instance has added much to the load of an upstream. */
+  notifyLoadGrowth(upstream: Upstream): void {
+    this.loads.notifyGrowth(upstream);
   }
 
   close(): void {
@@ -257,10 +258,8 @@
       { ...message, count: 1 },
       ...this.sums.listZoneParts(),
     ]);
-    const others = this.sums.listOtherZoneReports();
-    const fleet = createFleetReport('fleet', [zone, ...others]);
-    const remoteLoads: UpstreamLoads = {};
-    for (const { loads } of others) addLoads(remoteLoads, loads);
+    const fleet = createFleetReport('fleet', [zone, ...this.sums.listOtherZoneReports()]);
+    const remoteLoads = this.sums.sumRemoteLoads(STALE_AFTER_MS);
     const otherZones = this.table.listZones().filter((name) => name !== self.zone);
     const remote = otherZones.flatMap((name) => this.table.chooseReporters(name));
     const names = new Set(remote.map(({ name }) => name));
@@ -362,19 +361,15 @@
 
   /** Sums the loads of all other instances from their messages and reports. */
   private sumReportedLoads(maxAgeMs: number): UpstreamLoads {
-    const sum: UpstreamLoads = {};
-    if (!this.hasReporters) {
-      for (const { message } of this.table.listRecentPeers(maxAgeMs)) addLoads(sum, message.loads);
-      return sum;
-    }
-    if (!this.isReporter) {
+    if (this.role === 'member') {
       const reporter = this.sums.findReporter(maxAgeMs);
-      if (!reporter?.message.report) return sum;
+      if (!reporter?.message.report) return {};
       const own = this.findAcknowledged(reporter.message)?.sent.loads ?? {};
       return subtractLoads(reporter.message.report.loads, own);
     }
-    for (const { loads } of this.sums.listZoneParts(maxAgeMs)) addLoads(sum, loads);
-    for (const { loads } of this.sums.listOtherZoneReports(maxAgeMs)) addLoads(sum, loads);
+    const sum: UpstreamLoads = {};
+    for (const { message } of this.sums.listZonePeers(maxAgeMs)) addLoads(sum, message.loads);
+    addLoads(sum, this.sums.sumRemoteLoads(maxAgeMs));
     return sum;
   }
 }
--- a/packages/relay/src/peers/peerMessage.ts
+++ b/packages/relay/src/peers/peerMessage.ts
@@ -71,11 +71,14 @@
 
 const PREFILL_SUMS_LENGTH = 5;
 
-function isPrefillSums(value: unknown): boolean {
+const UPSTREAM_LOAD_LENGTH = 3;
+
+/** Whether a value is a list of `length` numbers that can be added up. */
+function isAmounts(value: unknown, length: number): boolean {
   return (
     Array.isArray(value) &&
-    value.length === PREFILL_SUMS_LENGTH &&
-    value.every((sum) => Number.isFinite(sum) && sum >= 0)
+    value.length === length &&
+    value.every((amount) => Number.isFinite(amount) && amount >= 0)
   );
 }
 
@@ -87,17 +90,7 @@
     (models) =>
       typeof models === 'object' &&
       models !== null &&
-      Object.values(models as object).every(isPrefillSums),
-  );
-}
-
-const UPSTREAM_LOAD_LENGTH = 3;
-
-function isUpstreamLoad(value: unknown): boolean {
-  return (
-    Array.isArray(value) &&
-    value.length === UPSTREAM_LOAD_LENGTH &&
-    value.every((part) => Number.isFinite(part) && part >= 0)
+      Object.values(models as object).every((sums) => isAmounts(sums, PREFILL_SUMS_LENGTH)),
   );
 }
 
@@ -107,7 +100,7 @@
     typeof name === 'string' &&
     typeof load === 'object' &&
     load !== null &&
-    Object.values(load).every(isUpstreamLoad)
+    Object.values(load).every((part) => isAmounts(part, UPSTREAM_LOAD_LENGTH))
   );
 }
 
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -260,7 +260,7 @@
       rollouts: this.rollouts,
       crashes: this.crashes,
       stallMonitor: new StallMonitor(this.clock),
-      onLoadChange: () => this.peers.notifyLoadChange(),
+      onLoadGrowth: (upstream) => this.peers.notifyLoadGrowth(upstream),
       getConfig: () => this.config,
       getBudget: (service) => this.budgets.get(service),
     };
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -23,7 +23,6 @@
 const ANSWER_MARGIN_MS = 5;
 /** Added to waits that are compared, so that a difference of milliseconds is not a large ratio. */
 const MIN_EXPECTED_WAIT_MS = 50;
-const DEFAULT_PRIORITY = 1;
 
 /** A request with the service, engine and fingerprint resolved for it. */
 export interface RelayJob {
@@ -48,9 +47,6 @@
 export class Attempt {
   readonly startedMs: number;
 
-  /** Unfinished prefill of other requests at the upstream when the attempt started. */
-  private readonly queuedMs: number;
-
   private readonly sizeIndex: number | undefined;
 
   private readonly call: UpstreamCall;
@@ -69,14 +65,13 @@
     const { exchange, request, engine } = job;
     const { upstream } = selection;
     this.startedMs = context.clock.monotonicMs();
-    this.queuedMs = upstream.backlogMs;
     this.sizeIndex = options.sizeIndex;
     this.running = {
       backlogMs: engine ? selection.backlogMs : 0,
       heldTokens: engine ? request.promptTokens + estimateOutputTokens(request) : 0,
     };
     upstream.calls.add(this.running);
-    context.onLoadChange();
+    context.onLoadGrowth(upstream);
     const headers = context.dialect.encodeAttempt(request, {
       upstreamId: upstream.id,
       deadlineMs: Math.max(1, Math.floor(exchange.timeLeftMs - ANSWER_MARGIN_MS)),
@@ -140,29 +135,25 @@
   /** Records that the upstream has processed the prompt, so that it no longer counts as backlog. */
   recordFirstEvent(): void {
     this.running.backlogMs = 0;
-    this.context.onLoadChange();
     if (this.model !== undefined && this.job.engine) this.recordWait(this.model);
   }
 
   /** Records how long the first event took, to learn from it for later requests. */
   private recordWait(model: string): void {
-    const { context, job, queuedMs: backlogMs, selection } = this;
-    const { upstream } = selection;
-    const { engines } = context;
-    const estimator = engines.get(job.service);
+    const { context, job, selection } = this;
+    const { upstream, queuedMs: backlogMs } = selection;
+    const { prefill, queueBias } = context.engines.get(job.service);
     const waitMs = context.clock.monotonicMs() - this.startedMs;
     const nominalMs = estimateJobNominalMs(job, this.sizeIndex, selection.uncachedTokens);
-    const averageMs = estimator.estimateMs(model, nominalMs) + backlogMs;
+    const averageMs = prefill.estimateMs(model, nominalMs) + backlogMs;
     upstream.recordWait(waitMs + MIN_EXPECTED_WAIT_MS, averageMs + MIN_EXPECTED_WAIT_MS);
-    const expectedMs = backlogMs + selection.backlogMs;
-    engines.getQueueBias(job.service).record(upstream.record.zone, waitMs, expectedMs);
-    estimator.record({ model, nominalMs, backlogMs, waitMs });
+    queueBias.record(upstream.record.zone, waitMs, selection.firstEventMs);
+    prefill.record({ model, nominalMs, backlogMs, waitMs });
   }
 
   /** Removes the attempt from the upstream's load and closes its connection. */
   close(): void {
     this.upstream.calls.delete(this.running);
-    this.context.onLoadChange();
     this.job.exchange.offCancel(this.cancelListener);
     this.job.exchange.attempt = undefined;
     this.call.cancel('the attempt was closed');
@@ -170,7 +161,7 @@
 }
 
 function getPriority({ workspace, route }: Exchange): number {
-  return workspace?.priority ?? route?.priority ?? DEFAULT_PRIORITY;
+  return workspace?.priority ?? route!.priority;
 }
 
 function getModel(job: RelayJob, sizeIndex: number | undefined): string | undefined {
@@ -200,15 +191,15 @@
   const allowed = context.rollouts.filterUpstreams(service, request.session, usable);
   const candidates = allowed.filter((upstream) => !excluded.has(upstream.id));
   const model = getModel(job, sizeIndex);
-  const estimator = context.engines.get(service);
+  const { prefill, queueBias } = context.engines.get(service);
   return selectUpstream(candidates, {
     zone: context.zone,
     isZoneUnreachable: (zone) => context.reachability.isUnreachable(zone),
     ...(engine ? { engine } : {}),
     ...(model === undefined ? {} : { model }),
     estimatePrefillMs: (uncachedTokens) =>
-      estimator.estimateMs(model ?? '', estimateJobNominalMs(job, sizeIndex, uncachedTokens)),
-    getQueueBiasMs: (zone) => context.engines.getQueueBias(service).getMs(zone),
+      prefill.estimateMs(model ?? '', estimateJobNominalMs(job, sizeIndex, uncachedTokens)),
+    getQueueBiasMs: (zone) => queueBias.getMs(zone),
     promptTokens: request.promptTokens,
     heldTokens: request.promptTokens + estimateOutputTokens(request),
     promptParts: request.promptParts,
@@ -255,7 +246,7 @@
       ? {}
       : {
           model,
-          queuedMs: Math.round(upstream.backlogMs),
+          queuedMs: Math.round(selection.queuedMs),
           prefillMs: Math.round(selection.backlogMs),
           running: upstream.running,
         }),
--- a/packages/relay/src/requests/exchange.ts
+++ b/packages/relay/src/requests/exchange.ts
@@ -121,6 +121,11 @@
     this.outgoing.writeHead(status, headers as never);
   }
 
+  /** Sends bytes of a stream; drops them when nothing more can be sent to the caller. */
+  writeStream(bytes: Buffer): void {
+    if (!this.isOver) this.outgoing.write(bytes);
+  }
+
   /** Resolves when the caller has read enough to be sent more, or has disconnected. */
   waitForDrain(): Promise<void> {
     const { outgoing } = this;
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -4,6 +4,7 @@
 import type { ConfigIndex } from '../config/configIndex.js';
 import type { RolloutRouter } from '../rollouts/rolloutRouter.js';
 import type { EngineEstimators } from '../upstreams/engineEstimators.js';
+import type { Upstream } from '../upstreams/upstream.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
 import type { ZoneReachability } from '../upstreams/zoneReachability.js';
 import type { Dialect } from './relayRequest.js';
@@ -21,8 +22,8 @@
   rollouts: RolloutRouter;
   crashes: CrashCounter;
   stallMonitor: StallMonitor;
-  /** Called when a request has been sent to an upstream, has its first event or has ended. */
-  onLoadChange: () => void;
+  /** Called when a request has been added to the load of an upstream. */
+  onLoadGrowth: (upstream: Upstream) => void;
   /** Returns the configuration in force; undefined before the first was read. */
   getConfig: () => ConfigIndex | undefined;
   /** Returns this instance's share of the retry budget of a service. */
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -21,6 +21,7 @@
 const ROOM_TIMEOUT_GOALS = 0.12;
 const ROOM_CHECK_INTERVAL_MS = 40;
 const RETRY_AFTER_MS = 600;
+
 /** State of one stream over all its attempts. */
 class StreamRelay {
   private readonly tracker: AttemptTracker;
@@ -183,7 +184,8 @@
       return attempt.createFailure('the stream had neither chunked encoding nor a length');
     }
     this.startStream(answer);
-    if (splitter.trailingBytes.length > 0) this.job.exchange.outgoing.write(splitter.trailingBytes);
+    const { trailingBytes } = splitter;
+    if (trailingBytes.length > 0) this.job.exchange.writeStream(trailingBytes);
     return { type: 'complete' };
   }
 
@@ -202,7 +204,7 @@
     progress.recordEvent();
     this.startStream(answer);
     if (event.id !== undefined) this.lastEventId = event.id;
-    exchange.outgoing.write(event.bytes);
+    exchange.writeStream(event.bytes);
   }
 
   private async waitForCaller(progress: StreamProgress): Promise<void> {
--- a/packages/relay/src/upstreams/engineEstimators.ts
+++ b/packages/relay/src/upstreams/engineEstimators.ts
@@ -24,36 +24,31 @@
   }
 }
 
-/** The prefill estimators and queue biases of all services. */
-export class EngineEstimators {
-  private readonly byService = new Map<string, PrefillEstimator>();
-
-  private readonly biases = new Map<string, QueueBias>();
+/** What is learned about the engines of one service. */
+export interface ServiceEstimators {
+  prefill: PrefillEstimator;
+  queueBias: QueueBias;
+}
 
-  get(service: string): PrefillEstimator {
-    let estimator = this.byService.get(service);
-    if (!estimator) {
-      estimator = new PrefillEstimator();
-      this.byService.set(service, estimator);
-    }
-    return estimator;
-  }
+/** What is learned about the engines of all services. */
+export class EngineEstimators {
+  private readonly byService = new Map<string, ServiceEstimators>();
 
-  getQueueBias(service: string): QueueBias {
-    let bias = this.biases.get(service);
-    if (!bias) {
-      bias = new QueueBias();
-      this.biases.set(service, bias);
+  get(service: string): ServiceEstimators {
+    let estimators = this.byService.get(service);
+    if (!estimators) {
+      estimators = { prefill: new PrefillEstimator(), queueBias: new QueueBias() };
+      this.byService.set(service, estimators);
     }
-    return bias;
+    return estimators;
   }
 
   /** Returns the sums of this instance, rounded for sending. */
   exportSums(): EngineSums {
     const all: EngineSums = {};
-    for (const [service, estimator] of this.byService) {
+    for (const [service, { prefill }] of this.byService) {
       all[service] = Object.fromEntries(
-        Object.entries(estimator.exportSums()).map(([model, sums]) => [model, roundSums(sums)]),
+        Object.entries(prefill.exportSums()).map(([model, sums]) => [model, roundSums(sums)]),
       );
     }
     return all;
@@ -61,7 +56,9 @@
 
   /** Replaces the sums of all other instances. */
   importPeerSums(all: EngineSums): void {
-    for (const [service, sums] of Object.entries(all)) this.get(service).importPeerSums(sums);
+    for (const [service, sums] of Object.entries(all)) {
+      this.get(service).prefill.importPeerSums(sums);
+    }
   }
 }
 
--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -30,6 +30,8 @@
   uncachedTokens: number;
   /** Time to process these tokens, in milliseconds of the upstream's time. */
   backlogMs: number;
+  /** Unfinished prompt processing for other requests at the upstream. */
+  queuedMs: number;
   /** Estimated time until the first event: the upstream's backlog and the request's prompt. */
   firstEventMs: number;
 }
@@ -182,6 +184,7 @@
         upstream,
         uncachedTokens,
         backlogMs,
+        queuedMs: upstream.backlogMs,
         firstEventMs: upstream.backlogMs + backlogMs,
       };
     }
--- a/tests/relay/loadExchange.test.ts
+++ b/tests/relay/loadExchange.test.ts
@@ -36,8 +36,9 @@
       send: (_receivers, notice) => sent.push({ notice, atMs: clock.monotonicMs() }),
     });
     const addCall = () => {
-      directory.find('a')!.calls.add({ backlogMs: 10, heldTokens: 5 });
-      exchange.notifyChange();
+      const upstream = directory.find('a')!;
+      upstream.calls.add({ backlogMs: 10, heldTokens: 5 });
+      exchange.notifyGrowth(upstream);
     };
     return { addCall, directory, sent };
   }
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -135,8 +135,9 @@
     // Without its periodic messages, only a notice can tell.
     first.stop.abort();
     await first.task;
-    first.directory.find('upstream')?.calls.add({ backlogMs: 400, heldTokens: 1000 });
-    first.exchange.notifyLoadChange();
+    const upstream = first.directory.find('upstream')!;
+    upstream.calls.add({ backlogMs: 400, heldTokens: 1000 });
+    first.exchange.notifyLoadGrowth(upstream);
     await waitFor(() => second.directory.find('upstream')?.running === 1, {
       what: 'the notice of the load',
       timeoutMs: 3000,
@@ -163,11 +164,11 @@
 
   it('shares what is learned about the engines', async () => {
     const [first, second] = await openPair();
-    const own = first.engines.get('service');
+    const own = first.engines.get('service').prefill;
     for (let count = 0; count < 50; count += 1) {
       own.record({ model: 'large', nominalMs: 200, backlogMs: 0, waitMs: 800 });
     }
-    const learned = second.engines.get('service');
+    const learned = second.engines.get('service').prefill;
     const before = learned.estimateMs('large', 200);
     await waitFor(() => learned.estimateMs('large', 200) > 2 * before, {
       what: 'the estimate of the peer to follow',
--- a/tests/relay/streamRelay.test.ts
+++ b/tests/relay/streamRelay.test.ts
@@ -9,6 +9,7 @@
   formatEvents,
   formatStreamHead,
   LAST_CHUNK,
+  streamRest,
 } from './support/scriptedUpstream.js';
 
 const route = createRoute({
@@ -19,14 +20,6 @@
   latencyGoalMs: 1000,
 });
 
-/** Streams the events after the request's `Last-Event-ID`, up to `last`. */
-function streamRest(last: number): Script {
-  return (socket, request) => {
-    const first = Number(request.headers['last-event-id'] ?? '0') + 1;
-    socket.end(formatStreamHead(request) + formatChunk(formatEvents(first, last)) + LAST_CHUNK);
-  };
-}
-
 /** Runs `first` for the first request at any upstream and `others` for all later ones. */
 function runOnce(first: Script, others: Script): Script {
   let count = 0;
--- a/tests/relay/upstreamFuzz.test.ts
+++ b/tests/relay/upstreamFuzz.test.ts
@@ -8,13 +8,7 @@
 import { sendRequest } from './support/caller.js';
 import { createRoute, RelayFixture } from './support/relayFixture.js';
 import type { ReceivedRequest, Script } from './support/scriptedUpstream.js';
-import {
-  formatAnswer,
-  formatChunk,
-  formatEvents,
-  formatStreamHead,
-  LAST_CHUNK,
-} from './support/scriptedUpstream.js';
+import { formatAnswer, formatEvents, formatRest } from './support/scriptedUpstream.js';
 
 const SEED = 20261204;
 const RUNS = 60;
@@ -94,8 +88,7 @@
 
   function formatSound(received: ReceivedRequest): string {
     if (received.path.startsWith('/app/plain/')) return formatAnswer(received, 200, BODY);
-    const first = Number(received.headers['last-event-id'] ?? '0') + 1;
-    return formatStreamHead(received) + formatChunk(formatEvents(first, LAST_EVENT)) + LAST_CHUNK;
+    return formatRest(received, LAST_EVENT);
   }
 
   /** Mutates the answer of the first run; later ones are sound. */
--- a/tests/relay/upstreamTrouble.test.ts
+++ b/tests/relay/upstreamTrouble.test.ts
@@ -14,6 +14,7 @@
   formatEvents,
   formatStreamHead,
   LAST_CHUNK,
+  streamRest,
 } from './support/scriptedUpstream.js';
 
 const route = createRoute({
@@ -43,14 +44,6 @@
   socket.once('close', () => clearInterval(timer));
 }
 
-/** Streams the events after the request's `Last-Event-ID`, up to `last`. */
-function streamRest(last: number): Script {
-  return (socket, received) => {
-    const first = Number(received.headers['last-event-id'] ?? '0') + 1;
-    socket.end(formatStreamHead(received) + formatChunk(formatEvents(first, last)) + LAST_CHUNK);
-  };
-}
-
 describe('upstreams in trouble', () => {
   let fixture: RelayFixture;
 
