--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -47,6 +47,9 @@
 export class Attempt {
   readonly startedMs: number;
 
+  /** Number of events that were new to the caller. */
+  eventCount = 0;
+
   private readonly sizeIndex: number | undefined;
 
   private readonly call: UpstreamCall;
@@ -132,8 +135,10 @@
     return this.call.createFailure(reason);
   }
 
-  /** Records that the upstream has processed the prompt, so that it no longer counts as backlog. */
-  recordFirstEvent(): void {
+  /** Records an event; with the first one, the prompt no longer counts as backlog. */
+  recordEvent(): void {
+    this.eventCount += 1;
+    if (this.eventCount > 1) return;
     this.running.backlogMs = 0;
     if (this.model !== undefined && this.job.engine) this.recordWait(this.model);
   }
--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -162,7 +162,11 @@
     if ('reason' in failure) {
       this.reason = failure.reason;
       const { reason } = failure;
-      this.job.exchange.addStep(failure.type, { upstream: attempt.upstream.id, reason });
+      this.job.exchange.addStep(failure.type, {
+        upstream: attempt.upstream.id,
+        reason,
+        ...(failure.type === 'lost' ? this.describeLoss(attempt) : {}),
+      });
     }
     const handle = this.handlers[failure.type] as (
       attempt: Attempt,
@@ -199,6 +203,13 @@
     );
   }
 
+  /** Returns what tells apart the requests that an upstream lost when it crashed. */
+  private describeLoss({ eventCount }: Attempt): Record<string, unknown> {
+    const { fingerprint, request } = this.job;
+    const parts = request.promptParts.slice(0, -1).map(({ id }) => id);
+    return { events: eventCount, fingerprint, parts };
+  }
+
   private recordRun(): void {
     this.runs += 1;
     this.job.exchange.mayHaveRun = true;
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -197,10 +197,8 @@
   ): void {
     const { exchange } = this.job;
     if (exchange.isOver || !this.isNewEvent(event.id)) return;
-    if (!progress.hasEvents) {
-      attempt.recordFirstEvent();
-      this.recordOutcome(attempt, false);
-    }
+    attempt.recordEvent();
+    if (!progress.hasEvents) this.recordOutcome(attempt, false);
     progress.recordEvent();
     this.startStream(answer);
     if (event.id !== undefined) this.lastEventId = event.id;
