--- a/tests/relay/support/scriptedUpstream.ts
+++ b/tests/relay/support/scriptedUpstream.ts
@@ -20,6 +20,10 @@
 
   private readonly sockets = new Set<Socket>();
 
+  private restartPort = 0;
+
+  private isClosed = false;
+
   private constructor(
     private readonly server: Server,
     public script: Script,
@@ -39,7 +43,23 @@
     return (this.server.address() as AddressInfo).port;
   }
 
+  /** Resets all connections and refuses new ones until `restart`, like a process that crashed. */
+  crash(): void {
+    this.restartPort = this.port;
+    this.server.close();
+    for (const socket of this.sockets) socket.resetAndDestroy();
+  }
+
+  /** Listens again at the address at which the upstream crashed. */
+  async restart(): Promise<void> {
+    if (this.isClosed) return;
+    await new Promise<void>((resolve) => {
+      this.server.listen(this.restartPort, '127.0.0.1', resolve);
+    });
+  }
+
   async close(): Promise<void> {
+    this.isClosed = true;
     for (const socket of this.sockets) socket.destroy();
     await new Promise((resolve) => {
       this.server.close(resolve);
