Find the shared traits of requests that crash upstreams

Cause: a crashing request was known by path, caller and body. Requests that share a part are no two alike, so none was counted; and a count went up for whoever was in flight, so sound requests that met three crashes were refused. A request given up just before the crash (its small model's answer replaced) was not suspected at all, and instances exchanged the larger count instead of uniting what they saw. Now each request has traits (fingerprint, shared parts). A crash makes those of all requests without progress suspect, a request with progress clears them, and the traits that explain most crashes are the cause; several that explain the same are refused only together. Requests in flight with the cause are cancelled.

--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -1,7 +1,7 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
 
-import type { CrashCounter } from '@cactusstair/routing';
+import type { CrashAttribution } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 
 import type { ClockReading } from '../follow/clockReading.js';
@@ -29,7 +29,7 @@
   directory: UpstreamDirectory;
   engines: EngineEstimators;
   rollouts: RolloutRouter;
-  crashes: CrashCounter;
+  crashes: CrashAttribution;
   /** Returns the view states that this instance has confirmed. */
   listViews: () => Partial<Record<ViewName, ViewState>>;
   /**
@@ -52,7 +52,8 @@
 const REPORT_INTERVAL_TICKS = 2;
 /** Time in which an instance that starts hears of its peers and the reporters of its zone. */
 const DISCOVERY_MS = 1500;
-const MAX_CRASH_ENTRIES = 20;
+/** Shortest time after a message before a crash is reported ahead of the next one. */
+const MIN_CRASH_GAP_MS = 50;
 /**
  * Number of sent messages to remember. At four messages a second, echoes of older ones confirm
  * nothing new.
@@ -94,6 +95,8 @@
 
   private isLeaving = false;
 
+  private crashTimer: NodeJS.Timeout | undefined;
+
   constructor(private readonly options: PeerExchangeOptions) {
     this.incarnation = options.clock.wallMs();
     this.startedAtMs = options.clock.monotonicMs();
@@ -155,7 +158,17 @@
     this.loads.notifyGrowth(upstream);
   }
 
+  /** Tells the other instances soon that an upstream has crashed. */
+  notifyCrash(): void {
+    if (this.crashTimer || this.hasReporters) return;
+    this.crashTimer = setTimeout(() => {
+      this.crashTimer = undefined;
+      this.send();
+    }, MIN_CRASH_GAP_MS);
+  }
+
   close(): void {
+    clearTimeout(this.crashTimer);
     this.loads.close();
     this.socket.close();
   }
@@ -290,7 +303,8 @@
       loads,
       evidence: rollouts.exportEvidence(),
       engines: engines.exportSums(),
-      crashes: crashes.exportEntries(MAX_CRASH_ENTRIES),
+      // Reporters pass on what the instances of their zone saw.
+      crashes: crashes.exportReports(this.role === 'reporter' ? 'all' : 'own'),
       pins: rollouts.exportPins(),
       views: listViews(),
       echoes: this.listEchoes(),
@@ -354,7 +368,7 @@
     if (message.zone === this.options.self.zone) {
       this.loads.record(message.name, message.loads, STALE_AFTER_MS);
     }
-    this.options.crashes.importEntries(message.crashes);
+    this.options.crashes.importReports(message.crashes);
     this.options.rollouts.importPins([...message.pins, ...(message.report?.pins ?? [])]);
     this.applyViews(message);
   }
--- a/packages/relay/src/peers/peerMessage.ts
+++ b/packages/relay/src/peers/peerMessage.ts
@@ -1,4 +1,4 @@
-import type { CrashEntry } from '@cactusstair/routing';
+import type { CrashReport } from '@cactusstair/routing';
 
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
 import type { EngineSums } from '../upstreams/engineEstimators.js';
@@ -52,7 +52,8 @@
   evidence: Record<string, EvidenceSums>;
   /** Prefill samples; absent in messages of older builds. */
   engines?: EngineSums;
-  crashes: CrashEntry[];
+  /** Checked when they are imported. */
+  crashes: CrashReport[];
   /** Pin keys of sessions that stay on the old version during a rollout. */
   pins: string[];
   views: Partial<Record<ViewName, ViewState>>;
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -1,4 +1,4 @@
-import { CrashCounter } from '@cactusstair/routing';
+import { CrashAttribution } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 import { LifecycleManager, systemClock } from '@cactusstair/utils';
 
@@ -23,6 +23,7 @@
 import { RolloutController } from './rollouts/rolloutController.js';
 import { StoreViews } from './storeViews.js';
 import { EngineEstimators } from './upstreams/engineEstimators.js';
+import type { Upstream } from './upstreams/upstream.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 import { ZoneReachability } from './upstreams/zoneReachability.js';
 
@@ -73,7 +74,7 @@
 
   private readonly rollouts: RolloutRouter;
 
-  private readonly crashes: CrashCounter;
+  private readonly crashes: CrashAttribution;
 
   private readonly peers: PeerExchange;
 
@@ -102,7 +103,10 @@
     };
     this.lifecycle = new LifecycleManager((task, error) => this.recordFault(task, error as Error));
     this.budgets = new RetryBudgets(this.clock, bounds, () => this.peers.countInstances());
-    this.crashes = new CrashCounter({ clock: this.clock });
+    this.crashes = new CrashAttribution({
+      clock: this.clock,
+      onCause: ({ traits, crashCount }) => log.write('crash_cause', { traits, crashCount }),
+    });
     this.directory = new UpstreamDirectory({
       clock: this.clock,
       isStoreDisturbed: () => this.views.isStoreDisturbed(),
@@ -260,6 +264,7 @@
       rollouts: this.rollouts,
       crashes: this.crashes,
       stallMonitor: new StallMonitor(this.clock),
+      onCrash: (upstream, suspects) => this.recordCrash(upstream, suspects),
       onLoadGrowth: (upstream) => this.peers.notifyLoadGrowth(upstream),
       getConfig: () => this.config,
       getBudget: (service) => this.budgets.get(service),
@@ -298,6 +303,17 @@
     });
   }
 
+  private recordCrash({ id, record }: Upstream, suspects: readonly string[]): void {
+    this.options.log.write('upstream_crashed', {
+      upstream: id,
+      service: record.service,
+      version: record.version,
+      zone: record.zone,
+      suspects: suspects.length,
+    });
+    this.peers.notifyCrash();
+  }
+
   private recordEnd(exchange: Exchange): void {
     this.metrics.record(exchange);
     this.options.log.write('request', {
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { computeUrgency, estimateNominalMs } from '@cactusstair/routing';
+import type { SuspectRun } from '@cactusstair/routing';
 import type { Result } from 'neverthrow';
 
 import type { EngineProfile } from '../config/relayConfig.js';
@@ -21,17 +22,19 @@
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Subtracted from the upstream's deadline to leave time for the answer to travel back. */
 const ANSWER_MARGIN_MS = 5;
+/** An upstream that crashes on a request may have begun to write its first event. */
+const MIN_PROGRESS_EVENTS = 2;
 /** Added to waits that are compared, so that a difference of milliseconds is not a large ratio. */
 const MIN_EXPECTED_WAIT_MS = 50;
 
-/** A request with the service, engine and fingerprint resolved for it. */
+/** A request with the service, engine and traits resolved for it. */
 export interface RelayJob {
   exchange: Exchange;
   request: RelayRequest;
   service: string;
   engine: EngineProfile | undefined;
-  /** Hash that is equal for repeats of the same request. */
-  fingerprint: string;
+  /** What the request has in common with others that may crash upstreams. */
+  traits: readonly string[];
 }
 
 /** Options of one attempt. */
@@ -54,6 +57,9 @@
 
   private readonly call: UpstreamCall;
 
+  /** Undefined until the request is sent. */
+  private suspectRun: SuspectRun | undefined;
+
   private readonly running: RunningCall;
 
   private readonly cancelListener = () => this.call.cancel('the request has ended');
@@ -97,7 +103,7 @@
       headers,
       body: request.body,
       connectTimeoutMs: Math.max(1, Math.min(CONNECT_TIMEOUT_MS, exchange.timeLeftMs)),
-      onConnect: () => context.reachability.recordReached(upstream.record.zone),
+      onConnect: () => this.recordSent(),
       maxBodyBytes: MAX_ANSWER_BYTES,
     });
     exchange.attempt = this;
@@ -135,14 +141,32 @@
     return this.call.createFailure(reason);
   }
 
+  createDisconnect(reason: string): CallFailure {
+    return this.call.createDisconnect(reason);
+  }
+
   /** Records an event; with the first one, the prompt no longer counts as backlog. */
   recordEvent(): void {
     this.eventCount += 1;
+    if (this.eventCount === MIN_PROGRESS_EVENTS) this.recordProgress();
     if (this.eventCount > 1) return;
     this.running.backlogMs = 0;
     if (this.model !== undefined && this.job.engine) this.recordWait(this.model);
   }
 
+  /** Records that the request runs without crashing its upstream. */
+  recordProgress(): void {
+    this.suspectRun?.recordProgress();
+  }
+
+  private recordSent(): void {
+    const { context, job, upstream } = this;
+    context.reachability.recordReached(upstream.record.zone);
+    this.suspectRun = context.crashes.startRun(upstream.id, job.traits, () =>
+      this.cancel('the request crashes the upstreams that run it'),
+    );
+  }
+
   /** Records how long the first event took, to learn from it for later requests. */
   private recordWait(model: string): void {
     const { context, job, selection } = this;
@@ -159,6 +183,7 @@
   /** Removes the attempt from the upstream's load and closes its connection. */
   close(): void {
     this.upstream.calls.delete(this.running);
+    this.suspectRun?.end();
     this.job.exchange.offCancel(this.cancelListener);
     this.job.exchange.attempt = undefined;
     this.call.cancel('the attempt was closed');
--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -83,12 +83,14 @@
       if (failure.isTimeout) {
         this.context.reachability.recordUnreachable(upstream.record.zone, upstream.id);
       }
+      // An upstream that has ended refuses connections.
+      if (failure.isRefused) this.recordCrash(attempt);
       this.isNextAttemptFree = true;
       return true;
     },
-    lost: (attempt) => {
+    lost: (attempt, failure) => {
       attempt.upstream.recordFailure();
-      this.context.crashes.recordCrash(this.job.fingerprint);
+      if (failure.isDisconnected) this.recordCrash(attempt);
       this.recordRun();
       return this.canRunAgain;
     },
@@ -124,6 +126,10 @@
   tryStartAttempt(): boolean {
     this.tries += 1;
     if (this.tries > MAX_TRIES || this.job.exchange.isOver) return false;
+    if (this.context.crashes.isQuarantined(this.job.traits)) {
+      this.reason = 'the request crashed the upstreams that ran it';
+      return false;
+    }
     if (this.isNextAttemptFree || this.hasReservation || this.budget.tryTake()) {
       if (!this.isNextAttemptFree) this.hasReservation = false;
       this.isNextAttemptFree = false;
@@ -199,15 +205,19 @@
     return (
       this.canRepeat &&
       this.runs < this.job.exchange.route!.maxAttempts &&
-      !this.context.crashes.isQuarantined(this.job.fingerprint)
+      !this.context.crashes.isQuarantined(this.job.traits)
     );
   }
 
   /** Returns what tells apart the requests that an upstream lost when it crashed. */
   private describeLoss({ eventCount }: Attempt): Record<string, unknown> {
-    const { fingerprint, request } = this.job;
-    const parts = request.promptParts.slice(0, -1).map(({ id }) => id);
-    return { events: eventCount, fingerprint, parts };
+    return { events: eventCount, traits: this.job.traits };
+  }
+
+  private recordCrash({ upstream }: Attempt): void {
+    const { crashes, onCrash } = this.context;
+    const suspects = crashes.recordCrash(upstream.id);
+    if (suspects.length > 0) onCrash(upstream, suspects);
   }
 
   private recordRun(): void {
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -1,4 +1,4 @@
-import type { CrashCounter, RetryBudget } from '@cactusstair/routing';
+import type { CrashAttribution, RetryBudget } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 
 import type { ConfigIndex } from '../config/configIndex.js';
@@ -20,8 +20,10 @@
   reachability: ZoneReachability;
   engines: EngineEstimators;
   rollouts: RolloutRouter;
-  crashes: CrashCounter;
+  crashes: CrashAttribution;
   stallMonitor: StallMonitor;
+  /** Called when an upstream has crashed, with the traits that have come under suspicion. */
+  onCrash: (upstream: Upstream, suspects: readonly string[]) => void;
   /** Called when a request has been added to the load of an upstream. */
   onLoadGrowth: (upstream: Upstream) => void;
   /** Returns the configuration in force; undefined before the first was read. */
--- a/packages/relay/src/requests/requestHandler.ts
+++ b/packages/relay/src/requests/requestHandler.ts
@@ -27,8 +27,8 @@
 }
 
 const RETRY_AFTER_MS = 300;
-/** Length of a fingerprint in characters; instances exchange fingerprints of crashing requests. */
-const FINGERPRINT_LENGTH = 24;
+/** Length of a fingerprint in characters; instances exchange those of suspect requests. */
+const FINGERPRINT_LENGTH = 16;
 
 type RelayFunction = (context: RelayContext, job: RelayJob) => Promise<void>;
 
@@ -84,6 +84,15 @@
     .slice(0, FINGERPRINT_LENGTH);
 }
 
+/**
+ * Returns the traits by which a request that crashes upstreams is known: its fingerprint, which
+ * repeats share, and the parts of its prompt that other requests share.
+ */
+function listTraits(request: RelayRequest): string[] {
+  const shared = request.promptParts.slice(0, -1);
+  return [computeFingerprint(request), ...shared.map(({ id }) => id)];
+}
+
 /** Checks a caller's request and passes it to the relay function for its route's kind. */
 export class RequestHandler {
   constructor(private readonly options: RequestHandlerOptions) {}
@@ -208,8 +217,8 @@
     }
     const timeMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
     exchange.setDeadline(exchange.arrivedMs + timeMs);
-    const fingerprint = computeFingerprint(request);
-    if (context.crashes.isQuarantined(fingerprint)) {
+    const traits = listTraits(request);
+    if (context.crashes.isQuarantined(traits)) {
       exchange.sendFailure('request_quarantined', 'the request crashed the upstreams that ran it');
       return;
     }
@@ -225,6 +234,6 @@
       configAgeMs: Math.round(this.options.getConfigAgeMs()),
       waitMs: Math.round(timeMs),
     });
-    await relayByKind[route.kind](context, { exchange, request, service, engine, fingerprint });
+    await relayByKind[route.kind](context, { exchange, request, service, engine, traits });
   }
 }
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -55,8 +55,8 @@
   }
 
   private async runAttempts(): Promise<void> {
-    const { context, job, tracker } = this;
-    const { exchange } = job;
+    const { tracker } = this;
+    const { exchange } = this.job;
     while (tracker.tryStartAttempt()) {
       const attempt = await this.waitForAttempt();
       if (!attempt) break;
@@ -64,7 +64,7 @@
       attempt.close();
       if (exchange.isOver) return;
       if (result.type === 'complete') {
-        context.crashes.recordCompletion(job.fingerprint);
+        attempt.recordProgress();
         attempt.upstream.recordSuccess();
         exchange.endStream();
         return;
@@ -174,10 +174,10 @@
         if (this.job.exchange.isOver) return attempt.createFailure('the request has ended');
       }
     } catch {
-      return attempt.createFailure('the stream was cut off');
+      return attempt.createDisconnect('the stream was cut off');
     }
     if (!attempt.isWhole(answer) || splitter.hasPartialEvent) {
-      return attempt.createFailure('the stream was cut off');
+      return attempt.createDisconnect('the stream was cut off');
     }
     if (!isFramed(answer)) {
       // Without framing a truncated stream looks complete, so resume at another upstream.
--- a/packages/relay/src/upstreams/upstreamCall.ts
+++ b/packages/relay/src/upstreams/upstreamCall.ts
@@ -10,9 +10,20 @@
 /** Why a call ended without a complete answer. */
 export type CallFailure =
   /** No byte of the request was sent. */
-  | { type: 'not_sent'; reason: string; isTimeout: boolean }
+  | {
+      type: 'not_sent';
+      reason: string;
+      isTimeout: boolean;
+      /** Whether nothing listens at the upstream's address. */
+      isRefused: boolean;
+    }
   /** The request was sent without a usable answer; the upstream may have run it. */
-  | { type: 'lost'; reason: string }
+  | {
+      type: 'lost';
+      reason: string;
+      /** Whether the connection ended, as it does when the upstream crashes. */
+      isDisconnected: boolean;
+    }
   /** This instance cancelled the call. */
   | { type: 'cancelled'; reason: string; isSent: boolean };
 
@@ -48,6 +59,8 @@
 
   private hasTimedOut = false;
 
+  private isRefused = false;
+
   /** Whether the connection ended with an error. */
   private hasFailed = false;
 
@@ -90,11 +103,11 @@
           this.outgoing.destroy();
         }
       });
-      answer.on('error', (error) => resolve(err(this.createFailure(error.message))));
-      answer.on('close', () => resolve(err(this.createFailure('the answer was cut off'))));
+      answer.on('error', (error) => resolve(err(this.createDisconnect(error.message))));
+      answer.on('close', () => resolve(err(this.createDisconnect('the answer was cut off'))));
       answer.on('end', () => {
         if (this.isWhole(answer)) resolve(ok(Buffer.concat(chunks)));
-        else resolve(err(this.createFailure('the answer was cut off')));
+        else resolve(err(this.createDisconnect('the answer was cut off')));
       });
     });
   }
@@ -118,8 +131,15 @@
     if (this.cancelReason !== undefined) {
       return { type: 'cancelled', reason: this.cancelReason, isSent: this.isSent };
     }
-    if (this.isSent) return { type: 'lost', reason };
-    return { type: 'not_sent', reason, isTimeout: this.hasTimedOut };
+    if (this.isSent) return { type: 'lost', reason, isDisconnected: false };
+    const { hasTimedOut: isTimeout, isRefused } = this;
+    return { type: 'not_sent', reason, isTimeout, isRefused };
+  }
+
+  /** Creates the failure of a call whose connection ended before its answer was complete. */
+  createDisconnect(reason: string): CallFailure {
+    const failure = this.createFailure(reason);
+    return failure.type === 'lost' ? { ...failure, isDisconnected: true } : failure;
   }
 
   private waitForHead(): Promise<Result<IncomingMessage, CallFailure>> {
@@ -151,11 +171,12 @@
       this.outgoing.on('error', (error) => {
         clearTimeout(connectTimer);
         this.hasFailed = true;
-        resolve(err(this.createFailure(error.message)));
+        this.isRefused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+        resolve(err(this.createDisconnect(error.message)));
       });
       this.outgoing.on('close', () => {
         clearTimeout(connectTimer);
-        resolve(err(this.createFailure('the connection was closed')));
+        resolve(err(this.createDisconnect('the connection was closed')));
       });
       this.outgoing.on('response', (answer) => {
         upstream.recordProgress();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -9,8 +9,15 @@
 export { AdmissionQueue } from './admissionQueue.js';
 export type { ConcurrencyLimitOptions, LatencySample } from './concurrencyLimit.js';
 export { ConcurrencyLimit } from './concurrencyLimit.js';
-export type { CrashCounterOptions, CrashEntry } from './crashCounter.js';
-export { CrashCounter } from './crashCounter.js';
+export type {
+  CrashAttributionOptions,
+  CrashReport,
+  ExportScope,
+  SuspectRun,
+} from './crashAttribution.js';
+export { CrashAttribution } from './crashAttribution.js';
+export type { CrashCause, CrashSuspects, TraitHistory } from './crashCauses.js';
+export { findCrashCauses } from './crashCauses.js';
 export type { CrashQuarantineOptions, QuarantineClass, RunOutcome } from './crashQuarantine.js';
 export { computeFingerprint, CrashQuarantine, MIN_PROGRESS_TOKENS } from './crashQuarantine.js';
 export type { PrefillSample, PrefillSums } from './engine/prefillEstimator.js';
--- a/tests/relay/components.test.ts
+++ b/tests/relay/components.test.ts
@@ -3,8 +3,6 @@
 
 import type { RelayRequest } from '@cactusstair/relay';
 import { computeAcceptConfidence, EventLog, EventSplitter } from '@cactusstair/relay';
-import { CrashCounter } from '@cactusstair/routing';
-import { ManualClock } from '@cactusstair/utils';
 
 describe('EventSplitter', () => {
   const events =
@@ -85,40 +83,6 @@
   });
 });
 
-describe('CrashCounter', () => {
-  it('quarantines a request after three crashes and resets the count on completion', () => {
-    const crashes = new CrashCounter({ clock: new ManualClock() });
-    crashes.recordCrash('a');
-    crashes.recordCrash('a');
-    assert.equal(crashes.isQuarantined('a'), false);
-    crashes.recordCompletion('a');
-    crashes.recordCrash('a');
-    assert.equal(crashes.isQuarantined('a'), false);
-    crashes.recordCrash('a');
-    crashes.recordCrash('a');
-    assert.equal(crashes.isQuarantined('a'), true);
-  });
-
-  it('expires a count even if instances keep exchanging it', async () => {
-    const clock = new ManualClock();
-    const first = new CrashCounter({ clock, ttlMs: 1000 });
-    const second = new CrashCounter({ clock, ttlMs: 1000 });
-    first.recordCrash('a');
-    for (let round = 0; round < 15; round += 1) {
-      second.importEntries(first.exportEntries(10));
-      first.importEntries(second.exportEntries(10));
-      await clock.advance(100);
-    }
-    assert.equal(first.getCount('a') + second.getCount('a'), 0);
-  });
-
-  it('bounds the number of tracked requests', () => {
-    const crashes = new CrashCounter({ clock: new ManualClock(), maxEntries: 10 });
-    for (let index = 0; index < 100; index += 1) crashes.recordCrash(`request ${index}`);
-    assert.equal(crashes.size, 10);
-  });
-});
-
 describe('computeAcceptConfidence', () => {
   const request = { promptTokens: 10_000, maxOutputTokens: 100 } as RelayRequest;
 
--- a/tests/relay/crashingPromptPart.test.ts
+++ b/tests/relay/crashingPromptPart.test.ts
@@ -57,7 +57,13 @@
     socket.once('close', () => clearInterval(timer));
   };
 
-  function createScript(getUpstream: () => ScriptedUpstream): Script {
+  async function addUpstream(number: number): Promise<ScriptedUpstream> {
+    const upstream = await fixture.addUpstream(`upstream-${number}`, serve);
+    upstream.script = createScript(upstream);
+    return upstream;
+  }
+
+  function createScript(upstream: ScriptedUpstream): Script {
     return (socket, request) => {
       if (!hasDeadlyPart(request)) {
         serve(socket, request);
@@ -69,7 +75,6 @@
       setTimeout(() => {
         if (socket.destroyed) return;
         crashes += 1;
-        const upstream = getUpstream();
         upstream.crash();
         setTimeout(() => upstream.restart(), 150);
       }, 20);
@@ -81,14 +86,7 @@
     lateRequests = 0;
     upstreams = [];
     fixture = await RelayFixture.open([route]);
-    for (let index = 0; index < UPSTREAM_COUNT; index += 1) {
-      upstreams.push(
-        await fixture.addUpstream(
-          `upstream-${index}`,
-          createScript(() => upstreams[index]!),
-        ),
-      );
-    }
+    while (upstreams.length < UPSTREAM_COUNT) upstreams.push(await addUpstream(upstreams.length));
     await fixture.waitReady();
   });
 
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -9,7 +9,7 @@
   RolloutRouter,
   UpstreamDirectory,
 } from '@cactusstair/relay';
-import { CrashCounter } from '@cactusstair/routing';
+import { CrashAttribution } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 import { ManualClock, systemClock, waitFor } from '@cactusstair/utils';
 
@@ -18,7 +18,7 @@
 interface Instance {
   exchange: PeerExchange;
   directory: UpstreamDirectory;
-  crashes: CrashCounter;
+  crashes: CrashAttribution;
   engines: EngineEstimators;
   rollouts: RolloutRouter;
   views: Partial<Record<ViewName, ViewState>>;
@@ -54,7 +54,7 @@
     });
     const value = createRecord('upstream');
     directory.applySnapshot([{ name: 'upstream', revision: 1, value }]);
-    const crashes = new CrashCounter({ clock });
+    const crashes = new CrashAttribution({ clock });
     const rollouts = new RolloutRouter({ clock, sessionTtlMs: 5000, canaryShare: 0.15 });
     const port = await findPort();
     const engines = new EngineEstimators();
@@ -95,6 +95,13 @@
     return [first, second];
   }
 
+  /** Records that an upstream crashed while it ran a request with the trait `part`. */
+  function recordCrash({ crashes, exchange }: Instance, upstream: string): void {
+    crashes.startRun(upstream, [`request at ${upstream}`, 'part'], () => {});
+    crashes.recordCrash(upstream);
+    exchange.notifyCrash();
+  }
+
   afterEach(async () => {
     for (const instance of instances) {
       instance.stop.abort();
@@ -153,11 +160,13 @@
     assert.equal(first.exchange.isWatcher, true);
   });
 
-  it('shares crash counts with peers', async () => {
+  it('finds the cause of crashes that no instance has seen all of', async () => {
     const [first, second] = await openPair();
-    first.crashes.recordCrash('request');
-    await waitFor(() => second.crashes.getCount('request') === 1, {
-      what: 'the crash count',
+    recordCrash(first, 'a');
+    recordCrash(second, 'b');
+    recordCrash(first, 'c');
+    await waitFor(() => [first, second].every(({ crashes }) => crashes.isQuarantined(['part'])), {
+      what: 'both instances to know the cause',
       timeoutMs: 3000,
     });
   });
@@ -200,7 +209,6 @@
       });
     }
     socket.close();
-    first.crashes.recordCrash('still alive');
     assert.deepEqual(first.exchange.listLiveInstances(), ['first', 'second']);
   });
 
@@ -229,6 +237,17 @@
       return fleet;
     }
 
+    it('finds the cause of crashes that were seen in two zones', async () => {
+      const fleet = await openFleet();
+      recordCrash(fleet[0]!, 'a');
+      recordCrash(fleet[1]!, 'b');
+      recordCrash(fleet[PER_ZONE]!, 'c');
+      await waitFor(() => fleet.every(({ crashes }) => crashes.isQuarantined(['part'])), {
+        what: 'all instances to know the cause',
+        timeoutMs: WAIT_MS,
+      });
+    });
+
     const getRunning = ({ directory }: Instance) => directory.find('upstream')?.running;
 
     // Guards against incomplete sums: when each instance sent to 12 random peers, an instance in a
