Keep the next upstream's error text out of a stream that broke off

Cause: bytes between and after events are passed on as comments, whatever they are. A resumed stream, and one without framing, may now hold nothing but events and comments; anything else breaks the attempt off. A block of fields that is not ended counts as a partial event. Evidence: two of the new tests of relay/streamRelay failed before (a text with status 200, a text in place of events) and pass; those for errors with their own status passed before and stay.

--- a/packages/relay/src/requests/eventSplitter.ts
+++ b/packages/relay/src/requests/eventSplitter.ts
@@ -6,6 +6,8 @@
   /** Value of the `id` field; undefined when the event has none. */
   id: string | undefined;
   bytes: Buffer;
+  /** Whether `bytes` starts with text that belongs to no event and is no comment. */
+  hasForeignText: boolean;
 }
 
 const LINE_FEED = 0x0a;
@@ -41,9 +43,19 @@
   /** Whether a line of the current block makes it an event. */
   private hasEventLine = false;
 
+  /** Whether the current block has a line that is no comment. */
+  private hasFieldLine = false;
+
+  private hasForeignBlock = false;
+
   /** Whether bytes of an incomplete event are buffered. */
   get hasPartialEvent(): boolean {
-    return this.hasEventLine || this.lineLength > 0;
+    return this.hasFieldLine || this.lineLength > 0;
+  }
+
+  /** Whether text that belongs to no event and is no comment followed the last event. */
+  get hasForeignText(): boolean {
+    return this.hasForeignBlock;
   }
 
   /** Returns the comments and blank lines that followed the last event. */
@@ -66,7 +78,8 @@
       lineStart = lineEnd + 1;
       if (this.endLine()) {
         const bytes = this.takeEvent(chunk.subarray(eventStart, lineStart));
-        events.push({ id: parseEventId(bytes), bytes });
+        events.push({ id: parseEventId(bytes), bytes, hasForeignText: this.hasForeignBlock });
+        this.hasForeignBlock = false;
         eventStart = lineStart;
       }
     }
@@ -91,12 +104,22 @@
     const isBlank =
       this.lineLength === 0 ||
       (this.lineLength === 1 && this.linePrefix.charCodeAt(0) === CARRIAGE_RETURN);
-    if (!isBlank && EVENT_LINE.test(this.linePrefix)) this.hasEventLine = true;
+    if (!isBlank) {
+      this.hasEventLine ||= EVENT_LINE.test(this.linePrefix);
+      this.hasFieldLine ||= !this.linePrefix.startsWith(':');
+    }
     this.lineLength = 0;
     this.linePrefix = '';
-    if (!isBlank || !this.hasEventLine) return false;
+    return isBlank && this.endBlock();
+  }
+
+  /** Ends the current block and returns whether it is an event. */
+  private endBlock(): boolean {
+    const isEvent = this.hasEventLine;
+    this.hasForeignBlock ||= this.hasFieldLine && !isEvent;
     this.hasEventLine = false;
-    return true;
+    this.hasFieldLine = false;
+    return isEvent;
   }
 
   /** Returns the pending bytes followed by `end`. */
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -21,6 +21,7 @@
 const ROOM_TIMEOUT_GOALS = 0.12;
 const ROOM_CHECK_INTERVAL_MS = 40;
 const RETRY_AFTER_MS = 600;
+const FOREIGN_TEXT_REASON = 'the stream holds text that belongs to no event';
 
 /** State of one stream over all its attempts. */
 class StreamRelay {
@@ -164,11 +165,16 @@
     progress: StreamProgress,
   ): Promise<StreamResult> {
     const splitter = new EventSplitter();
+    // Without framing, bytes after the answer look like a part of it.
+    const isTextAllowed = isFramed(answer) && !this.hasStarted;
     try {
       for await (const chunk of answer as AsyncIterable<Buffer>) {
         attempt.upstream.recordProgress();
         const events = splitter.split(chunk);
         if (events.isErr()) return attempt.createFailure(events.error);
+        if (!isTextAllowed && events.value.some(({ hasForeignText }) => hasForeignText)) {
+          return attempt.createFailure(FOREIGN_TEXT_REASON);
+        }
         for (const event of events.value) this.forwardEvent(attempt, answer, event, progress);
         await this.waitForCaller(progress);
         if (this.job.exchange.isOver) return attempt.createFailure('the request has ended');
@@ -179,6 +185,9 @@
     if (!attempt.isWhole(answer) || splitter.hasPartialEvent) {
       return attempt.createDisconnect('the stream was cut off');
     }
+    if (!isTextAllowed && splitter.hasForeignText) {
+      return attempt.createFailure(FOREIGN_TEXT_REASON);
+    }
     if (!isFramed(answer)) {
       // Without framing a truncated stream looks complete, so resume at another upstream.
       return attempt.createFailure('the stream had neither chunked encoding nor a length');
@@ -256,7 +265,7 @@
   }
 }
 
-/** Whether the end of an answer can be told from a lost connection. */
+/** Whether the end of an answer is marked, other than by the end of its connection. */
 function isFramed({ headers }: IncomingMessage): boolean {
   return headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
 }
--- a/tests/relay/streamRelay.test.ts
+++ b/tests/relay/streamRelay.test.ts
@@ -5,6 +5,7 @@
 import { createRoute, RelayFixture } from './support/relayFixture.js';
 import type { ReceivedRequest, Script } from './support/scriptedUpstream.js';
 import {
+  formatAnswer,
   formatChunk,
   formatEvents,
   formatStreamHead,
@@ -112,6 +113,34 @@
     });
   });
 
+  describe('answer of the next upstream after a stream was cut off', () => {
+    const cut: Script = (socket, request) => {
+      socket.write(formatStreamHead(request) + formatChunk(formatEvents(1, 2)), () =>
+        socket.resetAndDestroy(),
+      );
+    };
+    const answers = {
+      'an error': (request: ReceivedRequest) => formatAnswer(request, 500, 'out of memory\n\n'),
+      'an error that is not signed': (request: ReceivedRequest) =>
+        formatAnswer(request, 502, 'bad gateway\n\n').replace('X-Response-Seal', 'X-Other'),
+      'a text with status 200': (request: ReceivedRequest) =>
+        formatAnswer(request, 200, 'out of memory\n\n', { 'Content-Type': 'text/plain' }),
+      'a text before events': (request: ReceivedRequest) =>
+        formatAnswer(request, 200, `out of memory\n\n${formatEvents(3, 4)}`),
+      'a text in place of events': (request: ReceivedRequest) =>
+        formatAnswer(request, 200, 'out of memory\n\n', { 'Content-Type': 'text/event-stream' }),
+    };
+
+    for (const [name, format] of Object.entries(answers)) {
+      it(`does not get into the stream, and does not complete it: ${name}`, async () => {
+        await openFixture(runOnce(cut, (socket, request) => socket.end(format(request))));
+        const answer = await sendRequest(fixture.callerPort);
+        assert.equal(answer.body, formatEvents(1, 2));
+        assert.equal(answer.isWhole, false);
+      });
+    }
+  });
+
   describe('non-resumable stream', () => {
     it('is not retried', async () => {
       const upstreams = await openFixture(
