Take a stream with neither chunks nor a length as complete when its connection ends

Callers could see: a complete stream broken off, or run again elsewhere, because its upstream marks the end by closing the connection.

--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -188,10 +188,6 @@
     if (!isTextAllowed && splitter.hasForeignText) {
       return attempt.createFailure(FOREIGN_TEXT_REASON);
     }
-    if (!isFramed(answer)) {
-      // Without framing a truncated stream looks complete, so resume at another upstream.
-      return attempt.createFailure('the stream had neither chunked encoding nor a length');
-    }
     this.startStream(answer);
     const { trailingBytes } = splitter;
     if (trailingBytes.length > 0) this.job.exchange.writeStream(trailingBytes);
