Take a refusal as proof of not run only if it was written for the request

Callers could be told 'not run, try again' for a request that an upstream had run (REFUSED), or it ran at a second one (TWICE), after a faulty server wrote an earlier refusal once more. Cause in the relay: the echoed id of a refusal was not compared. Cause in the entry instance: the answer of a plain service was passed on without comparing its id at all. Both compare it now; an answer of another request ends the connection and counts as dispatched. A refusal without an id still counts in the relay, where each call has a connection of its own.

--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -290,10 +290,11 @@
  * @returns the failure, or undefined when the answer may be used.
  */
 export function checkAnswer(attempt: Attempt, head: AnswerHead): CallFailure | undefined {
-  if (head.isNotRun) return undefined;
   const { id } = attempt.job.request;
-  if (head.requestId !== id)
-    return attempt.createFailure('the answer echoes the id of another request');
+  // A refusal may come before the upstream has read the id.
+  const isForeign = head.requestId !== id && !(head.isNotRun && head.requestId === undefined);
+  if (isForeign) return attempt.createFailure('the answer echoes the id of another request');
+  if (head.isNotRun) return undefined;
   if (head.isEncoded) return attempt.createFailure('the answer has a content encoding');
   if (!head.isSigned) return attempt.createFailure('the answer is not signed');
   return undefined;
--- a/packages/server/src/upstreams/serviceClient.ts
+++ b/packages/server/src/upstreams/serviceClient.ts
@@ -1,7 +1,7 @@
 import type { Dispatcher } from 'undici';
 
 import type { Link } from './link.js';
-import { classifyCallError } from './upstreamCallError.js';
+import { classifyCallError, UpstreamCallError } from './upstreamCallError.js';
 
 /** One call to a plain service. */
 export interface ServiceCall {
@@ -55,6 +55,13 @@
       bodyTimeout: call.answerTimeoutMs,
       signal: call.signal,
     });
+    const echoedId = answer.headers['x-request-id'] ?? call.requestId;
+    if (echoedId !== call.requestId) {
+      // Closes the connection, on which the answer to this call may still follow.
+      answer.body.on('error', () => {});
+      answer.body.destroy();
+      throw new UpstreamCallError('mismatch', 'the answer belongs to another request', true);
+    }
     const body = Buffer.from(await answer.body.arrayBuffer());
     return {
       status: answer.statusCode,
--- a/packages/standins/src/serviceStandin.ts
+++ b/packages/standins/src/serviceStandin.ts
@@ -46,6 +46,8 @@
     probability: z.number().min(0).max(1),
     status: z.number().int().min(400).max(599).default(500),
   },
+  /** Runs a call and writes, in place of its answer, the refusal of an earlier one once more. */
+  repeatRefusal: {},
   /** Announces that the service is shutting down; it refuses calls after `refuseAfterMs`. */
   leaving: { refuseAfterMs: z.number().nonnegative().default(3_600_000) },
 } satisfies Record<string, z.ZodRawShape>;
@@ -75,6 +77,10 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
+function sendRefusal(reply: FastifyReply, status: number, type: string): FastifyReply {
+  return reply.code(status).send({ error: { type, message: 'not run', ran: 'no' } });
+}
+
 /** A plain service that echoes every call and keeps a journal of its effects. */
 export class ServiceStandin extends HttpStandin {
   readonly faults = new FaultTable(serviceFaults);
@@ -153,8 +159,7 @@
     if (receivedWhileLeaving) reply.header('x-upstream-leaving', 'true');
     const refusal = this.findRefusal();
     if (refusal) {
-      const { status, type } = refusal;
-      return reply.code(status).send({ error: { type, message: 'not run', ran: 'no' } });
+      return sendRefusal(reply, refusal.status, refusal.type);
     }
     this.active += 1;
     try {
@@ -193,6 +198,10 @@
       else resetConnection(reply);
       return reply;
     }
+    if (this.faults.take('repeatRefusal')) {
+      reply.header('x-request-id', 'an-earlier-request');
+      return sendRefusal(reply, 503, 'overloaded');
+    }
     const { effect, method, path, idempotencyKey, requestId } = entry;
     const service = this.options.name ?? 'service';
     return reply.send({
--- a/tests/relay/bufferedRelay.test.ts
+++ b/tests/relay/bufferedRelay.test.ts
@@ -54,6 +54,22 @@
       assert.deepEqual([answer.status, answer.body], [200, 'whole']);
     });
 
+    it('is not repeated after a refusal that was written for another request', async () => {
+      fixture = await RelayFixture.open([route]);
+      const received: string[] = [];
+      const script: Script = (socket, request) => {
+        received.push(request.path);
+        const headers = { 'X-Not-Executed': '1', 'X-Attempt-Id': 'earlier' };
+        socket.end(formatAnswer(request, 503, '', headers));
+      };
+      await fixture.addUpstream('a', script);
+      await fixture.addUpstream('b', script);
+      await fixture.waitReady();
+      const answer = await sendRequest(fixture.callerPort);
+      assert.equal(answer.status, 502);
+      assert.equal(received.length, 1);
+    });
+
     it('is answered 504, not 503, at its deadline while an upstream may run it', async () => {
       fixture = await RelayFixture.open([createRoute({ ...route, timeoutMs: 300 })]);
       await fixture.addUpstream('a', () => {});
--- a/tests/relay/streamRelay.test.ts
+++ b/tests/relay/streamRelay.test.ts
@@ -177,10 +177,14 @@
         formatAnswer(request, 200, 'out of memory\n\n', { 'Content-Type': 'text/event-stream' }),
     };
 
+    async function playCutThen(format: (request: ReceivedRequest) => string) {
+      await openFixture(runOnce(cut, (socket, request) => socket.end(format(request))));
+      return sendRequest(fixture.callerPort);
+    }
+
     for (const [name, format] of Object.entries(answers)) {
       it(`does not get into the stream, and does not complete it: ${name}`, async () => {
-        await openFixture(runOnce(cut, (socket, request) => socket.end(format(request))));
-        const answer = await sendRequest(fixture.callerPort);
+        const answer = await playCutThen(format);
         assert.equal(answer.body, formatEvents(1, 2));
         assert.equal(answer.isWhole, false);
       });
