Judge a version by the pace of its answers, not only by their first event

Cause: the evidence about a version was bad answers and the time to the first event (for plain services the time of an answer, with a margin of 400 ms that hid answers eight times slower).

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -55,7 +55,12 @@
 export type { RolloutControllerOptions } from './rollouts/rolloutController.js';
 export { RolloutController } from './rollouts/rolloutController.js';
 export type { EvidenceSums, VersionOutcome } from './rollouts/versionEvidence.js';
-export { createEvidence, describeBadVersion } from './rollouts/versionEvidence.js';
+export {
+  addEvidence,
+  addPace,
+  createEvidence,
+  describeBadVersion,
+} from './rollouts/versionEvidence.js';
 export { Upstream } from './upstreams/upstream.js';
 export { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 export type { Selection, SelectionRequest } from './upstreams/upstreamSelector.js';
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -159,6 +159,14 @@
     this.suspectRun?.recordProgress();
   }
 
+  /** Records how fast the upstream works, as evidence about its version. */
+  recordPace(paceMs: number): void {
+    const { context, job, upstream } = this;
+    // An upstream that has just started is slow, whichever version it has.
+    if (upstream.record.warmupLeftMs > 0) return;
+    context.rollouts.recordPace(job.service, upstream.record.version, paceMs);
+  }
+
   private recordSent(): void {
     const { context, job, upstream } = this;
     context.reachability.recordReached(upstream.record.zone);
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -8,6 +8,7 @@
 import type { StreamEvent } from './eventSplitter.js';
 import type { RelayContext } from './relayContext.js';
 import { computeAcceptConfidence, estimatePressure } from './sizePolicy.js';
+import { StreamPace } from './streamPace.js';
 import { StreamProgress } from './streamProgress.js';
 
 /** Outcome of one attempt at a stream. */
@@ -165,6 +166,7 @@
     progress: StreamProgress,
   ): Promise<StreamResult> {
     const splitter = new EventSplitter();
+    const pace = new StreamPace(this.context.clock, (paceMs) => attempt.recordPace(paceMs));
     // Without framing, bytes after the answer look like a part of it.
     const isTextAllowed = isFramed(answer) && !this.hasStarted;
     try {
@@ -175,7 +177,10 @@
         if (!isTextAllowed && events.value.some(({ hasForeignText }) => hasForeignText)) {
           return attempt.createFailure(FOREIGN_TEXT_REASON);
         }
-        for (const event of events.value) this.forwardEvent(attempt, answer, event, progress);
+        for (const event of events.value) {
+          pace.recordEvent();
+          this.forwardEvent(attempt, answer, event, progress);
+        }
         await this.waitForCaller(progress);
         if (this.job.exchange.isOver) return attempt.createFailure('the request has ended');
       }
@@ -188,6 +193,7 @@
     if (!isTextAllowed && splitter.hasForeignText) {
       return attempt.createFailure(FOREIGN_TEXT_REASON);
     }
+    pace.recordEnd();
     this.startStream(answer);
     const { trailingBytes } = splitter;
     if (trailingBytes.length > 0) this.job.exchange.writeStream(trailingBytes);
--- a/packages/relay/src/rollouts/rolloutRouter.ts
+++ b/packages/relay/src/rollouts/rolloutRouter.ts
@@ -6,7 +6,7 @@
 import type { RolloutOrder } from './rolloutOrder.js';
 import { computeStepShares, FIRST_STEP, LAST_STEP } from './rolloutOrder.js';
 import type { EvidenceSums, VersionOutcome } from './versionEvidence.js';
-import { addOutcome, createEvidence } from './versionEvidence.js';
+import { addOutcome, addPace, createEvidence } from './versionEvidence.js';
 
 /** Options of `RolloutRouter`. */
 export interface RolloutRouterOptions {
@@ -151,10 +151,12 @@
   }
 
   recordOutcome(service: string, version: string, outcome: VersionOutcome): void {
-    const key = formatVersionKey(service, version);
-    const sums = this.evidence.get(key) ?? createEvidence();
-    addOutcome(sums, outcome);
-    this.evidence.set(key, sums);
+    addOutcome(this.getEvidence(service, version), outcome);
+  }
+
+  /** Records how fast an upstream works: the time for an event of a stream, or for an answer. */
+  recordPace(service: string, version: string, paceMs: number): void {
+    addPace(this.getEvidence(service, version), paceMs);
   }
 
   /** Returns this instance's evidence by `formatVersionKey`, for services with an order. */
@@ -167,6 +169,13 @@
     return exported;
   }
 
+  private getEvidence(service: string, version: string): EvidenceSums {
+    const key = formatVersionKey(service, version);
+    const sums = this.evidence.get(key) ?? createEvidence();
+    this.evidence.set(key, sums);
+    return sums;
+  }
+
   private put(item: SourceItem<RolloutOrder>): void {
     const order = item.value;
     if (!order) return;
--- a/packages/relay/src/rollouts/versionEvidence.ts
+++ b/packages/relay/src/rollouts/versionEvidence.ts
@@ -12,10 +12,16 @@
   /** Answers with a latency, and the sum of their latencies. */
   timed: number;
   latencySumMs: number;
+  /**
+   * Answers with a pace, and the sum of its natural logarithms. Logarithms keep a single answer that
+   * stalled from deciding the mean. Absent in messages of older builds.
+   */
+  paced?: number;
+  paceLogSum?: number;
 }
 
-export function createEvidence(): EvidenceSums {
-  return { answers: 0, bad: 0, timed: 0, latencySumMs: 0 };
+export function createEvidence(): Required<EvidenceSums> {
+  return { answers: 0, bad: 0, timed: 0, latencySumMs: 0, paced: 0, paceLogSum: 0 };
 }
 
 export function addOutcome(sums: EvidenceSums, outcome: VersionOutcome): void {
@@ -28,11 +34,19 @@
   sums.latencySumMs += outcome.latencyMs;
 }
 
+/** Adds the pace of one answer: the time for one event of a stream, or for a whole other answer. */
+export function addPace(sums: EvidenceSums, paceMs: number): void {
+  sums.paced = (sums.paced ?? 0) + 1;
+  sums.paceLogSum = (sums.paceLogSum ?? 0) + Math.log(Math.max(MIN_PACE_MS, paceMs));
+}
+
 export function addEvidence(total: EvidenceSums, part: EvidenceSums): void {
   total.answers += part.answers;
   total.bad += part.bad;
   total.timed += part.timed;
   total.latencySumMs += part.latencySumMs;
+  total.paced = (total.paced ?? 0) + (part.paced ?? 0);
+  total.paceLogSum = (total.paceLogSum ?? 0) + (part.paceLogSum ?? 0);
 }
 
 export function subtractEvidence(total: EvidenceSums, part: EvidenceSums): EvidenceSums {
@@ -41,6 +55,8 @@
     bad: total.bad - part.bad,
     timed: total.timed - part.timed,
     latencySumMs: total.latencySumMs - part.latencySumMs,
+    paced: (total.paced ?? 0) - (part.paced ?? 0),
+    paceLogSum: (total.paceLogSum ?? 0) - (part.paceLogSum ?? 0),
   };
 }
 
@@ -58,6 +74,18 @@
 const SLOW_FACTOR = 3.5;
 const SLOW_MARGIN_MS = 400;
 
+/** Minimum number of answers with a pace before paces are compared. */
+const MIN_PACED_ANSWERS = 8;
+/** Ratio of the typical paces from which a version counts as slow; load alone causes less. */
+const PACE_FACTOR = 2;
+/** Paces below this are no sign of slowness, and would make ratios of a few milliseconds large. */
+const MIN_PACE_MS = 5;
+
+/** Returns the geometric mean of the paces; undefined when there are too few. */
+function computeTypicalPaceMs({ paced = 0, paceLogSum = 0 }: EvidenceSums): number | undefined {
+  return paced < MIN_PACED_ANSWERS ? undefined : Math.exp(paceLogSum / paced);
+}
+
 /** Returns why a version is worse than the others, or undefined if it is not. */
 export function describeBadVersion(
   target: EvidenceSums,
@@ -75,5 +103,12 @@
       return `mean latency ${Math.round(mean)} ms, ${Math.round(baselineMean)} ms on the other versions`;
     }
   }
+  const paceMs = computeTypicalPaceMs(target);
+  const baselinePaceMs = computeTypicalPaceMs(baseline);
+  if (paceMs !== undefined && baselinePaceMs !== undefined) {
+    if (paceMs > PACE_FACTOR * baselinePaceMs) {
+      return `an event or answer takes ${Math.round(paceMs)} ms, ${Math.round(baselinePaceMs)} ms on the other versions`;
+    }
+  }
   return undefined;
 }
--- a/tests/callers/repeatedRefusal.test.ts
+++ b/tests/callers/repeatedRefusal.test.ts
@@ -15,21 +15,25 @@
 
   after(() => fixture.close());
 
-  for (const method of ['POST', 'GET']) {
-    it(`does not make a ${method} request that it ran look as if it had not run`, async () => {
-      await fixture.cluster.injectFault(SERVICE, { fault: 'repeatRefusal', count: 1 });
-      const path = `/services/standings/${method.toLowerCase()}`;
-      const answer = await fixture.send(method, path, {
-        headers: method === 'POST' ? { 'idempotency-key': 'k1' } : {},
-        ...(method === 'POST' ? { body: '{}' } : {}),
-      });
-      assert.equal(NOT_RUN_STATUSES.includes(answer.status), false, answer.text);
-      const { calls } = (await fixture.cluster.fetchJournal(SERVICE)) as {
-        calls: { path: string }[];
-      };
-      const runs = calls.filter((call) => call.path === path.replace('/services/standings', ''));
-      if (method === 'POST') assert.equal(runs.length, 1);
-      else assert.ok(runs.length >= 1);
-    });
+  /** Sends a request whose answer is replaced, and returns its answer and how often it ran. */
+  async function sendRefused(method: string) {
+    await fixture.cluster.injectFault(SERVICE, { fault: 'repeatRefusal', count: 1 });
+    const path = `/${method.toLowerCase()}`;
+    const options = method === 'POST' ? { headers: { 'idempotency-key': 'k1' }, body: '{}' } : {};
+    const answer = await fixture.send(method, `/services/standings${path}`, options);
+    const journal = (await fixture.cluster.fetchJournal(SERVICE)) as { calls: { path: string }[] };
+    return { answer, runs: journal.calls.filter((call) => call.path === path).length };
   }
+
+  it('does not make a call that it ran look as if it had not run', async () => {
+    const { answer, runs } = await sendRefused('POST');
+    assert.equal(NOT_RUN_STATUSES.includes(answer.status), false, answer.text);
+    assert.equal(runs, 1);
+  });
+
+  it('does not take its place in the answer to an idempotent call', async () => {
+    const { answer, runs } = await sendRefused('GET');
+    assert.equal(NOT_RUN_STATUSES.includes(answer.status), false, answer.text);
+    assert.ok(runs >= 1);
+  });
 });
--- a/tests/relay/rollouts.test.ts
+++ b/tests/relay/rollouts.test.ts
@@ -3,6 +3,8 @@
 
 import type { EvidenceSums, RolloutOrder, RolloutProgress, WriteOutcome } from '@cactusstair/relay';
 import {
+  addEvidence,
+  addPace,
   computeStepShares,
   createEvidence,
   describeBadVersion,
@@ -22,6 +24,14 @@
   return { answers, bad, timed, latencySumMs: timed * latencyMs };
 }
 
+const baseline = Array.from({ length: 20 }, () => 40);
+
+function createPaces(pacesMs: readonly number[]): EvidenceSums {
+  const sums = createEvidence();
+  for (const paceMs of pacesMs) addPace(sums, paceMs);
+  return sums;
+}
+
 describe('rollouts', () => {
   describe('describeBadVersion', () => {
     it('detects a version that fails half of its requests after a few answers', () => {
@@ -44,6 +54,34 @@
       assert.match(reason ?? '', /mean latency 4000 ms/);
     });
 
+    describe('version that answers at once but works several times slower', () => {
+      it('is detected by the pace of half of its answers', () => {
+        const target = createPaces([40, 320, 40, 320, 40, 320, 40, 320]);
+        assert.match(
+          describeBadVersion(target, createPaces(baseline)) ?? '',
+          /takes 113 ms, 40 ms/,
+        );
+      });
+
+      it('is told from one of which a single answer stalled', () => {
+        const target = createPaces([40, 40, 40, 4000, 40, 40, 40, 40]);
+        assert.equal(describeBadVersion(target, createPaces(baseline)), undefined);
+      });
+
+      it('is told from one that is slower because of its load', () => {
+        const target = createPaces(baseline.map((paceMs) => 1.7 * paceMs));
+        assert.equal(describeBadVersion(target, createPaces(baseline)), undefined);
+      });
+
+      it('is not judged by a few answers, or by evidence of older builds', () => {
+        assert.equal(describeBadVersion(createPaces([900, 900]), createPaces(baseline)), undefined);
+        const older = { answers: 50, bad: 0, timed: 50, latencySumMs: 5000 };
+        const sum = createEvidence();
+        addEvidence(sum, older);
+        assert.equal(describeBadVersion(createPaces(baseline), sum), undefined);
+      });
+    });
+
     it('tolerates the higher latency of a new version with empty caches', () => {
       const slow = createEvidenceOf(10, 0, 1000);
       assert.equal(describeBadVersion(slow, createEvidenceOf(50, 0, 500)), undefined);
