Find the shared messages of requests that crash engines, in the entry instance too

Refusal went by the blame of one fingerprint, merged between instances by maximum. Refusal goes by CrashAttribution now: the traits are the fingerprint and the messages; instances exchange what they saw of crashes (new field of the peer exchange, left out by older builds). Blame decides isolation only, where an error costs time and no answer.

--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -2,10 +2,15 @@
   ExchangeReply,
   ExchangeRequest,
   MemberRecord,
+  CrashReport,
   QuarantineEntry,
   ZoneSummary,
 } from '@cactusstair/protocol';
-import { MemberStatus, QuarantineEntry as QuarantineEntryCodec } from '@cactusstair/protocol';
+import {
+  CrashReport as CrashReportCodec,
+  MemberStatus,
+  QuarantineEntry as QuarantineEntryCodec,
+} from '@cactusstair/protocol';
 import type { Clock, Random } from '@cactusstair/utils';
 
 import type { MemberTimeouts, TableEntry } from './memberTable.js';
@@ -33,6 +38,10 @@
   exportQuarantine?: () => QuarantineEntry[];
   /** Imports the quarantine entries of a peer. */
   importQuarantine?: (entries: QuarantineEntry[]) => void;
+  /** Returns what is known of crashes of upstreams, newest first. */
+  exportCrashes?: () => CrashReport[];
+  /** Imports what a peer knows of crashes of upstreams. */
+  importCrashes?: (reports: CrashReport[]) => void;
 }
 
 const defaults = {
@@ -48,6 +57,8 @@
   getConfirmedAgeMs: () => Infinity,
   exportQuarantine: (): QuarantineEntry[] => [],
   importQuarantine: (() => {}) as (entries: QuarantineEntry[]) => void,
+  exportCrashes: (): CrashReport[] => [],
+  importCrashes: (() => {}) as (reports: CrashReport[]) => void,
 };
 
 /**
@@ -210,21 +221,24 @@
    * for both. The id is empty if only the peer's address is known.
    */
   createExchange(peerId: string): ExchangeRequest {
-    const { maxMessageBytes, maxRefreshBytes, maxZoneBytes, exportQuarantine } = this.options;
+    const { maxMessageBytes, maxRefreshBytes, maxZoneBytes } = this.options;
     const sender = this.getSelf();
     const view = peerId === '' ? undefined : this.views.get(peerId);
     // The sender's record and the framing take less than 250 bytes.
     const budget = new MessageBudget(maxMessageBytes - 250);
-    if (!view) return { sender, members: [], zones: [], quarantine: [] };
+    if (!view) return { sender, members: [], zones: [], quarantine: [], crashes: [] };
     const shared = this.listSharedRecords(peerId);
     const refreshBytes = Math.max(maxRefreshBytes, shared.length * REFRESH_BYTES_PER_MEMBER);
     const members = this.views.selectRecords(view, shared, budget, refreshBytes);
     const summaries = this.zones.listSummaries();
     const zones = this.views.selectZones(view, summaries, budget, maxZoneBytes);
-    const quarantine = exportQuarantine().filter((entry) =>
-      budget.tryTake(QuarantineEntryCodec.encode(entry).finish().length + 3),
-    );
-    return { sender, members, zones, quarantine };
+    const quarantine = this.options
+      .exportQuarantine()
+      .filter((entry) => budget.tryTake(QuarantineEntryCodec.encode(entry).finish().length + 3));
+    const crashes = this.options
+      .exportCrashes()
+      .filter((report) => budget.tryTake(CrashReportCodec.encode(report).finish().length + 3));
+    return { sender, members, zones, quarantine, crashes };
   }
 
   /** Merges a request or a reply. */
@@ -242,6 +256,7 @@
     }
     for (const summary of message.zones) this.zones.merge(summary);
     if (message.quarantine.length > 0) this.options.importQuarantine(message.quarantine);
+    if (message.crashes.length > 0) this.options.importCrashes(message.crashes);
   }
 
   /** Records that an exchange with a peer failed, so that its contents are sent again. */
--- a/packages/server/src/callers/chatBody.ts
+++ b/packages/server/src/callers/chatBody.ts
@@ -124,15 +124,18 @@
 
 /** Returns the text of all messages, with their roles, as one string. */
 export function getPromptText(body: ChatBody): string {
-  return body.messages
-    .map(({ role, content }) => {
-      const text =
-        typeof content === 'string'
-          ? content
-          : (content ?? []).map((part) => part.text ?? '').join('');
-      return `${role}: ${text}\n`;
-    })
-    .join('');
+  return listMessageTexts(body).join('');
+}
+
+/** Returns the text of each message with its role. */
+export function listMessageTexts(body: ChatBody): string[] {
+  return body.messages.map(({ role, content }) => {
+    const text =
+      typeof content === 'string'
+        ? content
+        : (content ?? []).map((part) => part.text ?? '').join('');
+    return `${role}: ${text}\n`;
+  });
 }
 
 /** Estimates how many tokens the answer will have. */
--- a/packages/server/src/coordination.ts
+++ b/packages/server/src/coordination.ts
@@ -10,7 +10,7 @@
   QuotaLease,
   SessionTokens,
 } from '@cactusstair/coordination';
-import type { CrashQuarantine } from '@cactusstair/routing';
+import type { CrashAttribution, CrashQuarantine } from '@cactusstair/routing';
 import type { Clock, LifecycleManager, Logger, Random } from '@cactusstair/utils';
 
 import { AddressBook } from './peers/addressBook.js';
@@ -23,6 +23,7 @@
   incarnation: number;
   peerClients: PeerClients;
   quarantine: CrashQuarantine;
+  crashes: CrashAttribution;
   clock: Clock;
   random: Random;
   logger: Logger;
@@ -50,8 +51,17 @@
   readonly quotas: QuotaLease;
 
   constructor(options: CoordinationOptions) {
-    const { settings, incarnation, peerClients, quarantine, clock, random, logger, lifecycle } =
-      options;
+    const {
+      settings,
+      incarnation,
+      peerClients,
+      quarantine,
+      crashes,
+      clock,
+      random,
+      logger,
+      lifecycle,
+    } = options;
     const { id, region, zone } = settings.instance;
     this.store = new HttpObjectStore({
       baseUrl: settings.platform.objectApi,
@@ -76,6 +86,8 @@
       getConfirmedAgeMs: () => this.replica.getConfirmedAgeMs(),
       exportQuarantine: () => quarantine.exportEntries(),
       importQuarantine: (entries) => quarantine.importEntries(entries),
+      exportCrashes: () => crashes.exportReports('all'),
+      importCrashes: (reports) => crashes.importReports(reports),
     });
     this.membershipTask = new MembershipTask({
       membership: this.membership,
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -1,6 +1,11 @@
 import type { Failure } from '@cactusstair/protocol';
 import { createFailure, OperatorService, PeerService } from '@cactusstair/protocol';
-import { CascadePolicy, CrashQuarantine, VersionStatsRecorder } from '@cactusstair/routing';
+import {
+  CascadePolicy,
+  CrashAttribution,
+  CrashQuarantine,
+  VersionStatsRecorder,
+} from '@cactusstair/routing';
 import type { Logger } from '@cactusstair/utils';
 import {
   createLogger,
@@ -79,6 +84,12 @@
 
   private readonly quarantine = new CrashQuarantine({ clock: this.clock });
 
+  private readonly crashes = new CrashAttribution({
+    clock: this.clock,
+    onCause: ({ traits, crashCount }) =>
+      this.logger.info('found the cause of crashes', { traits, crashCount }),
+  });
+
   private readonly directory: UpstreamDirectory;
 
   private callerServer: CallerServer | undefined;
@@ -116,6 +127,7 @@
       incarnation: this.incarnation,
       peerClients: this.peerClients,
       quarantine: this.quarantine,
+      crashes: this.crashes,
       clock: this.clock,
       random: this.random,
       logger: this.logger,
@@ -124,6 +136,7 @@
     this.directory = new UpstreamDirectory({
       replica: this.coordination.replica,
       quarantine: this.quarantine,
+      crashes: this.crashes,
       clock: this.clock,
       random: this.random,
       logger: this.logger,
@@ -301,6 +314,7 @@
       directory: this.directory,
       peerClients: this.peerClients,
       quarantine: this.quarantine,
+      crashes: this.crashes,
       cascades: this.cascades,
       versionStats: this.versionStats,
       metrics: this.metrics,
--- a/packages/server/src/requests/chatHandler.ts
+++ b/packages/server/src/requests/chatHandler.ts
@@ -4,7 +4,7 @@
 import type {
   CascadePolicy,
   CascadeRequest,
-  CrashQuarantine,
+  CrashAttribution,
   RungInfo,
   VersionStatsRecorder,
 } from '@cactusstair/routing';
@@ -22,6 +22,7 @@
 import type { ResolvedVersion, Target, VersionResolver } from '../workspaces/versionResolver.js';
 import type { AnswerRater } from './answerRater.js';
 import { computeCostMicros, sumSteps } from './pricing.js';
+import { listRequestTraits } from './requestTraits.js';
 import type { ChatCall, RungAnswer, RungRunner } from './rungRunner.js';
 import type { BoundSession, SessionBinder } from './sessionBinder.js';
 import { VersionLatencies } from './versionLatencies.js';
@@ -32,7 +33,7 @@
   sessions: SessionBinder;
   billing: BillingJournal;
   quotas: QuotaLease;
-  quarantine: CrashQuarantine;
+  crashes: CrashAttribution;
   cascades: CascadePolicy;
   rungs: RungRunner;
   rater: AnswerRater;
@@ -104,13 +105,13 @@
 
   private async prepare(request: ChatRequest): Promise<Result<PreparedChat, Failure>> {
     const { workspace, body, headers } = request;
-    const { resolver, sessions, billing, quarantine } = this.options;
+    const { resolver, sessions, billing, crashes } = this.options;
     const target = resolver.resolveTarget(workspace, body.model);
     if (target.isErr()) return err(target.error);
     const bound = await sessions.bind(workspace, target.value, headers.sessionToken);
     if (bound.isErr()) return err(bound.error);
     const call = this.createCall(request);
-    if (quarantine.classify(call.fingerprint) === 'quarantined') {
+    if (crashes.isQuarantined(call.traits)) {
       return err(
         createFailure('request_quarantined', 'the request crashed the upstreams that ran it'),
       );
@@ -137,6 +138,7 @@
   private createCall(request: ChatRequest): ChatCall {
     const { body, workspace, headers } = request;
     const prompt = getPromptText(body);
+    const fingerprint = computeFingerprint(workspace.name, prompt);
     return {
       requestId: headers.requestId,
       workspace,
@@ -145,7 +147,8 @@
       promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
       expectedTokens: estimateCompletionTokens(body),
       prefixHashes: computePrefixHashes(prompt),
-      fingerprint: computeFingerprint(workspace.name, prompt),
+      fingerprint,
+      traits: listRequestTraits(workspace.name, fingerprint, body),
       deadlineMs: this.options.clock.monotonicMs() + this.options.requestMs,
       signal: AbortSignal.any([request.signal, AbortSignal.timeout(this.options.requestMs)]),
       dispatched: false,
--- a/packages/server/src/requests/requestHandlers.ts
+++ b/packages/server/src/requests/requestHandlers.ts
@@ -1,4 +1,9 @@
-import type { CascadePolicy, CrashQuarantine, VersionStatsRecorder } from '@cactusstair/routing';
+import type {
+  CascadePolicy,
+  CrashAttribution,
+  CrashQuarantine,
+  VersionStatsRecorder,
+} from '@cactusstair/routing';
 import { RetryBudget } from '@cactusstair/routing';
 import type { Clock, Invariants, Random } from '@cactusstair/utils';
 
@@ -24,6 +29,7 @@
   directory: UpstreamDirectory;
   peerClients: PeerClients;
   quarantine: CrashQuarantine;
+  crashes: CrashAttribution;
   cascades: CascadePolicy;
   versionStats: VersionStatsRecorder;
   metrics: EntryMetrics;
@@ -60,7 +66,8 @@
   dependencies: RequestHandlerDependencies,
   retryBudget: RetryBudget,
 ): ChatHandler {
-  const { settings, coordination, clock, metrics, invariants, quarantine, cascades } = dependencies;
+  const { settings, coordination, clock, metrics, invariants, quarantine, crashes, cascades } =
+    dependencies;
   const { limits, ratings } = settings;
   const resolver = new VersionResolver(coordination.replica, settings.permits);
   const rungs = new RungRunner({
@@ -68,6 +75,7 @@
     resolver,
     engines: new EngineClient(),
     quarantine,
+    crashes,
     retryBudget,
     metrics,
     invariants,
@@ -86,7 +94,7 @@
     }),
     billing: coordination.billing,
     quotas: coordination.quotas,
-    quarantine,
+    crashes,
     cascades,
     rungs,
     rater: new AnswerRater({
--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -1,6 +1,6 @@
 import type { Failure, Workspace } from '@cactusstair/protocol';
 import { createFailure } from '@cactusstair/protocol';
-import type { CrashQuarantine, Permit, RetryBudget } from '@cactusstair/routing';
+import type { CrashAttribution, CrashQuarantine, Permit, RetryBudget } from '@cactusstair/routing';
 import { MIN_PROGRESS_TOKENS } from '@cactusstair/routing';
 import type { Clock, Invariants } from '@cactusstair/utils';
 import type { Result } from 'neverthrow';
@@ -27,6 +27,8 @@
   prefixHashes: string[];
   /** Identifies equal requests of a workspace in the crash quarantine. */
   fingerprint: string;
+  /** Hashes of the messages, which requests that crash upstreams may have in common. */
+  traits: string[];
   /** Monotonic time by which the answer must be complete. */
   deadlineMs: number;
   signal: AbortSignal;
@@ -55,6 +57,7 @@
   resolver: VersionResolver;
   engines: EngineClient;
   quarantine: CrashQuarantine;
+  crashes: CrashAttribution;
   retryBudget: RetryBudget;
   metrics: EntryMetrics;
   invariants: Invariants;
@@ -215,7 +218,7 @@
    */
   private checkBeforeAttempt(call: ChatCall, resolved: ResolvedVersion): Failure | undefined {
     const fullName = `${resolved.model.name}@${resolved.version.version}`;
-    if (this.options.quarantine.classify(call.fingerprint) === 'quarantined') {
+    if (this.options.crashes.isQuarantined(call.traits)) {
       return call.dispatched
         ? createFailure('answer_incomplete', 'the request crashed the upstreams that ran it')
         : createFailure('request_quarantined', 'the request crashed the upstreams that ran it');
@@ -233,7 +236,7 @@
     exclude: Set<string>,
   ): Promise<Upstream | undefined> {
     const { quarantine, clock } = this.options;
-    const exclusive = quarantine.classify(call.fingerprint) === 'suspect';
+    const exclusive = quarantine.classify(call.fingerprint) !== 'clear';
     const request = { prefixHashes: call.prefixHashes, exclude, exclusive };
     for (;;) {
       const upstream = pool.choose(request) ?? pool.choose({ ...request, exclude: new Set() });
@@ -251,21 +254,28 @@
     progress: Progress,
     onToken: TokenListener,
   ): Promise<RungAnswer> {
-    const { engines, quarantine, metrics } = this.options;
+    const { engines, quarantine, crashes, metrics } = this.options;
     this.assertAllowed(call, resolved);
     call.attempts += 1;
     const attempt = call.attempts;
-    const release = upstream.startCall(quarantine.classify(call.fingerprint) === 'suspect');
+    const release = upstream.startCall(quarantine.classify(call.fingerprint) !== 'clear');
     const resumedFrom = progress.tokens;
     const recordRunEnd = quarantine.recordStart(upstream.name, call.fingerprint, () =>
       Math.max(progress.maxAttemptTokens, progress.tokens - resumedFrom),
     );
+    const run = crashes.startRun(upstream.name, call.traits, () => {});
+    const onAttemptToken: TokenListener = (text) => {
+      if (progress.tokens - resumedFrom === MIN_PROGRESS_TOKENS) run.recordProgress();
+      return onToken(text);
+    };
     try {
-      const answer = await this.readAnswer(call, resolved, upstream, progress, attempt, onToken);
+      const listener = onAttemptToken;
+      const answer = await this.readAnswer(call, resolved, upstream, progress, attempt, listener);
       call.dispatched = true;
       upstream.recordSuccess(progress.attemptFirstTokenMs ?? 0, call.requestClass);
       metrics.upstreamCalls.inc({ upstream: upstream.name, outcome: 'success' });
       recordRunEnd('completed');
+      run.recordProgress();
       return answer;
     } catch (error) {
       const failure = error as UpstreamCallError;
@@ -278,6 +288,7 @@
     } finally {
       // No effect after a complete answer. A failed call does not clear the request of suspicion.
       recordRunEnd('abandoned');
+      run.end();
       release();
     }
   }
--- a/packages/server/src/upstreams/upstream.ts
+++ b/packages/server/src/upstreams/upstream.ts
@@ -1,6 +1,7 @@
 import type { Upstream as UpstreamConfig } from '@cactusstair/protocol';
 import { UpstreamKind } from '@cactusstair/protocol';
 import type {
+  CrashAttribution,
   CrashQuarantine,
   PrefixIndex,
   RequestClass,
@@ -20,6 +21,7 @@
   clock: Clock;
   logger: Logger;
   quarantine: CrashQuarantine;
+  crashes: CrashAttribution;
   prefixIndex: PrefixIndex;
   connectMs: number;
 }
@@ -142,6 +144,7 @@
     if (crashed && !wasDown) {
       const { active = 0, queued = 0 } = this.report ?? {};
       this.context.quarantine.recordCrash(this.name, active + queued);
+      this.context.crashes.recordCrash(this.name);
     }
     this.isDown = probed === undefined;
     if (failure.kind === 'timeout' && probed) this.link.replace();
--- a/packages/server/src/upstreams/upstreamDirectory.ts
+++ b/packages/server/src/upstreams/upstreamDirectory.ts
@@ -1,7 +1,7 @@
 import type { ConfigReplica } from '@cactusstair/coordination';
 import type { Upstream as UpstreamConfig } from '@cactusstair/protocol';
 import { UpstreamKind } from '@cactusstair/protocol';
-import type { CrashQuarantine } from '@cactusstair/routing';
+import type { CrashAttribution, CrashQuarantine } from '@cactusstair/routing';
 import {
   AdmissionQueue,
   chooseUpstream,
@@ -17,6 +17,7 @@
 export interface UpstreamDirectoryOptions {
   replica: ConfigReplica;
   quarantine: CrashQuarantine;
+  crashes: CrashAttribution;
   clock: Clock;
   random: Random;
   logger: Logger;
@@ -226,11 +227,12 @@
   private start(config: UpstreamConfig): void {
     const health = this.healthPools.get(getHealthPoolName(config))?.get(config.name);
     if (!health) throw new Error(`upstream ${config.name} has no health pool`);
-    const { clock, logger, quarantine, connectMs } = this.options;
+    const { clock, logger, quarantine, crashes, connectMs } = this.options;
     const upstream = new Upstream({ ...config }, health, {
       clock,
       logger,
       quarantine,
+      crashes,
       prefixIndex: this.prefixIndex,
       connectMs,
     });
--- a/tests/coordination/membership.test.ts
+++ b/tests/coordination/membership.test.ts
@@ -85,7 +85,7 @@
       const clock = new ManualClock(1_000_000);
       const [a, b] = [createMembership(clock, 'a'), createMembership(clock, 'b')];
       const sender = { ...b.getSelf(), status: MemberStatus.UNRECOGNIZED };
-      a.applyExchange({ sender, members: [], zones: [], quarantine: [] });
+      a.applyExchange({ sender, members: [], zones: [], quarantine: [], crashes: [] });
       assert.equal(a.getMembers().length, 1);
     });
 
@@ -172,6 +172,7 @@
         members: a.getMembers(),
         zones: [],
         quarantine: [],
+        crashes: [],
       });
       assert.ok(restarted.getSelf().incarnation > 2_000_000);
       exchange(restarted, a);
--- a/tests/guarantees/support/callerClient.ts
+++ b/tests/guarantees/support/callerClient.ts
@@ -31,6 +31,8 @@
   stream?: boolean;
   maxTokens?: number;
   prompt?: string;
+  /** Text of a message before the prompt. */
+  context?: string;
   signal?: AbortSignal;
   /** Called with the text of a stream received so far. Reading pauses until the promise resolves. */
   onText?: (text: string) => Promise<void> | void;
@@ -141,7 +143,12 @@
           model,
           stream,
           max_tokens: maxTokens,
-          messages: [{ role: 'user', content: prompt }],
+          messages: [
+            ...(options.context === undefined
+              ? []
+              : [{ role: 'system', content: options.context }]),
+            { role: 'user', content: prompt },
+          ],
         }),
         signal: signal ?? null,
       });
--- a/tests/relay/rollouts.test.ts
+++ b/tests/relay/rollouts.test.ts
@@ -211,7 +211,7 @@
       const clock = new ManualClock(10_000);
       const router = new RolloutRouter({ clock, sessionTtlMs: 5000, canaryShare: 0.15 });
       const target = createEvidence();
-      const baseline = createEvidenceOf(100, 1);
+      const others = createEvidenceOf(100, 1);
       const stored: RolloutProgress[] = [];
       let oldCalls = 3;
       let revision = 1;
@@ -225,7 +225,7 @@
         router,
         listEvidence: () => [
           {
-            [formatVersionKey('app', 'v1')]: { ...baseline },
+            [formatVersionKey('app', 'v1')]: { ...others },
             [formatVersionKey('app', 'v2')]: { ...target },
           },
         ],
