Do not refuse for long what ran well before an outage

Callers could see: a pool whose upstreams end at once, or flap for seconds, makes the part that all requests of a kind share suspect of each crash; once it counted as the cause, all of them were refused, and as none ran, nothing could clear it for two minutes. Traits that have run well before are a cause only if their crashes extend over four seconds, and one request with them is tried every five seconds by each instance. Traits that never ran well are refused as before. Also: reports between instances have a file of their own; runs that ended at upstreams that left are forgotten; the test server that restarts after a crash no longer stays open when it is closed meanwhile (it kept the test process alive once).

--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -35,6 +35,8 @@
   engine: EngineProfile | undefined;
   /** What the request has in common with others that may crash upstreams. */
   traits: readonly string[];
+  /** Whether the request runs once although others with its traits crashed upstreams. */
+  isTrial: boolean;
 }
 
 /** Options of one attempt. */
--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -126,7 +126,8 @@
   tryStartAttempt(): boolean {
     this.tries += 1;
     if (this.tries > MAX_TRIES || this.job.exchange.isOver) return false;
-    if (this.context.crashes.isQuarantined(this.job.traits)) {
+    const isFirstOfTrial = this.job.isTrial && this.tries === 1;
+    if (!isFirstOfTrial && this.context.crashes.isQuarantined(this.job.traits)) {
       this.reason = 'the request crashed the upstreams that ran it';
       return false;
     }
--- a/packages/relay/src/requests/requestHandler.ts
+++ b/packages/relay/src/requests/requestHandler.ts
@@ -218,7 +218,8 @@
     const timeMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
     exchange.setDeadline(exchange.arrivedMs + timeMs);
     const traits = listTraits(request);
-    if (context.crashes.isQuarantined(traits)) {
+    const admission = context.crashes.admit(traits);
+    if (admission === 'refused') {
       exchange.sendFailure('request_quarantined', 'the request crashed the upstreams that ran it');
       return;
     }
@@ -234,6 +235,13 @@
       configAgeMs: Math.round(this.options.getConfigAgeMs()),
       waitMs: Math.round(timeMs),
     });
-    await relayByKind[route.kind](context, { exchange, request, service, engine, traits });
+    await relayByKind[route.kind](context, {
+      exchange,
+      request,
+      service,
+      engine,
+      traits,
+      isTrial: admission === 'trial',
+    });
   }
 }
--- a/packages/routing/src/crashAttribution.ts
+++ b/packages/routing/src/crashAttribution.ts
@@ -2,6 +2,8 @@
 
 import { findCrashCauses } from './crashCauses.js';
 import type { CrashCause, CrashSuspects } from './crashCauses.js';
+import type { CrashReport } from './crashReport.js';
+import { filterReports, MAX_EXPORTED_TRAITS } from './crashReport.js';
 
 /** Options of `CrashAttribution`. */
 export interface CrashAttributionOptions {
@@ -14,17 +16,8 @@
   onCause?: (cause: CrashCause) => void;
 }
 
-/** One crash as instances tell each other. */
-export interface CrashReport {
-  /** Id of the upstream. */
-  upstream: string;
-  /** Time since the crash, in milliseconds. */
-  ageMs: number;
-  /** Traits of requests that had not made progress at the upstream when it crashed. */
-  suspects: string[];
-  /** Traits of such requests that have made progress elsewhere since. */
-  cleared: string[];
-}
+/** Whether a request may run, runs to find out whether it still crashes upstreams, or is refused. */
+export type CrashAdmission = 'admitted' | 'trial' | 'refused';
 
 /** Whether to export what this instance saw itself, or also what its peers told it. */
 export type ExportScope = 'own' | 'all';
@@ -65,10 +58,8 @@
 const MAX_PROGRESS_ENTRIES = 4096;
 /** Number of causes that are remembered beyond their crashes. */
 const MAX_PAST_CAUSES = 256;
-/** Bounds the size of a message between instances. */
-const MAX_EXPORTED_TRAITS = 1000;
-const MAX_IMPORTED_CRASHES = 100;
-const MAX_TRAIT_LENGTH = 64;
+/** Time between two requests that are tried although they have the traits of a cause. */
+const TRIAL_INTERVAL_MS = 5000;
 /** Cleared traits are exported for this long, so that peers clear them as well. */
 const CLEARED_EXPORT_MS = 10_000;
 
@@ -78,27 +69,6 @@
     .map(([trait]) => trait);
 }
 
-function isTraitList(value: unknown): value is string[] {
-  return (
-    Array.isArray(value) &&
-    value.length <= MAX_EXPORTED_TRAITS &&
-    value.every((trait) => typeof trait === 'string' && trait.length <= MAX_TRAIT_LENGTH)
-  );
-}
-
-function isCrashReport(value: unknown): value is CrashReport {
-  if (typeof value !== 'object' || value === null) return false;
-  const { upstream, ageMs, suspects, cleared } = value as Partial<CrashReport>;
-  return (
-    typeof upstream === 'string' &&
-    upstream.length <= MAX_TRAIT_LENGTH &&
-    typeof ageMs === 'number' &&
-    ageMs >= 0 &&
-    isTraitList(suspects) &&
-    isTraitList(cleared)
-  );
-}
-
 /**
  * Finds what requests that crash upstreams have in common, and tells which requests to refuse.
  *
@@ -122,6 +92,8 @@
 
   private causes: CrashCause[] = [];
 
+  private triedAtMs = -Infinity;
+
   constructor(private readonly options: CrashAttributionOptions) {}
 
   /** Number of remembered crashes. */
@@ -169,16 +141,29 @@
     return added;
   }
 
-  /** Whether a request with these traits is refused, because it would crash its upstream. */
+  /** Whether a request with these traits would crash its upstream. */
   isQuarantined(traits: readonly string[]): boolean {
-    if (this.causes.length === 0) return false;
-    this.removeExpired();
-    return this.causes.some((cause) => cause.traits.every((trait) => traits.includes(trait)));
+    return this.findCause(traits) !== undefined;
+  }
+
+  /**
+   * Decides about a new request. If requests with the traits of the cause have run well before, one
+   * is tried now and then: refused ones could never show that an outage made them suspect.
+   */
+  admit(traits: readonly string[]): CrashAdmission {
+    const cause = this.findCause(traits);
+    if (!cause) return 'admitted';
+    const nowMs = this.options.clock.monotonicMs();
+    const canTry = cause.traits.every((trait) => this.progressAtMs.has(trait));
+    if (!canTry || nowMs - this.triedAtMs < TRIAL_INTERVAL_MS) return 'refused';
+    this.triedAtMs = nowMs;
+    return 'trial';
   }
 
   /** Returns the newest crashes, to be sent to peers. */
   exportReports(scope: ExportScope): CrashReport[] {
     this.removeExpired();
+    for (const [upstream, runs] of this.runs) this.removeEndedRuns(upstream, runs);
     const nowMs = this.options.clock.monotonicMs();
     const reports: CrashReport[] = [];
     let traitsLeft = MAX_EXPORTED_TRAITS;
@@ -198,8 +183,8 @@
   /** Adds what a peer saw. Entries of another form, as of older builds, are ignored. */
   importReports(reports: readonly unknown[]): void {
     const nowMs = this.options.clock.monotonicMs();
-    for (const report of reports.slice(0, MAX_IMPORTED_CRASHES)) {
-      if (isCrashReport(report) && report.ageMs < this.ttlMs) this.importReport(report, nowMs);
+    for (const report of filterReports(reports)) {
+      if (report.ageMs < this.ttlMs) this.importReport(report, nowMs);
     }
   }
 
@@ -215,6 +200,12 @@
     if (added.length + cleared.length > 0) this.updateCauses();
   }
 
+  private findCause(traits: readonly string[]): CrashCause | undefined {
+    if (this.causes.length === 0) return undefined;
+    this.removeExpired();
+    return this.causes.find((cause) => cause.traits.every((trait) => traits.includes(trait)));
+  }
+
   private get ttlMs(): number {
     return this.options.ttlMs ?? 120_000;
   }
@@ -272,9 +263,8 @@
 
   private updateCauses(): void {
     const known = new Set(this.causes.map(({ traits }) => traits.join()));
-    const crashes = this.crashes.map(({ traits }): CrashSuspects => {
-      const suspects = [...traits].filter(([, state]) => state === 'suspect');
-      return new Set(suspects.map(([trait]) => trait));
+    const crashes = this.crashes.map((crash): CrashSuspects => {
+      return { atMs: crash.atMs, suspects: new Set(listTraits(crash, 'suspect', 'all')) };
     });
     this.causes = findCrashCauses(crashes, {
       hasProgressed: (trait) => this.progressAtMs.has(trait),
--- a/packages/routing/src/crashCauses.ts
+++ b/packages/routing/src/crashCauses.ts
@@ -1,5 +1,9 @@
-/** Traits under suspicion of one crash. */
-export type CrashSuspects = ReadonlySet<string>;
+/** One crash and the traits under suspicion. */
+export interface CrashSuspects {
+  /** When it was noticed, in milliseconds on any clock that all crashes share. */
+  atMs: number;
+  suspects: ReadonlySet<string>;
+}
 
 /** What requests that crash upstreams have in common. */
 export interface CrashCause {
@@ -22,8 +26,8 @@
   traits: string[];
   /** Indexes of the crashes. */
   crashes: ReadonlySet<number>;
-  /** Number of crashes that it takes to count as their cause. */
-  threshold: number;
+  /** Whether there are enough crashes for it to count as their cause. */
+  isSufficient: boolean;
 }
 
 /**
@@ -33,15 +37,30 @@
 const MIN_CRASHES = 3;
 /** The same for traits of requests that have run well before. */
 const MIN_CRASHES_AFTER_PROGRESS = 6;
+/**
+ * Time over which these crashes extend at least. Upstreams that end at the same moment, with all that
+ * they run, were not ended by a request.
+ */
+const MIN_SPAN_AFTER_PROGRESS_MS = 4000;
 /** With this many crashes, a trait counts as a cause even if another one explains as many. */
 const MIN_CRASHES_OF_RIVALS = 5;
 
-function getThreshold(traits: readonly string[], { hasProgressed }: TraitHistory): number {
-  return traits.every(hasProgressed) ? MIN_CRASHES_AFTER_PROGRESS : MIN_CRASHES;
+/** Whether the crashes of which some traits are suspects are enough to call the traits the cause. */
+function isSufficient(
+  traits: readonly string[],
+  crashes: readonly CrashSuspects[],
+  { hasProgressed }: TraitHistory,
+): boolean {
+  if (!traits.every(hasProgressed)) return crashes.length >= MIN_CRASHES;
+  const times = crashes.map(({ atMs }) => atMs);
+  return (
+    crashes.length >= MIN_CRASHES_AFTER_PROGRESS &&
+    Math.max(...times) - Math.min(...times) >= MIN_SPAN_AFTER_PROGRESS_MS
+  );
 }
 
 function findIndexes(crashes: readonly CrashSuspects[], trait: string): number[] {
-  return crashes.flatMap((suspects, index) => (suspects.has(trait) ? [index] : []));
+  return crashes.flatMap(({ suspects }, index) => (suspects.has(trait) ? [index] : []));
 }
 
 /** Returns the suspects that were a cause before and whose earlier crashes have been forgotten. */
@@ -49,7 +68,7 @@
   crashes: readonly CrashSuspects[],
   { isPastCause }: TraitHistory,
 ): string[] {
-  const suspects = new Set(crashes.flatMap((crash) => [...crash]));
+  const suspects = new Set(crashes.flatMap((crash) => [...crash.suspects]));
   return [...suspects].filter(isPastCause).sort();
 }
 
@@ -60,7 +79,7 @@
   history: TraitHistory,
 ): Candidate[] {
   const indexes = new Map<string, number[]>();
-  crashes.forEach((suspects, index) => {
+  crashes.forEach(({ suspects }, index) => {
     if (explained.has(index)) return;
     for (const trait of suspects) indexes.set(trait, [...(indexes.get(trait) ?? []), index]);
   });
@@ -69,11 +88,15 @@
     const key = found.join();
     groups.set(key, [...(groups.get(key) ?? []), trait]);
   }
-  return [...groups.values()].map((traits) => ({
-    traits: traits.sort(),
-    crashes: new Set(indexes.get(traits[0]!)),
-    threshold: getThreshold(traits, history),
-  }));
+  return [...groups.values()].map((traits) => {
+    const found = indexes.get(traits[0]!)!;
+    const suspected = found.map((index) => crashes[index]!);
+    return {
+      traits: traits.sort(),
+      crashes: new Set(found),
+      isSufficient: isSufficient(traits, suspected, history),
+    };
+  });
 }
 
 function hasSharedCrash(a: Candidate, b: Candidate): boolean {
@@ -114,10 +137,7 @@
   for (;;) {
     const candidates = listCandidates(crashes, explained, history);
     const found = candidates
-      .filter(
-        (candidate) =>
-          candidate.crashes.size >= candidate.threshold && isUnrivaled(candidate, candidates),
-      )
+      .filter((candidate) => candidate.isSufficient && isUnrivaled(candidate, candidates))
       .sort((a, b) => b.crashes.size - a.crashes.size || (a.traits[0]! < b.traits[0]! ? -1 : 1))[0];
     if (!found) return causes;
     causes.push({ traits: found.traits, crashCount: found.crashes.size });
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,13 +10,14 @@
 export type { ConcurrencyLimitOptions, LatencySample } from './concurrencyLimit.js';
 export { ConcurrencyLimit } from './concurrencyLimit.js';
 export type {
+  CrashAdmission,
   CrashAttributionOptions,
-  CrashReport,
   ExportScope,
   SuspectRun,
 } from './crashAttribution.js';
 export { CrashAttribution } from './crashAttribution.js';
 export type { CrashCause, CrashSuspects, TraitHistory } from './crashCauses.js';
+export type { CrashReport } from './crashReport.js';
 export { findCrashCauses } from './crashCauses.js';
 export type { CrashQuarantineOptions, QuarantineClass, RunOutcome } from './crashQuarantine.js';
 export { computeFingerprint, CrashQuarantine, MIN_PROGRESS_TOKENS } from './crashQuarantine.js';
--- a/packages/server/src/requests/chatHandler.ts
+++ b/packages/server/src/requests/chatHandler.ts
@@ -111,7 +111,9 @@
     const bound = await sessions.bind(workspace, target.value, headers.sessionToken);
     if (bound.isErr()) return err(bound.error);
     const call = this.createCall(request);
-    if (crashes.isQuarantined(call.traits)) {
+    const admission = crashes.admit(call.traits);
+    call.isTrial = admission === 'trial';
+    if (admission === 'refused') {
       return err(
         createFailure('request_quarantined', 'the request crashed the upstreams that ran it'),
       );
@@ -149,6 +151,7 @@
       prefixHashes: computePrefixHashes(prompt),
       fingerprint,
       traits: listRequestTraits(workspace.name, fingerprint, body),
+      isTrial: false,
       deadlineMs: this.options.clock.monotonicMs() + this.options.requestMs,
       signal: AbortSignal.any([request.signal, AbortSignal.timeout(this.options.requestMs)]),
       dispatched: false,
--- a/packages/server/src/requests/rungRunner.ts
+++ b/packages/server/src/requests/rungRunner.ts
@@ -29,6 +29,8 @@
   fingerprint: string;
   /** Hashes of the messages, which requests that crash upstreams may have in common. */
   traits: string[];
+  /** Whether the request runs once although others with its traits crashed upstreams. */
+  isTrial: boolean;
   /** Monotonic time by which the answer must be complete. */
   deadlineMs: number;
   signal: AbortSignal;
@@ -218,7 +220,8 @@
    */
   private checkBeforeAttempt(call: ChatCall, resolved: ResolvedVersion): Failure | undefined {
     const fullName = `${resolved.model.name}@${resolved.version.version}`;
-    if (this.options.crashes.isQuarantined(call.traits)) {
+    const isFirstOfTrial = call.isTrial && call.attempts === 0;
+    if (!isFirstOfTrial && this.options.crashes.isQuarantined(call.traits)) {
       return call.dispatched
         ? createFailure('answer_incomplete', 'the request crashed the upstreams that ran it')
         : createFailure('request_quarantined', 'the request crashed the upstreams that ran it');
--- a/tests/relay/support/scriptedUpstream.ts
+++ b/tests/relay/support/scriptedUpstream.ts
@@ -56,6 +56,8 @@
     await new Promise<void>((resolve) => {
       this.server.listen(this.restartPort, '127.0.0.1', resolve);
     });
+    // A server that is closed while it starts to listen would keep the test process alive.
+    if (this.isClosed) this.server.close();
   }
 
   async close(): Promise<void> {
