Count only upstreams that are gone as crashed

Cause: each lost answer counted as a crash of its upstream, also where the upstream had only reset one connection, and an instance that has just started does not know yet which traits run well, so three lost answers in its first second made a part of all requests of a kind the cause. Now an upstream counts as crashed when nothing listens at its address: a lost connection is followed by one that only asks this, or a request's own connection is refused. In its first three seconds an instance counts all traits as having run well.

--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -23,6 +23,7 @@
 import { RolloutController } from './rollouts/rolloutController.js';
 import { StoreViews } from './storeViews.js';
 import { EngineEstimators } from './upstreams/engineEstimators.js';
+import { CrashDetector } from './upstreams/crashDetector.js';
 import type { Upstream } from './upstreams/upstream.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 import { ZoneReachability } from './upstreams/zoneReachability.js';
@@ -264,7 +265,7 @@
       rollouts: this.rollouts,
       crashes: this.crashes,
       stallMonitor: new StallMonitor(this.clock),
-      onCrash: (upstream, suspects) => this.recordCrash(upstream, suspects),
+      crashDetector: new CrashDetector((upstream) => this.recordCrash(upstream)),
       onLoadGrowth: (upstream) => this.peers.notifyLoadGrowth(upstream),
       getConfig: () => this.config,
       getBudget: (service) => this.budgets.get(service),
@@ -303,7 +304,11 @@
     });
   }
 
-  private recordCrash({ id, record }: Upstream, suspects: readonly string[]): void {
+  private recordCrash(upstream: Upstream): void {
+    const { id, record } = upstream;
+    upstream.recordDown();
+    const suspects = this.crashes.recordCrash(id);
+    if (suspects.length === 0) return;
     this.options.log.write('upstream_crashed', {
       upstream: id,
       service: record.service,
--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -83,14 +83,13 @@
       if (failure.isTimeout) {
         this.context.reachability.recordUnreachable(upstream.record.zone, upstream.id);
       }
-      // An upstream that has ended refuses connections.
-      if (failure.isRefused) this.recordCrash(attempt);
+      if (failure.isRefused) this.context.crashDetector.recordRefused(upstream);
       this.isNextAttemptFree = true;
       return true;
     },
-    lost: (attempt, failure) => {
-      attempt.upstream.recordFailure();
-      if (failure.isDisconnected) this.recordCrash(attempt);
+    lost: ({ upstream }, failure) => {
+      upstream.recordFailure();
+      if (failure.isDisconnected) this.context.crashDetector.check(upstream).catch(() => {});
       this.recordRun();
       return this.canRunAgain;
     },
@@ -215,12 +214,6 @@
     return { events: eventCount, traits: this.job.traits };
   }
 
-  private recordCrash({ upstream }: Attempt): void {
-    const { crashes, onCrash } = this.context;
-    const suspects = crashes.recordCrash(upstream.id);
-    if (suspects.length > 0) onCrash(upstream, suspects);
-  }
-
   private recordRun(): void {
     this.runs += 1;
     this.job.exchange.mayHaveRun = true;
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -3,6 +3,7 @@
 
 import type { ConfigIndex } from '../config/configIndex.js';
 import type { RolloutRouter } from '../rollouts/rolloutRouter.js';
+import type { CrashDetector } from '../upstreams/crashDetector.js';
 import type { EngineEstimators } from '../upstreams/engineEstimators.js';
 import type { Upstream } from '../upstreams/upstream.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
@@ -22,8 +23,7 @@
   rollouts: RolloutRouter;
   crashes: CrashAttribution;
   stallMonitor: StallMonitor;
-  /** Called when an upstream has crashed, with the traits that have come under suspicion. */
-  onCrash: (upstream: Upstream, suspects: readonly string[]) => void;
+  crashDetector: CrashDetector;
   /** Called when a request has been added to the load of an upstream. */
   onLoadGrowth: (upstream: Upstream) => void;
   /** Returns the configuration in force; undefined before the first was read. */
--- /dev/null
+++ b/packages/relay/src/upstreams/crashDetector.ts
@@ -0,0 +1,47 @@
+import { connect } from 'node:net';
+
+import type { Upstream } from './upstream.js';
+
+/** Time after which a check ends without a result, in milliseconds. */
+const CHECK_TIMEOUT_MS = 500;
+
+/** Opens a connection and resolves with whether nothing listens at the upstream's address. */
+function isRefusing({ record }: Upstream): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = connect({ host: record.host, port: record.port, timeout: CHECK_TIMEOUT_MS });
+    const finish = (isRefused: boolean) => {
+      socket.destroy();
+      resolve(isRefused);
+    };
+    socket.on('connect', () => finish(false));
+    socket.on('timeout', () => finish(false));
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => finish(code === 'ECONNREFUSED'));
+  });
+}
+
+/**
+ * Tells an upstream that crashed from one that lost a single connection or answer: after a crash,
+ * nothing listens at its address until it has started again.
+ */
+export class CrashDetector {
+  private readonly checking = new Set<string>();
+
+  /** @param onCrash called for each upstream that was found to have crashed */
+  constructor(private readonly onCrash: (upstream: Upstream) => void) {}
+
+  /** Checks an upstream that ended a connection before its answer was complete. */
+  async check(upstream: Upstream): Promise<void> {
+    if (this.checking.has(upstream.id)) return;
+    this.checking.add(upstream.id);
+    try {
+      if (await isRefusing(upstream)) this.onCrash(upstream);
+    } finally {
+      this.checking.delete(upstream.id);
+    }
+  }
+
+  /** Records that an upstream has refused a connection. */
+  recordRefused(upstream: Upstream): void {
+    this.onCrash(upstream);
+  }
+}
--- a/packages/routing/src/crashAttribution.ts
+++ b/packages/routing/src/crashAttribution.ts
@@ -12,6 +12,8 @@
   ttlMs?: number;
   /** Maximum number of remembered crashes; the oldest are evicted first. Default 100. */
   maxCrashes?: number;
+  /** Time after the start in which all traits count as if they had run well. Default 3,000. */
+  minHistoryMs?: number;
   /** Called for each cause when it is found. */
   onCause?: (cause: CrashCause) => void;
 }
@@ -58,6 +60,8 @@
 const MAX_PROGRESS_ENTRIES = 4096;
 /** Number of causes that are remembered beyond their crashes. */
 const MAX_PAST_CAUSES = 256;
+/** An instance that starts does not know yet what runs well. */
+const MIN_HISTORY_MS = 3000;
 /** Time between two requests that are tried although they have the traits of a cause. */
 const TRIAL_INTERVAL_MS = 5000;
 /** Cleared traits are exported for this long, so that peers clear them as well. */
@@ -94,7 +98,11 @@
 
   private triedAtMs = -Infinity;
 
-  constructor(private readonly options: CrashAttributionOptions) {}
+  private readonly startedAtMs: number;
+
+  constructor(private readonly options: CrashAttributionOptions) {
+    this.startedAtMs = options.clock.monotonicMs();
+  }
 
   /** Number of remembered crashes. */
   get size(): number {
@@ -206,6 +214,14 @@
     return this.causes.find((cause) => cause.traits.every((trait) => traits.includes(trait)));
   }
 
+  /** Whether this instance has just started, so that it cannot know what has run well before. */
+  private get isHistoryShort(): boolean {
+    return (
+      this.options.clock.monotonicMs() - this.startedAtMs <
+      (this.options.minHistoryMs ?? MIN_HISTORY_MS)
+    );
+  }
+
   private get ttlMs(): number {
     return this.options.ttlMs ?? 120_000;
   }
@@ -267,7 +283,7 @@
       return { atMs: crash.atMs, suspects: new Set(listTraits(crash, 'suspect', 'all')) };
     });
     this.causes = findCrashCauses(crashes, {
-      hasProgressed: (trait) => this.progressAtMs.has(trait),
+      hasProgressed: (trait) => this.isHistoryShort || this.progressAtMs.has(trait),
       isPastCause: (trait) => this.pastCauses.has(trait),
     });
     for (const cause of this.causes) {
--- a/tests/relay/crashingPromptPart.test.ts
+++ b/tests/relay/crashingPromptPart.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 
-import { waitFor } from '@cactusstair/utils';
+import { systemClock, waitFor } from '@cactusstair/utils';
 
 import type { CallerAnswer } from './support/caller.js';
 import { sendRequest } from './support/caller.js';
@@ -22,6 +22,8 @@
 /** Requests with the part that may still reach upstreams after that. */
 const MAX_LATE_REQUESTS = 3;
 const ROUNDS = 14;
+/** The bounds hold for instances that have run for this long. */
+const CONTACT_MS = 3000;
 
 const route = createRoute({
   kind: 'stream',
@@ -88,6 +90,11 @@
     fixture = await RelayFixture.open([route]);
     while (upstreams.length < UPSTREAM_COUNT) upstreams.push(await addUpstream(upstreams.length));
     await fixture.waitReady();
+    const readyAtMs = systemClock.monotonicMs();
+    await waitFor(() => systemClock.monotonicMs() - readyAtMs >= CONTACT_MS, {
+      what: 'the instance to have run for a while',
+      timeoutMs: 2 * CONTACT_MS,
+    });
   });
 
   afterEach(async () => {
@@ -138,4 +145,11 @@
       assert.equal(body, formatEvents(1, EVENT_COUNT));
     }
   });
+
+  it('is not suspected when upstreams only lose single answers of the requests that share it', async () => {
+    for (const upstream of upstreams) upstream.script = (socket) => socket.resetAndDestroy();
+    for (let count = 0; count < ROUNDS; count += 1) await sendPrompt(['a0', 'b0'], `f${count}`);
+    for (const upstream of upstreams) upstream.script = serve;
+    assert.equal((await sendPrompt(['a0', 'b0'], 'last')).status, 200);
+  });
 });
