Count answers whose tokens come slowly as slow, in the entry instance's rollouts

Callers could see: a version of a model that sends first tokens in time and the others several times slower is rolled out and kept. Cause: as in the relay, an answer was slow by the time to its first token only. The mean time between tokens counts too, against the 45 ms of the design size.

--- a/packages/routing/src/versionStatsRecorder.ts
+++ b/packages/routing/src/versionStatsRecorder.ts
@@ -10,6 +10,8 @@
   incarnation: number;
   /** A first token after this time counts as slow, in milliseconds. */
   slowFirstTokenMs?: number;
+  /** A longer mean time between tokens counts as slow, in milliseconds. */
+  slowTokenGapMs?: number;
   /** Largest accepted rise of the share of failed requests, in 0..1. */
   errorMargin?: number;
   /** Largest accepted rise of the share of slow requests, in 0..1. */
@@ -23,10 +25,14 @@
   failed: boolean;
   /** Undefined if there was no first token. */
   firstTokenMs?: number | undefined;
+  /** Mean time between tokens; undefined for answers of fewer than two. */
+  tokenGapMs?: number | undefined;
 }
 
-// At the design size, 95 % of the requests must get their first token within 1.6 s.
+// At the design size, 95 % of the requests must get their first token within 1.6 s, and the others
+// 45 ms apart.
 const DEFAULT_SLOW_FIRST_TOKEN_MS = 1600;
+const DEFAULT_SLOW_TOKEN_GAP_MS = 45;
 const DEFAULT_ERROR_MARGIN = 0.02;
 const DEFAULT_LATENCY_MARGIN = 0.05;
 
@@ -72,6 +78,7 @@
   constructor(options: VersionStatsRecorderOptions) {
     this.options = {
       slowFirstTokenMs: DEFAULT_SLOW_FIRST_TOKEN_MS,
+      slowTokenGapMs: DEFAULT_SLOW_TOKEN_GAP_MS,
       errorMargin: DEFAULT_ERROR_MARGIN,
       latencyMargin: DEFAULT_LATENCY_MARGIN,
       ...options,
@@ -107,11 +114,15 @@
       if (arm === 'candidate') tests.requests += 1;
       tests.errors.addRating(arm, outcome.failed ? 0 : 1);
       if (outcome.firstTokenMs === undefined) return;
-      const slow = outcome.firstTokenMs > this.options.slowFirstTokenMs;
-      tests.latency.addRating(arm, slow ? 0 : 1);
+      tests.latency.addRating(arm, this.isSlow(outcome) ? 0 : 1);
     });
   }
 
+  private isSlow({ firstTokenMs = 0, tokenGapMs = 0 }: VersionOutcome): boolean {
+    const { slowFirstTokenMs, slowTokenGapMs } = this.options;
+    return firstTokenMs > slowFirstTokenMs || tokenGapMs > slowTokenGapMs;
+  }
+
   /** Records a rating in 0..1; it counts for the step in which it arrives. */
   recordRating(rated: { model: string; version: string; rating: number }): void {
     if (!(rated.rating >= 0 && rated.rating <= 1)) return;
--- a/packages/server/src/requests/chatHandler.ts
+++ b/packages/server/src/requests/chatHandler.ts
@@ -214,8 +214,10 @@
       }
       return answer;
     }
-    const { firstTokenMs, totalMs } = answer.value;
-    versionStats.recordOutcome({ model, version, failed: false, firstTokenMs });
+    const { firstTokenMs, totalMs, usage } = answer.value;
+    const gaps = usage.completionTokens - 1;
+    const tokenGapMs = gaps > 0 ? (totalMs - firstTokenMs) / gaps : undefined;
+    versionStats.recordOutcome({ model, version, failed: false, firstTokenMs, tokenGapMs });
     this.latencies.record(model, version, totalMs);
     metrics.firstTokenSeconds.observe(
       { workspace: call.workspace.name, class: call.requestClass },
--- a/tests/routing/rolloutPolicy.test.ts
+++ b/tests/routing/rolloutPolicy.test.ts
@@ -33,6 +33,8 @@
   rating: number;
   errorShare: number;
   slowShare: number;
+  /** Share of the answers whose tokens come eight times slower. */
+  slowTokenShare?: number;
 }
 
 const GOOD: Behaviour = { rating: 0.8, errorShare: 0.01, slowShare: 0.05 };
@@ -76,12 +78,14 @@
     }
     if (request % REQUESTS_PER_SESSION === 0) arm = assignArm(rollout, `${seed}-${request}`);
     const bad = arm === 'candidate' && rollout.stepIndex >= badFromStep;
-    const { rating, errorShare, slowShare } = bad ? candidate : GOOD;
+    const { rating, errorShare, slowShare, slowTokenShare } = bad ? candidate : GOOD;
     const version = arm === 'candidate' ? 'v2' : 'v1';
     const recorder = recorders[random.nextInt(INSTANCES)];
     const failed = random.next() < errorShare;
     const firstTokenMs = random.next() < slowShare ? 5000 : 300;
-    recorder?.recordOutcome({ model: 'review', version, failed, firstTokenMs });
+    const hasSlowTokens = slowTokenShare !== undefined && random.next() < slowTokenShare;
+    const tokenGapMs = hasSlowTokens ? 8 * TOKEN_GAP_MS : TOKEN_GAP_MS;
+    recorder?.recordOutcome({ model: 'review', version, failed, firstTokenMs, tokenGapMs });
     if (random.next() < ratedShare) {
       const value = Math.min(1, Math.max(0, rating + 0.4 * (random.next() - 0.5)));
       recorder?.recordRating({ model: 'review', version, rating: value });
@@ -91,6 +95,7 @@
   return run;
 }
 
+const TOKEN_GAP_MS = 20;
 const seeds = Array.from({ length: 20 }, (_, index) => index + 1);
 
 describe('decideRollout', () => {
@@ -99,6 +104,7 @@
       rating: { behaviour: { ...GOOD, rating: 0.5 }, maxExposed: 500, metric: 'quality' },
       errors: { behaviour: { ...GOOD, errorShare: 0.3 }, maxExposed: 150, metric: 'errors' },
       latency: { behaviour: { ...GOOD, slowShare: 0.6 }, maxExposed: 150, metric: 'latency' },
+      pace: { behaviour: { ...GOOD, slowTokenShare: 0.6 }, maxExposed: 150, metric: 'latency' },
     };
     Object.entries(cases).forEach(([name, { behaviour, maxExposed, metric }]) => {
       it(`withdraws a version with worse ${name} within ${maxExposed} exposed requests`, () => {
