Let instances tell each other all suspects of a crash, and entry instances judge at once

A message between entry instances holds 4,000 bytes; a report with the suspects of a busy engine is larger and would never have been sent (found by reading). Reports are split, the traits are shorter, and each message starts with another one; tested by routing/crashFeed.

--- a/packages/routing/src/crashQuarantine.ts
+++ b/packages/routing/src/crashQuarantine.ts
@@ -4,7 +4,10 @@
 import type { Clock } from '@cactusstair/utils';
 import { systemClock } from '@cactusstair/utils';
 
-/** `clear` runs anywhere, `suspect` only in isolation, `quarantined` is refused with code 1110. */
+/**
+ * `clear` runs anywhere, `suspect` only in isolation. `quarantined` has the blame to be refused; the
+ * entry instance isolates these too and leaves the refusal to `CrashAttribution`.
+ */
 export type QuarantineClass = 'clear' | 'suspect' | 'quarantined';
 
 /** How a call ended. Only `completed` proves that the request does not crash its upstream. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -19,6 +19,7 @@
 export type { CrashCause, CrashSuspects, TraitHistory } from './crashCauses.js';
 export type { CrashReport } from './crashReport.js';
 export { findCrashCauses } from './crashCauses.js';
+export { CrashFeed } from './crashFeed.js';
 export type { CrashQuarantineOptions, QuarantineClass, RunOutcome } from './crashQuarantine.js';
 export { computeFingerprint, CrashQuarantine, MIN_PROGRESS_TOKENS } from './crashQuarantine.js';
 export type { PrefillSample, PrefillSums } from './engine/prefillEstimator.js';
--- a/packages/server/src/coordination.ts
+++ b/packages/server/src/coordination.ts
@@ -11,6 +11,7 @@
   SessionTokens,
 } from '@cactusstair/coordination';
 import type { CrashAttribution, CrashQuarantine } from '@cactusstair/routing';
+import { CrashFeed } from '@cactusstair/routing';
 import type { Clock, LifecycleManager, Logger, Random } from '@cactusstair/utils';
 
 import { AddressBook } from './peers/addressBook.js';
@@ -63,6 +64,7 @@
       lifecycle,
     } = options;
     const { id, region, zone } = settings.instance;
+    const crashFeed = new CrashFeed(crashes);
     this.store = new HttpObjectStore({
       baseUrl: settings.platform.objectApi,
       timeoutMs: settings.platform.requestTimeoutMs,
@@ -86,7 +88,7 @@
       getConfirmedAgeMs: () => this.replica.getConfirmedAgeMs(),
       exportQuarantine: () => quarantine.exportEntries(),
       importQuarantine: (entries) => quarantine.importEntries(entries),
-      exportCrashes: () => crashes.exportReports('all'),
+      exportCrashes: () => crashFeed.exportReports(),
       importCrashes: (reports) => crashes.importReports(reports),
     });
     this.membershipTask = new MembershipTask({
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -86,6 +86,8 @@
 
   private readonly crashes = new CrashAttribution({
     clock: this.clock,
+    // A crash is proved by a new incarnation, so a few tell the cause also right after a start.
+    minHistoryMs: 0,
     onCause: ({ traits, crashCount }) =>
       this.logger.info('found the cause of crashes', { traits, crashCount }),
   });
--- a/packages/server/src/requests/requestTraits.ts
+++ b/packages/server/src/requests/requestTraits.ts
@@ -3,6 +3,8 @@
 import type { ChatBody } from '../callers/chatBody.js';
 import { listMessageTexts } from '../callers/chatBody.js';
 
+/** Length of a trait in characters; instances exchange those of suspect requests. */
+const TRAIT_LENGTH = 12;
 /** Messages of a long conversation that are hashed, at its start and at its end. */
 const MAX_MESSAGES_EACH = 32;
 
@@ -22,5 +24,5 @@
       ? texts
       : [...texts.slice(0, MAX_MESSAGES_EACH), ...texts.slice(-MAX_MESSAGES_EACH)];
   const hashes = kept.map((text) => computeFingerprint(workspace, `message ${text}`));
-  return [fingerprint, ...new Set(hashes)];
+  return [...new Set([fingerprint, ...hashes].map((hash) => hash.slice(0, TRAIT_LENGTH)))];
 }
