Ask of the chat door what the users' rule asks: three requests later than contact_ms

The bound was mine and not the stated target: it counted from the fifth crash on, while the rule counts requests sent later than contact_ms after it. The test now plays until five crashes, waits contact_ms (3 s), and plays twelve rounds more, of which three may crash an engine.

--- a/tests/guarantees/crashingMessage.test.ts
+++ b/tests/guarantees/crashingMessage.test.ts
@@ -1,15 +1,18 @@
 import assert from 'node:assert/strict';
 import { after, before, describe, it } from 'node:test';
 
+import { systemClock, waitFor } from '@cactusstair/utils';
+
 import { TestCluster } from './support/testCluster.js';
 
 const INSTANCES = ['riga-a-1', 'riga-a-2'];
 const ENGINES = [1, 2, 3, 4].map((number) => `riga-a-engine-${number}`);
 const CRASHING_MESSAGE = 'Rules of the club. CRASH-ENGINE';
-/** Crashes after which requests with the message must no longer reach engines. */
+/** Crashes after which, within `CONTACT_MS`, all instances refuse requests with the message. */
 const MAX_CRASHES = 5;
-/** Requests with the message that may still reach engines after that. */
-const MAX_LATE_REQUESTS = 3;
+const CONTACT_MS = 3000;
+/** Crashes by requests that are sent later than that. */
+const MAX_LATE_CRASHES = 3;
 const ROUNDS = 12;
 const SOUND_TOKENS = 20;
 
@@ -38,19 +41,29 @@
   const countCrashes = async () =>
     (await test.listEngineRuns()).filter((run) => run.outcome === 'crashed').length;
 
+  /** Sends a request with the message, and a sound one that is alike but for the message. */
+  async function playRound(round: number): Promise<void> {
+    const url = test.getCallersUrl(INSTANCES[round % INSTANCES.length] ?? '');
+    const prompt = `Question ${round}`;
+    const context = 'Rules of the club.';
+    const sound = test.caller.chat(url, 'small', { context, prompt, maxTokens: SOUND_TOKENS });
+    await test.caller.chat(url, 'small', { context: CRASHING_MESSAGE, prompt });
+    assert.ok((await sound).isComplete, JSON.stringify(await sound));
+  }
+
   it('stops crashing engines, while sound requests that share the rest are answered', async () => {
-    for (let round = 0; round < ROUNDS; round += 1) {
-      const url = test.getCallersUrl(INSTANCES[round % INSTANCES.length] ?? '');
-      const prompt = `Question ${round}`;
-      const sound = test.caller.chat(url, 'small', {
-        context: 'Rules of the club.',
-        prompt,
-        maxTokens: SOUND_TOKENS,
-      });
-      await test.caller.chat(url, 'small', { context: CRASHING_MESSAGE, prompt });
-      assert.ok((await sound).isComplete, JSON.stringify(await sound));
+    let round = 0;
+    for (; round < ROUNDS && (await countCrashes()) < MAX_CRASHES; round += 1) {
+      await playRound(round);
     }
+    const startedAtMs = systemClock.monotonicMs();
+    await waitFor(() => systemClock.monotonicMs() - startedAtMs >= CONTACT_MS, {
+      what: 'the instances to have told each other',
+      timeoutMs: 2 * CONTACT_MS,
+    });
     const crashes = await countCrashes();
-    assert.ok(crashes <= MAX_CRASHES + MAX_LATE_REQUESTS, `${crashes} crashes`);
+    for (let late = 0; late < ROUNDS; late += 1) await playRound(round + late);
+    const lateCrashes = (await countCrashes()) - crashes;
+    assert.ok(lateCrashes <= MAX_LATE_CRASHES, `${lateCrashes} crashes after ${crashes}`);
   });
 });
