Log what upstreams say about themselves in the heads of their answers

The dialect decodes all three, one function checks the heads of answers on both kinds of routes, and each change is a line. Nothing acts on them yet.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -33,6 +33,7 @@
   Dialect,
   PromptPart,
   RelayRequest,
+  UpstreamNotice,
 } from './requests/relayRequest.js';
 export type { RolloutOrder, RolloutProgress, RolloutState } from './rollouts/rolloutOrder.js';
 export type { UpstreamRecord } from './upstreams/upstreamRecord.js';
@@ -62,6 +63,7 @@
   describeBadVersion,
 } from './rollouts/versionEvidence.js';
 export { Upstream } from './upstreams/upstream.js';
+export { UpstreamNotices } from './upstreams/upstreamNotices.js';
 export { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 export type { Selection, SelectionRequest } from './upstreams/upstreamSelector.js';
 export { selectUpstream } from './upstreams/upstreamSelector.js';
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -26,6 +26,7 @@
 import { CrashDetector } from './upstreams/crashDetector.js';
 import type { Upstream } from './upstreams/upstream.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
+import { UpstreamNotices } from './upstreams/upstreamNotices.js';
 import { ZoneReachability } from './upstreams/zoneReachability.js';
 
 /** Options of `RelayNode`. */
@@ -71,6 +72,8 @@
 
   private readonly directory: UpstreamDirectory;
 
+  private readonly notices: UpstreamNotices;
+
   private readonly engines = new EngineEstimators();
 
   private readonly rollouts: RolloutRouter;
@@ -120,6 +123,9 @@
           zone: record.zone,
         }),
     });
+    this.notices = new UpstreamNotices({
+      onEvent: (event, fields) => log.write(`upstream_${event}`, fields),
+    });
     this.rollouts = new RolloutRouter({
       clock: this.clock,
       sessionTtlMs: bounds.sessionTtlMs,
@@ -260,6 +266,7 @@
       zone: this.options.zone,
       dialect: this.options.dialect,
       directory: this.directory,
+      notices: this.notices,
       reachability: new ZoneReachability(this.clock),
       engines: this.engines,
       rollouts: this.rollouts,
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -2,6 +2,7 @@
 
 import { computeUrgency, estimateNominalMs } from '@cactusstair/routing';
 import type { SuspectRun } from '@cactusstair/routing';
+import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
 import type { EngineProfile } from '../config/relayConfig.js';
@@ -27,6 +28,9 @@
 /** Added to waits that are compared, so that a difference of milliseconds is not a large ratio. */
 const MIN_EXPECTED_WAIT_MS = 50;
 
+/** Misdirected Request: another upstream than the expected one listens at the address. */
+export const MISDIRECTED_STATUS = 421;
+
 /** A request with the service, engine and traits resolved for it. */
 export interface RelayJob {
   exchange: Exchange;
@@ -294,12 +298,32 @@
   return new Attempt(context, job, selection, options, model);
 }
 
+/**
+ * Decodes and checks the head of an attempt's answer, and records what the upstream says in it about
+ * itself.
+ */
+export function readAnswerHead(
+  attempt: Attempt,
+  answer: IncomingMessage,
+): Result<AnswerHead, CallFailure> {
+  const { dialect, notices } = attempt.context;
+  const status = answer.statusCode ?? 0;
+  const head = dialect.decodeAnswer(status, answer.headers);
+  const mismatch = checkAnswer(attempt, head);
+  if (mismatch) return err(mismatch);
+  // Another upstream than the one that was called answers with this status.
+  if (status !== MISDIRECTED_STATUS) {
+    notices.record(attempt.upstream.record, dialect.decodeNotice(status, answer.headers));
+  }
+  return ok(head);
+}
+
 /**
  * Checks that an answer belongs to this request, is signed and is not encoded.
  *
  * @returns the failure, or undefined when the answer may be used.
  */
-export function checkAnswer(attempt: Attempt, head: AnswerHead): CallFailure | undefined {
+function checkAnswer(attempt: Attempt, head: AnswerHead): CallFailure | undefined {
   const { id } = attempt.job.request;
   // A refusal may come before the upstream has read the id.
   const isForeign = head.requestId !== id && !(head.isNotRun && head.requestId === undefined);
--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -3,6 +3,7 @@
 
 import type { CallFailure } from '../upstreams/upstreamCall.js';
 import type { Attempt, RelayJob } from './attempt.js';
+import { MISDIRECTED_STATUS } from './attempt.js';
 import type { RelayContext } from './relayContext.js';
 
 /** An upstream's error answer, kept to be sent if no other attempt succeeds. */
@@ -32,8 +33,6 @@
  * Attempts that reach no upstream do not count against the route's limit; this bounds them as well.
  */
 const MAX_TRIES = 8;
-/** Misdirected Request: another upstream than the expected one listens at the address. */
-const MISDIRECTED_STATUS = 421;
 
 /** Records the attempts of one request and decides whether another one may follow. */
 export class AttemptTracker {
--- a/packages/relay/src/requests/bufferedRelay.ts
+++ b/packages/relay/src/requests/bufferedRelay.ts
@@ -1,5 +1,5 @@
 import type { Attempt, RelayJob } from './attempt.js';
-import { checkAnswer, openAttempt } from './attempt.js';
+import { openAttempt, readAnswerHead } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
 import { AttemptTracker } from './attemptTracker.js';
 import type { RelayContext } from './relayContext.js';
@@ -21,17 +21,11 @@
   if (head.isErr()) return head.error;
   const answer = head.value;
   const status = answer.statusCode ?? 0;
-  const answerHead = context.dialect.decodeAnswer(status, answer.headers);
-  const mismatch = checkAnswer(attempt, answerHead);
-  if (mismatch) {
-    answer.on('error', () => {});
-    return mismatch;
-  }
-  if (answerHead.isNotRun) {
-    // The status says all, and the body might never end.
-    answer.on('error', () => {});
-    return { type: 'not_run', status };
-  }
+  const checked = readAnswerHead(attempt, answer);
+  // If the head says all, the body is not read, as it might never end.
+  if (checked.isErr() || checked.value.isNotRun) answer.on('error', () => {});
+  if (checked.isErr()) return checked.error;
+  if (checked.value.isNotRun) return { type: 'not_run', status };
   const body = await attempt.readBody(answer);
   if (body.isErr()) return body.error;
   const headers = context.dialect.listAnswerHeaders(answer.rawHeaders);
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -7,6 +7,7 @@
 import type { EngineEstimators } from '../upstreams/engineEstimators.js';
 import type { Upstream } from '../upstreams/upstream.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
+import type { UpstreamNotices } from '../upstreams/upstreamNotices.js';
 import type { ZoneReachability } from '../upstreams/zoneReachability.js';
 import type { Dialect } from './relayRequest.js';
 import type { StallMonitor } from './stallMonitor.js';
@@ -18,6 +19,7 @@
   zone: string;
   dialect: Dialect;
   directory: UpstreamDirectory;
+  notices: UpstreamNotices;
   reachability: ZoneReachability;
   engines: EngineEstimators;
   rollouts: RolloutRouter;
--- a/packages/relay/src/requests/relayRequest.ts
+++ b/packages/relay/src/requests/relayRequest.ts
@@ -59,6 +59,16 @@
   isEncoded: boolean;
 }
 
+/** What an upstream says about itself in the head of an answer. */
+export interface UpstreamNotice {
+  /** Whether the upstream is about to shut down. */
+  isLeaving: boolean;
+  /** Requests a second that it takes from all instances together; undefined without a limit. */
+  requestsPerSecond: number | undefined;
+  /** Time for which it wants no requests from this instance, in milliseconds; undefined for none. */
+  pauseMs: number | undefined;
+}
+
 /** Translates between relay requests and the HTTP headers of a platform. */
 export interface Dialect {
   /** Decodes the head of a caller's request. */
@@ -71,6 +81,8 @@
   /** Creates the headers of one attempt as alternating names and values. */
   encodeAttempt(request: RelayRequest, fields: AttemptFields): string[];
   decodeAnswer(status: number, headers: IncomingHttpHeaders): AnswerHead;
+  /** Decodes what the head of an answer says about the upstream. */
+  decodeNotice(status: number, headers: IncomingHttpHeaders): UpstreamNotice;
   /** Returns the headers of an answer to forward to the caller, without hop-by-hop headers. */
   listAnswerHeaders(rawHeaders: readonly string[]): string[];
 }
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -1,7 +1,12 @@
 import type { IncomingMessage } from 'node:http';
 
 import type { Attempt, RelayJob } from './attempt.js';
-import { checkAnswer, estimateFirstEventMs, hasUpstreamWithRoom, openAttempt } from './attempt.js';
+import {
+  estimateFirstEventMs,
+  hasUpstreamWithRoom,
+  openAttempt,
+  readAnswerHead,
+} from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
 import { AttemptTracker } from './attemptTracker.js';
 import { EventSplitter } from './eventSplitter.js';
@@ -121,9 +126,9 @@
     const { context } = this;
     answer.on('error', () => {});
     const status = answer.statusCode ?? 0;
-    const head = context.dialect.decodeAnswer(status, answer.headers);
-    const mismatch = checkAnswer(attempt, head);
-    if (mismatch) return mismatch;
+    const checked = readAnswerHead(attempt, answer);
+    if (checked.isErr()) return checked.error;
+    const head = checked.value;
     if (head.isNotRun) return { type: 'not_run', status };
     if (status >= 300) {
       this.recordOutcome(attempt, true);
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -177,5 +177,20 @@
       assert.equal(isNotRun(503, {}), false);
       assert.equal(isNotRun(429, {}), false);
     });
+
+    it('reads what the head of an answer says about its upstream', () => {
+      const silent = { isLeaving: false, requestsPerSecond: undefined, pauseMs: undefined };
+      const decode = (status: number, all: Record<string, string>) =>
+        platformDialect.decodeNotice(status, all);
+      assert.deepEqual(decode(200, {}), silent);
+      assert.deepEqual(decode(200, { 'server-leaving': '1' }), { ...silent, isLeaving: true });
+      assert.deepEqual(decode(503, { 'server-limit': '3.5' }), {
+        ...silent,
+        requestsPerSecond: 3.5,
+      });
+      assert.deepEqual(decode(200, { 'server-limit': 'many' }), silent);
+      assert.deepEqual(decode(503, { 'retry-after': '1.5' }), { ...silent, pauseMs: 1500 });
+      assert.deepEqual(decode(429, { 'retry-after': '1.5' }), silent);
+    });
   });
 });
