--- a/tests/relay/support/scriptedUpstream.ts
+++ b/tests/relay/support/scriptedUpstream.ts
@@ -151,9 +151,13 @@
 export const LAST_CHUNK = '0\r\n\r\n';
 
 /** Formats a whole stream of the events after the request's `Last-Event-ID`, up to `last`. */
-export function formatRest(request: ReceivedRequest, last: number): string {
+export function formatRest(
+  request: ReceivedRequest,
+  last: number,
+  headers: Record<string, string> = {},
+): string {
   const first = Number(request.headers['last-event-id'] ?? '0') + 1;
-  return formatStreamHead(request) + formatChunk(formatEvents(first, last)) + LAST_CHUNK;
+  return formatStreamHead(request, headers) + formatChunk(formatEvents(first, last)) + LAST_CHUNK;
 }
 
 /** Streams the events after the request's `Last-Event-ID`, up to `last`. */
