Divide the limit that an upstream names among the instances

What upstreams saw: six of eight engines named limits of 1.9 to 5.2 requests a second and got 7 to 13, as before. Cause: nothing read the header, and there was nothing to keep a limit with that holds for all instances together (class: a bound over the whole fleet that each instance would have to know its part of; the retry budget has a static part, limits had none).

Now each instance tells the others the limits that it hears of, the newest statement about an upstream holds, and all divide the limits by one rule without asking each other: first among instances of the upstream's zone, few holders to an upstream, so that the requests they may save up stay small. The one place that opens attempts counts, so that retries, larger models and resumed streams are included; connections that only check for a crash send no request. A request that no upstream accepts within the wait for room is refused at once, with a Retry-After that says when one will.

The choice of upstreams moved out of attempt.ts.

--- a/packages/relay/src/peers/fleetReport.ts
+++ b/packages/relay/src/peers/fleetReport.ts
@@ -36,20 +36,32 @@
 }
 
 /** The contribution of one instance or zone to a report. */
-export type ReportPart = Pick<FleetReport, 'count' | 'loads' | 'evidence' | 'engines' | 'pins'>;
+export type ReportPart = Pick<
+  FleetReport,
+  'count' | 'countByZone' | 'loads' | 'evidence' | 'engines' | 'pins'
+>;
 
-/** Builds a report by summing its parts. */
+/**
+ * Builds a report by summing its parts.
+ *
+ * @param zone zone of the parts that are single instances
+ */
 export function createFleetReport(
   scope: FleetReport['scope'],
+  zone: string,
   parts: readonly ReportPart[],
 ): FleetReport {
   const loads: UpstreamLoads = {};
   const evidence: Record<string, EvidenceSums> = {};
   const engines = createEngineSums();
   const pins = new Set<string>();
+  const countByZone: Record<string, number> = {};
   let count = 0;
   for (const part of parts) {
     count += part.count;
+    for (const [name, inZone] of Object.entries(part.countByZone ?? { [zone]: part.count })) {
+      countByZone[name] = (countByZone[name] ?? 0) + inZone;
+    }
     addLoads(loads, part.loads);
     addEngineSums(engines, part.engines ?? {});
     for (const [key, sums] of Object.entries(part.evidence)) {
@@ -59,5 +71,5 @@
     }
     for (const pin of part.pins) if (pins.size < MAX_REPORTED_PINS) pins.add(pin);
   }
-  return { scope, count, loads, evidence, engines, pins: [...pins] };
+  return { scope, count, countByZone, loads, evidence, engines, pins: [...pins] };
 }
--- a/packages/relay/src/peers/fleetSums.ts
+++ b/packages/relay/src/peers/fleetSums.ts
@@ -63,6 +63,26 @@
     return this.findReporter(maxAgeMs)?.message.report;
   }
 
+  /** Counts the instances of each other zone. */
+  countOtherZones(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    const add = (zone: string, count: number) => {
+      if (zone !== this.zone) counts[zone] = (counts[zone] ?? 0) + count;
+    };
+    const role = this.getRole();
+    if (role === 'member') {
+      const { countByZone = {} } = this.findFleetReport() ?? {};
+      for (const [zone, count] of Object.entries(countByZone)) add(zone, count);
+    } else if (role === 'reporter') {
+      for (const { countByZone = {} } of this.listOtherZoneReports(LOST_AFTER_MS)) {
+        for (const [zone, count] of Object.entries(countByZone)) add(zone, count);
+      }
+    } else {
+      for (const { message } of this.table.listRecentPeers(LOST_AFTER_MS)) add(message.zone, 1);
+    }
+    return counts;
+  }
+
   /** Sums the loads of the instances in other zones, which do not send notices to this one. */
   sumRemoteLoads(maxAgeMs: number): UpstreamLoads {
     const role = this.getRole();
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -1,7 +1,7 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
 
-import type { CrashAttribution } from '@cactusstair/routing';
+import type { CrashAttribution, InstanceGroup, UpstreamLimits } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 
 import type { ClockReading } from '../follow/clockReading.js';
@@ -30,6 +30,7 @@
   engines: EngineEstimators;
   rollouts: RolloutRouter;
   crashes: CrashAttribution;
+  limits: UpstreamLimits;
   /** Returns the view states that this instance has confirmed. */
   listViews: () => Partial<Record<ViewName, ViewState>>;
   /**
@@ -144,6 +145,7 @@
       this.send();
       this.loads.refresh(STALE_AFTER_MS);
       this.options.engines.importPeerSums(this.sums.sumEngines());
+      this.options.limits.refresh();
       await this.options.clock.sleep(SEND_INTERVAL_MS, signal);
     }
   }
@@ -193,6 +195,17 @@
     return Math.max(this.listLiveInstances().length, this.sums.findFleetReport()?.count ?? 0);
   }
 
+  /** Returns the instances of all zones, including those that are leaving but still serve. */
+  describeGroup(): InstanceGroup {
+    const { name, zone } = this.options.self;
+    const neighbours = this.table.listPresentNames(zone);
+    return {
+      countByZone: { ...this.sums.countOtherZones(), [zone]: neighbours.length + 1 },
+      zone,
+      index: neighbours.filter((other) => other < name).length,
+    };
+  }
+
   listEvidence(): Record<string, EvidenceSums>[] {
     const own = this.options.rollouts.exportEvidence();
     if (!this.hasReporters) {
@@ -267,11 +280,14 @@
     }
     if (this.ticks % REPORT_INTERVAL_TICKS !== 0) return;
     const message = this.createMessage();
-    const zone = createFleetReport('zone', [
+    const zone = createFleetReport('zone', self.zone, [
       { ...message, count: 1 },
       ...this.sums.listZoneParts(),
     ]);
-    const fleet = createFleetReport('fleet', [zone, ...this.sums.listOtherZoneReports()]);
+    const fleet = createFleetReport('fleet', self.zone, [
+      zone,
+      ...this.sums.listOtherZoneReports(),
+    ]);
     const remoteLoads = this.sums.sumRemoteLoads(STALE_AFTER_MS);
     const otherZones = this.table.listZones().filter((name) => name !== self.zone);
     const remote = otherZones.flatMap((name) => this.table.chooseReporters(name));
@@ -288,8 +304,10 @@
   }
 
   private createMessage(): PeerMessage {
-    const { self, clock, crashes, engines, listViews, rollouts } = this.options;
+    const { self, clock, crashes, engines, limits, listViews, rollouts } = this.options;
     const loads = this.loads.createOwnLoads();
+    // Reporters pass on what the instances of their zone saw.
+    const scope = this.role === 'reporter' ? 'all' : 'own';
     this.sequence += 1;
     this.sentMessages.set(this.sequence, { sentAt: readClocks(clock), loads });
     this.sentMessages.delete(this.sequence - MAX_SENT_MESSAGES);
@@ -303,8 +321,8 @@
       loads,
       evidence: rollouts.exportEvidence(),
       engines: engines.exportSums(),
-      // Reporters pass on what the instances of their zone saw.
-      crashes: crashes.exportReports(this.role === 'reporter' ? 'all' : 'own'),
+      crashes: crashes.exportReports(scope),
+      limits: limits.exportReports(scope),
       pins: rollouts.exportPins(),
       views: listViews(),
       echoes: this.listEchoes(),
@@ -369,6 +387,7 @@
       this.loads.record(message.name, message.loads, STALE_AFTER_MS);
     }
     this.options.crashes.importReports(message.crashes);
+    this.options.limits.importReports(message.limits ?? []);
     this.options.rollouts.importPins([...message.pins, ...(message.report?.pins ?? [])]);
     this.applyViews(message);
   }
--- a/packages/relay/src/peers/peerMessage.ts
+++ b/packages/relay/src/peers/peerMessage.ts
@@ -1,4 +1,4 @@
-import type { CrashReport } from '@cactusstair/routing';
+import type { CrashReport, LimitReport } from '@cactusstair/routing';
 
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
 import type { EngineSums } from '../upstreams/engineEstimators.js';
@@ -29,6 +29,8 @@
   scope: 'zone' | 'fleet';
   /** Number of instances covered. */
   count: number;
+  /** The same by zone; absent in reports of older builds. */
+  countByZone?: Record<string, number>;
   loads: Record<string, UpstreamLoad>;
   /** The part of the loads that comes from other zones; only in reports to the own zone. */
   remoteLoads?: Record<string, UpstreamLoad>;
@@ -54,6 +56,8 @@
   engines?: EngineSums;
   /** Checked when they are imported. */
   crashes: CrashReport[];
+  /** Limits that upstreams have named; absent in messages of older builds, checked on import. */
+  limits?: LimitReport[];
   /** Pin keys of sessions that stay on the old version during a rollout. */
   pins: string[];
   views: Partial<Record<ViewName, ViewState>>;
@@ -73,6 +77,8 @@
 const PREFILL_SUMS_LENGTH = 5;
 
 const UPSTREAM_LOAD_LENGTH = 3;
+/** Bounds the work that the report of a faulty instance can cause. */
+const MAX_ZONE_INSTANCES = 1000;
 
 /** Whether a value is a list of `length` numbers that can be added up. */
 function isAmounts(value: unknown, length: number): boolean {
@@ -95,6 +101,15 @@
   );
 }
 
+/** Whether a value holds numbers of instances or is absent; lists of these lengths are built. */
+function isCounts(value: unknown): boolean {
+  if (value === undefined) return true;
+  if (typeof value !== 'object' || value === null) return false;
+  return Object.values(value).every(
+    (count) => Number.isInteger(count) && count >= 0 && count <= MAX_ZONE_INSTANCES,
+  );
+}
+
 function isLoadNotice(value: object): value is LoadNotice {
   const { name, load } = value as Partial<LoadNotice>;
   return (
@@ -118,13 +133,15 @@
     typeof message.evidence === 'object' &&
     message.evidence !== null &&
     Array.isArray(message.crashes) &&
+    (message.limits === undefined || Array.isArray(message.limits)) &&
     Array.isArray(message.pins) &&
     typeof message.views === 'object' &&
     message.views !== null &&
     typeof message.echoes === 'object' &&
     message.echoes !== null &&
     isEngineSums(message.engines) &&
-    isEngineSums(message.report?.engines)
+    isEngineSums(message.report?.engines) &&
+    isCounts(message.report?.countByZone)
   );
 }
 
--- a/packages/relay/src/peers/peerTable.ts
+++ b/packages/relay/src/peers/peerTable.ts
@@ -139,6 +139,22 @@
     return [...living.values()].sort(compareRecords).map(({ name }) => name);
   }
 
+  /**
+   * Returns the names of the peers of a zone that are running, as far as they or a reporter say,
+   * including those that are leaving.
+   */
+  listPresentNames(zone: string): string[] {
+    const nowMs = this.clock.monotonicMs();
+    const acknowledged = [...this.acknowledgedAtMs]
+      .filter(([, atMs]) => nowMs - atMs < LOST_AFTER_MS)
+      .map(([name]) => name)
+      .filter((name) => this.entries.get(name)?.record.zone === zone);
+    const recent = this.listRecentPeers(LOST_AFTER_MS)
+      .filter(({ message }) => message.zone === zone)
+      .map(({ message }) => message.name);
+    return [...new Set([...acknowledged, ...recent])].sort();
+  }
+
   /** Returns the rank of this instance among the peers named in `living`, starting at 0. */
   getRank(living: readonly string[]): number {
     return living.filter((name) => {
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -1,4 +1,4 @@
-import { CrashAttribution } from '@cactusstair/routing';
+import { CrashAttribution, UpstreamLimits } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 import { LifecycleManager, systemClock } from '@cactusstair/utils';
 
@@ -19,13 +19,15 @@
 import { RetryBudgets } from './requests/retryBudgets.js';
 import { StallMonitor } from './requests/stallMonitor.js';
 import type { TrackedOrder } from './rollouts/rolloutRouter.js';
-import { RolloutRouter } from './rollouts/rolloutRouter.js';
+import { formatVersionKey, RolloutRouter } from './rollouts/rolloutRouter.js';
 import { RolloutController } from './rollouts/rolloutController.js';
 import { StoreViews } from './storeViews.js';
 import { EngineEstimators } from './upstreams/engineEstimators.js';
 import { CrashDetector } from './upstreams/crashDetector.js';
 import type { Upstream } from './upstreams/upstream.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
+import type { UpstreamEvent } from './upstreams/upstreamDirectory.js';
+import type { UpstreamRecord } from './upstreams/upstreamRecord.js';
 import { UpstreamNotices } from './upstreams/upstreamNotices.js';
 import { ZoneReachability } from './upstreams/zoneReachability.js';
 
@@ -72,6 +74,8 @@
 
   private readonly directory: UpstreamDirectory;
 
+  private readonly limits: UpstreamLimits;
+
   private readonly notices: UpstreamNotices;
 
   private readonly engines = new EngineEstimators();
@@ -115,15 +119,15 @@
       clock: this.clock,
       isStoreDisturbed: () => this.views.isStoreDisturbed(),
       getStoreRestoredAgeMs: () => this.views.upstreams.getRestoredAgeMs(),
-      onEvent: (event, record) =>
-        log.write(`upstream_${event}`, {
-          upstream: record.id,
-          service: record.service,
-          version: record.version,
-          zone: record.zone,
-        }),
+      onEvent: (event, record) => this.handleUpstreamEvent(event, record),
+    });
+    this.limits = new UpstreamLimits({
+      clock: this.clock,
+      getGroup: () => this.peers.describeGroup(),
+      findUpstream: (id) => this.describeLimited(id),
     });
     this.notices = new UpstreamNotices({
+      limits: this.limits,
       onEvent: (event, fields) => log.write(`upstream_${event}`, fields),
     });
     this.rollouts = new RolloutRouter({
@@ -138,6 +142,7 @@
       engines: this.engines,
       rollouts: this.rollouts,
       crashes: this.crashes,
+      limits: this.limits,
       listViews: () => this.views.shared.listStates(),
       onPeerView: (name, state, since) => this.views.shared.applyPeerState(name, state, since),
       onEvent: (event, name) => log.write(event, { peer: name }),
@@ -311,6 +316,20 @@
     });
   }
 
+  private handleUpstreamEvent(event: UpstreamEvent, record: UpstreamRecord): void {
+    const { id, service, version, zone } = record;
+    this.options.log.write(`upstream_${event}`, { upstream: id, service, version, zone });
+    if (event === 'restarted') this.notices.forget(record);
+    this.limits.refresh();
+  }
+
+  /** Describes an upstream whose limit the instances divide; undefined if it gets no requests. */
+  private describeLimited(id: string): { pool: string; zone: string } | undefined {
+    const record = this.directory.find(id)?.record;
+    if (!record || record.isDraining) return undefined;
+    return { pool: formatVersionKey(record.service, record.version), zone: record.zone };
+  }
+
   private recordCrash(upstream: Upstream): void {
     const { id, record } = upstream;
     upstream.recordDown();
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -1,20 +1,25 @@
 import type { IncomingMessage } from 'node:http';
 
-import { computeUrgency, estimateNominalMs } from '@cactusstair/routing';
+import { computeUrgency } from '@cactusstair/routing';
 import type { SuspectRun } from '@cactusstair/routing';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
-import type { EngineProfile } from '../config/relayConfig.js';
 import type { RunningCall, Upstream } from '../upstreams/upstream.js';
 import type { CallFailure } from '../upstreams/upstreamCall.js';
 import { UpstreamCall } from '../upstreams/upstreamCall.js';
-import { selectUpstream } from '../upstreams/upstreamSelector.js';
 import type { Selection } from '../upstreams/upstreamSelector.js';
 import type { Exchange } from './exchange.js';
 import type { RelayContext } from './relayContext.js';
-import type { AnswerHead, RelayRequest } from './relayRequest.js';
-import { estimateOutputTokens, estimateTimeFactor } from './sizePolicy.js';
+import type { RelayJob } from './relayJob.js';
+import type { AnswerHead } from './relayRequest.js';
+import { estimateOutputTokens } from './sizePolicy.js';
+import {
+  chooseUpstream,
+  estimateJobNominalMs,
+  estimateWorkMs,
+  getModel,
+} from './upstreamChoice.js';
 
 // A connection between zones opens in about 3 ms. A lost SYN is retransmitted only after a second,
 // so the request moves to another upstream well before that.
@@ -31,18 +36,6 @@
 /** Misdirected Request: another upstream than the expected one listens at the address. */
 export const MISDIRECTED_STATUS = 421;
 
-/** A request with the service, engine and traits resolved for it. */
-export interface RelayJob {
-  exchange: Exchange;
-  request: RelayRequest;
-  service: string;
-  engine: EngineProfile | undefined;
-  /** What the request has in common with others that may crash upstreams. */
-  traits: readonly string[];
-  /** Whether the request runs once although others with its traits crashed upstreams. */
-  isTrial: boolean;
-}
-
 /** Options of one attempt. */
 export interface AttemptOptions {
   /** Ids of upstreams that must not be selected. */
@@ -86,6 +79,9 @@
       heldTokens: engine ? request.promptTokens + estimateOutputTokens(request) : 0,
     };
     upstream.calls.add(this.running);
+    context.notices.recordSent(upstream.record);
+    if (engine)
+      context.engines.get(job.service).work.record(estimateWorkMs(job, options.sizeIndex));
     context.onLoadGrowth(upstream);
     const headers = context.dialect.encodeAttempt(request, {
       upstreamId: upstream.id,
@@ -208,67 +204,6 @@
   return workspace?.priority ?? route!.priority;
 }
 
-function getModel(job: RelayJob, sizeIndex: number | undefined): string | undefined {
-  if (sizeIndex === undefined) return job.request.model;
-  return job.exchange.route?.modelSizes[sizeIndex];
-}
-
-/** Nominal time in which an engine reads a part of the request's prompt. */
-function estimateJobNominalMs(
-  { exchange, request }: RelayJob,
-  sizeIndex: number | undefined,
-  uncachedTokens: number,
-): number {
-  const sizeCount = exchange.route?.modelSizes.length ?? 0;
-  const timeFactor = estimateTimeFactor(sizeIndex ?? sizeCount - 1, sizeCount);
-  return estimateNominalMs(uncachedTokens, request.promptTokens, timeFactor);
-}
-
-function chooseUpstream(
-  context: RelayContext,
-  job: RelayJob,
-  sizeIndex: number | undefined,
-  excluded: ReadonlySet<string>,
-): Selection | undefined {
-  const { request, service, engine } = job;
-  const usable = context.directory.listUsable(service);
-  const allowed = context.rollouts.filterUpstreams(service, request.session, usable);
-  const candidates = allowed.filter((upstream) => !excluded.has(upstream.id));
-  const model = getModel(job, sizeIndex);
-  const { prefill, queueBias } = context.engines.get(service);
-  return selectUpstream(candidates, {
-    zone: context.zone,
-    isZoneUnreachable: (zone) => context.reachability.isUnreachable(zone),
-    ...(engine ? { engine } : {}),
-    ...(model === undefined ? {} : { model }),
-    estimatePrefillMs: (uncachedTokens) =>
-      prefill.estimateMs(model ?? '', estimateJobNominalMs(job, sizeIndex, uncachedTokens)),
-    getQueueBiasMs: (zone) => queueBias.getMs(zone),
-    promptTokens: request.promptTokens,
-    heldTokens: request.promptTokens + estimateOutputTokens(request),
-    promptParts: request.promptParts,
-  });
-}
-
-/** Estimates the time to the first event of a model size; Infinity when no engine has room. */
-export function estimateFirstEventMs(
-  context: RelayContext,
-  job: RelayJob,
-  sizeIndex: number,
-): number {
-  return chooseUpstream(context, job, sizeIndex, new Set())?.firstEventMs ?? Infinity;
-}
-
-/** Whether an upstream that is not excluded has room for the request. */
-export function hasUpstreamWithRoom(
-  context: RelayContext,
-  job: RelayJob,
-  excluded: ReadonlySet<string>,
-  sizeIndex: number | undefined,
-): boolean {
-  return chooseUpstream(context, job, sizeIndex, excluded) !== undefined;
-}
-
 /**
  * Chooses an upstream and opens a call to it.
  *
--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -2,9 +2,11 @@
 import type { RetryBudget } from '@cactusstair/routing';
 
 import type { CallFailure } from '../upstreams/upstreamCall.js';
-import type { Attempt, RelayJob } from './attempt.js';
+import type { Attempt } from './attempt.js';
 import { MISDIRECTED_STATUS } from './attempt.js';
 import type { RelayContext } from './relayContext.js';
+import type { RelayJob } from './relayJob.js';
+import { getAcceptWaitMs } from './upstreamChoice.js';
 
 /** An upstream's error answer, kept to be sent if no other attempt succeeds. */
 export interface FailedAnswer {
@@ -180,11 +182,17 @@
     return handle(attempt, failure);
   }
 
+  /** Time until an upstream accepts the request, in milliseconds. */
+  get acceptWaitMs(): number {
+    return getAcceptWaitMs(this.context, this.job, this.excluded);
+  }
+
   /**
    * Answers the caller after the last attempt failed.
    *
    * @param unknown code to send when an upstream may have run the request
    * @param refused code to send when none did
+   * @param retryAfterMs shortest time after which a refused caller may return
    */
   sendFailure(unknown: ResultCodeName, refused: ResultCodeName, retryAfterMs: number): void {
     const { exchange } = this.job;
@@ -192,7 +200,7 @@
       const { status, headers, body } = this.lastAnswer;
       exchange.sendAnswer(status, headers, body);
     } else if (exchange.mayHaveRun) exchange.sendFailure(unknown, this.reason);
-    else exchange.sendFailure(refused, this.reason, retryAfterMs);
+    else exchange.sendFailure(refused, this.reason, this.computeRetryAfterMs(retryAfterMs));
   }
 
   /** Reason of the last failure. */
@@ -200,6 +208,12 @@
     return this.reason;
   }
 
+  /** Returns when an upstream will accept the request again, but no sooner than `minMs`. */
+  private computeRetryAfterMs(minMs: number): number {
+    const waitMs = this.acceptWaitMs;
+    return Number.isFinite(waitMs) ? Math.max(minMs, waitMs) : minMs;
+  }
+
   private get canRunAgain(): boolean {
     return (
       this.canRepeat &&
--- a/packages/relay/src/requests/bufferedRelay.ts
+++ b/packages/relay/src/requests/bufferedRelay.ts
@@ -1,8 +1,9 @@
-import type { Attempt, RelayJob } from './attempt.js';
+import type { Attempt } from './attempt.js';
 import { openAttempt, readAnswerHead } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
 import { AttemptTracker } from './attemptTracker.js';
 import type { RelayContext } from './relayContext.js';
+import type { RelayJob } from './relayJob.js';
 
 /** Outcome of one attempt. */
 type AttemptResult =
@@ -11,7 +12,8 @@
 // An unanswered idempotent request moves to another upstream after this many latency goals.
 const SILENCE_TIMEOUT_GOALS = 2;
 const MIN_SILENCE_TIMEOUT_MS = 400;
-const MAX_ROOM_CHECKS = 5;
+/** A request that no upstream accepts by then is refused. */
+const ROOM_TIMEOUT_MS = 200;
 const ROOM_CHECK_INTERVAL_MS = 40;
 /** Value of Retry-After in refusals: a few service times of a fully loaded upstream. */
 const RETRY_AFTER_MS = 400;
@@ -53,16 +55,18 @@
 async function waitForAttempt(
   context: RelayContext,
   job: RelayJob,
-  excluded: ReadonlySet<string>,
+  tracker: AttemptTracker,
 ): Promise<Attempt | undefined> {
+  const { excluded } = tracker;
   const { lastEventId } = job.request;
-  for (let check = 0; check < MAX_ROOM_CHECKS && !job.exchange.isOver; check += 1) {
+  const untilMs = context.clock.monotonicMs() + ROOM_TIMEOUT_MS;
+  for (;;) {
     const attempt = openAttempt(context, job, { excluded, sizeIndex: undefined, lastEventId });
     // Excluded upstreams stay excluded for this request, so waiting for them would not help.
-    if (attempt || excluded.size > 0) return attempt;
+    if (attempt || excluded.size > 0 || job.exchange.isOver) return attempt;
+    if (context.clock.monotonicMs() + tracker.acceptWaitMs >= untilMs) return undefined;
     await context.clock.sleep(ROOM_CHECK_INTERVAL_MS);
   }
-  return undefined;
 }
 
 /** Records an answer, successful or not, as evidence about the upstream's version. */
@@ -85,7 +89,7 @@
   const isIdempotent = route.kind === 'idempotent';
   const tracker = new AttemptTracker(context, job, isIdempotent);
   while (tracker.tryStartAttempt()) {
-    const attempt = await waitForAttempt(context, job, tracker.excluded);
+    const attempt = await waitForAttempt(context, job, tracker);
     if (!attempt) break;
     const silenceMs =
       isIdempotent && tracker.hasRunLeft
--- a/packages/relay/src/requests/requestHandler.ts
+++ b/packages/relay/src/requests/requestHandler.ts
@@ -3,10 +3,10 @@
 
 import type { ConfigIndex } from '../config/configIndex.js';
 import type { Route } from '../config/relayConfig.js';
-import type { RelayJob } from './attempt.js';
 import { relayBuffered } from './bufferedRelay.js';
 import { Exchange } from './exchange.js';
 import type { RelayContext } from './relayContext.js';
+import type { RelayJob } from './relayJob.js';
 import type { RelayRequest } from './relayRequest.js';
 import { relayStream } from './streamRelay.js';
 
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -1,18 +1,19 @@
 import type { IncomingMessage } from 'node:http';
 
-import type { Attempt, RelayJob } from './attempt.js';
-import {
-  estimateFirstEventMs,
-  hasUpstreamWithRoom,
-  openAttempt,
-  readAnswerHead,
-} from './attempt.js';
+import type { Attempt } from './attempt.js';
+import { openAttempt, readAnswerHead } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
 import { AttemptTracker } from './attemptTracker.js';
 import { EventSplitter } from './eventSplitter.js';
 import type { StreamEvent } from './eventSplitter.js';
 import type { RelayContext } from './relayContext.js';
+import type { RelayJob } from './relayJob.js';
 import { computeAcceptConfidence, estimatePressure } from './sizePolicy.js';
+import {
+  estimateFirstEventMs,
+  hasUpstreamWithRoom,
+  listAcceptingUpstreams,
+} from './upstreamChoice.js';
 import { StreamPace } from './streamPace.js';
 import { StreamProgress } from './streamProgress.js';
 
@@ -101,7 +102,8 @@
         sizeIndex: this.sizeIndex,
         lastEventId: this.lastEventId,
       });
-      if (attempt || exchange.isOver || context.clock.monotonicMs() >= untilMs) return attempt;
+      if (attempt || exchange.isOver) return attempt;
+      if (context.clock.monotonicMs() + this.tracker.acceptWaitMs >= untilMs) return undefined;
       await context.clock.sleep(ROOM_CHECK_INTERVAL_MS);
     }
   }
@@ -154,7 +156,7 @@
       return undefined;
     }
     const { latencyGoalMs } = job.exchange.route!;
-    const pressure = estimatePressure(context.directory.listUsable(job.service), latencyGoalMs);
+    const pressure = estimatePressure(listAcceptingUpstreams(context, job.service), latencyGoalMs);
     const elapsedMs = context.clock.monotonicMs() - job.exchange.arrivedMs;
     const firstEventMs = elapsedMs + estimateFirstEventMs(context, job, largest);
     // A dropped answer could not be replaced.
--- /dev/null
+++ b/packages/relay/src/requests/upstreamChoice.ts
@@ -0,0 +1,129 @@
+import { estimateNominalMs } from '@cactusstair/routing';
+
+import type { Upstream } from '../upstreams/upstream.js';
+import { selectUpstream } from '../upstreams/upstreamSelector.js';
+import type { Selection, SelectionRequest } from '../upstreams/upstreamSelector.js';
+import type { RelayContext } from './relayContext.js';
+import type { RelayJob } from './relayJob.js';
+import { estimateOutputTokens, estimateTimeFactor } from './sizePolicy.js';
+
+/** Returns the model to ask for: the one at `sizeIndex` of the route's sizes, or the caller's. */
+export function getModel(job: RelayJob, sizeIndex: number | undefined): string | undefined {
+  if (sizeIndex === undefined) return job.request.model;
+  return job.exchange.route?.modelSizes[sizeIndex];
+}
+
+/** Nominal time in which an engine reads a part of the request's prompt. */
+export function estimateJobNominalMs(
+  { exchange, request }: RelayJob,
+  sizeIndex: number | undefined,
+  uncachedTokens: number,
+): number {
+  const sizeCount = exchange.route?.modelSizes.length ?? 0;
+  const timeFactor = estimateTimeFactor(sizeIndex ?? sizeCount - 1, sizeCount);
+  return estimateNominalMs(uncachedTokens, request.promptTokens, timeFactor);
+}
+
+/** Returns the upstreams that may run the request, also those that accept no request now. */
+function listCandidates(
+  context: RelayContext,
+  { request, service }: RelayJob,
+  excluded: ReadonlySet<string>,
+): Upstream[] {
+  const usable = context.directory.listUsable(service);
+  const allowed = context.rollouts.filterUpstreams(service, request.session, usable);
+  return allowed.filter((upstream) => !excluded.has(upstream.id));
+}
+
+/** Returns the upstreams of a service that accept a request now. */
+export function listAcceptingUpstreams(context: RelayContext, service: string): Upstream[] {
+  return context.directory
+    .listUsable(service)
+    .filter(({ record }) => context.notices.getWaitMs(record) <= 0);
+}
+
+/** Work of a request at an engine, in milliseconds of the time of an assumed engine. */
+export function estimateWorkMs(job: RelayJob, sizeIndex: number | undefined): number {
+  return estimateJobNominalMs(job, sizeIndex, job.request.promptTokens);
+}
+
+function createSelectionRequest(
+  context: RelayContext,
+  job: RelayJob,
+  sizeIndex: number | undefined,
+): SelectionRequest {
+  const { request, service, engine } = job;
+  const model = getModel(job, sizeIndex);
+  const { prefill, queueBias } = context.engines.get(service);
+  return {
+    zone: context.zone,
+    isZoneUnreachable: (zone) => context.reachability.isUnreachable(zone),
+    ...(engine ? { engine } : {}),
+    ...(model === undefined ? {} : { model }),
+    estimatePrefillMs: (uncachedTokens) =>
+      prefill.estimateMs(model ?? '', estimateJobNominalMs(job, sizeIndex, uncachedTokens)),
+    getQueueBiasMs: (zone) => queueBias.getMs(zone),
+    promptTokens: request.promptTokens,
+    heldTokens: request.promptTokens + estimateOutputTokens(request),
+    promptParts: request.promptParts,
+  };
+}
+
+/**
+ * Chooses an upstream that has room and accepts a request now; undefined if there is none.
+ *
+ * Upstreams that limit the rate of their requests take few of any size. Small requests leave them
+ * to the large ones, unless nothing else has room.
+ */
+export function chooseUpstream(
+  context: RelayContext,
+  job: RelayJob,
+  sizeIndex: number | undefined,
+  excluded: ReadonlySet<string>,
+): Selection | undefined {
+  const accepting = listCandidates(context, job, excluded).filter(
+    ({ record }) => context.notices.getWaitMs(record) <= 0,
+  );
+  const request = createSelectionRequest(context, job, sizeIndex);
+  const { work } = context.engines.get(job.service);
+  if (job.engine && !work.isLarge(estimateWorkMs(job, sizeIndex))) {
+    const spare = accepting.filter(({ record }) => context.notices.hasSpare(record));
+    const selection = selectUpstream(spare, request);
+    if (selection) return selection;
+  }
+  return selectUpstream(accepting, request);
+}
+
+/** Estimates the time to the first event of a model size; Infinity when no engine has room. */
+export function estimateFirstEventMs(
+  context: RelayContext,
+  job: RelayJob,
+  sizeIndex: number,
+): number {
+  return chooseUpstream(context, job, sizeIndex, new Set())?.firstEventMs ?? Infinity;
+}
+
+/** Whether an upstream that is not excluded has room for the request. */
+export function hasUpstreamWithRoom(
+  context: RelayContext,
+  job: RelayJob,
+  excluded: ReadonlySet<string>,
+  sizeIndex: number | undefined,
+): boolean {
+  return chooseUpstream(context, job, sizeIndex, excluded) !== undefined;
+}
+
+/**
+ * Returns the time until one of the upstreams that may run the request accepts it, in milliseconds;
+ * Infinity if none may run it.
+ */
+export function getAcceptWaitMs(
+  context: RelayContext,
+  job: RelayJob,
+  excluded: ReadonlySet<string>,
+): number {
+  const waits = listCandidates(context, job, excluded).map(({ record }) =>
+    context.notices.getWaitMs(record),
+  );
+  return Math.min(Infinity, ...waits);
+}
--- a/packages/relay/src/upstreams/engineEstimators.ts
+++ b/packages/relay/src/upstreams/engineEstimators.ts
@@ -4,6 +4,7 @@
   createPrefillSums,
   PrefillEstimator,
   QueueBias,
+  WorkAverage,
 } from '@cactusstair/routing';
 
 /** Sums of prefill samples by service and model, as instances exchange them. */
@@ -28,6 +29,7 @@
 export interface ServiceEstimators {
   prefill: PrefillEstimator;
   queueBias: QueueBias;
+  work: WorkAverage;
 }
 
 /** What is learned about the engines of all services. */
@@ -37,7 +39,11 @@
   get(service: string): ServiceEstimators {
     let estimators = this.byService.get(service);
     if (!estimators) {
-      estimators = { prefill: new PrefillEstimator(), queueBias: new QueueBias() };
+      estimators = {
+        prefill: new PrefillEstimator(),
+        queueBias: new QueueBias(),
+        work: new WorkAverage(),
+      };
       this.byService.set(service, estimators);
     }
     return estimators;
--- a/packages/relay/src/upstreams/upstreamDirectory.ts
+++ b/packages/relay/src/upstreams/upstreamDirectory.ts
@@ -5,6 +5,9 @@
 import { Upstream } from './upstream.js';
 import type { UpstreamRecord } from './upstreamRecord.js';
 
+/** A change of the list; an upstream that has restarted has a new run under the same id. */
+export type UpstreamEvent = 'seen' | 'draining' | 'restarted' | 'gone' | 'missing';
+
 /** Options of `UpstreamDirectory`. */
 export interface UpstreamDirectoryOptions {
   clock: Clock;
@@ -12,7 +15,7 @@
   isStoreDisturbed: () => boolean;
   /** Time since the store became available again; Infinity when it had no outage. */
   getStoreRestoredAgeMs: () => number;
-  onEvent?: (event: 'seen' | 'draining' | 'gone' | 'missing', upstream: UpstreamRecord) => void;
+  onEvent?: (event: UpstreamEvent, upstream: UpstreamRecord) => void;
 }
 
 /** Entries that expired in a store outage are registered again within about this time after it. */
@@ -97,7 +100,8 @@
       return;
     }
     if (record.isDraining && !known.record.isDraining) this.options.onEvent?.('draining', record);
-    if (record.startedAtMs !== known.record.startedAtMs) known.restart();
+    const hasRestarted = record.startedAtMs !== known.record.startedAtMs;
+    if (hasRestarted) known.restart();
     if (record.service !== known.record.service) {
       this.byService.get(known.record.service)?.delete(known);
       const siblings = this.byService.get(record.service) ?? new Set<Upstream>();
@@ -105,6 +109,7 @@
     }
     known.record = record;
     known.missingSinceMs = undefined;
+    if (hasRestarted) this.options.onEvent?.('restarted', record);
   }
 
   private handleMissing(upstream: Upstream): void {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -30,8 +30,14 @@
   PrefillEstimator,
 } from './engine/prefillEstimator.js';
 export { QueueBias } from './engine/queueBias.js';
+export { WorkAverage } from './engine/workAverage.js';
 export type { UrgencyRequest } from './engine/requestUrgency.js';
 export { computeUrgency } from './engine/requestUrgency.js';
+export { RateAllowance } from './limits/rateAllowance.js';
+export type { InstanceGroup, LimitedUpstream } from './limits/rateLimitShares.js';
+export { computeRateShares } from './limits/rateLimitShares.js';
+export type { LimitReport, LimitScope, UpstreamLimitsOptions } from './limits/upstreamLimits.js';
+export { UpstreamLimits } from './limits/upstreamLimits.js';
 export type { CacheEvent, PrefixIndexOptions } from './prefixIndex.js';
 export { PrefixIndex } from './prefixIndex.js';
 export type { RetryBudgetOptions } from './retryBudget.js';
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -9,7 +9,7 @@
   RolloutRouter,
   UpstreamDirectory,
 } from '@cactusstair/relay';
-import { CrashAttribution } from '@cactusstair/routing';
+import { CrashAttribution, UpstreamLimits } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 import { ManualClock, systemClock, waitFor } from '@cactusstair/utils';
 
@@ -19,6 +19,7 @@
   exchange: PeerExchange;
   directory: UpstreamDirectory;
   crashes: CrashAttribution;
+  limits: UpstreamLimits;
   engines: EngineEstimators;
   rollouts: RolloutRouter;
   views: Partial<Record<ViewName, ViewState>>;
@@ -58,15 +59,18 @@
     const rollouts = new RolloutRouter({ clock, sessionTtlMs: 5000, canaryShare: 0.15 });
     const port = await findPort();
     const engines = new EngineEstimators();
-    const instance = { directory, crashes, engines, rollouts, views: {}, receivedViews: [], port };
+    const limits = new UpstreamLimits({
+      clock,
+      getGroup: () => typed.exchange.describeGroup(),
+      findUpstream: () => ({ pool: 'app v1', zone }),
+    });
+    const parts = { directory, crashes, limits, engines, rollouts };
+    const instance = { ...parts, views: {}, receivedViews: [], port };
     const typed = instance as unknown as Instance;
     typed.exchange = new PeerExchange({
       clock,
       self: { host: '127.0.0.1', port: instance.port, name, zone, capacity },
-      directory,
-      engines,
-      rollouts,
-      crashes,
+      ...parts,
       listViews: () => typed.views,
       onPeerView: (view, state, since) => typed.receivedViews.push({ name: view, state, since }),
     });
@@ -308,4 +312,17 @@
       });
     });
   });
+
+  it('divides the limit that an upstream named to one of them', async () => {
+    const [first, second] = await openPair();
+    first.limits.record('upstream', 1);
+    await waitFor(() => second.limits.getWaitMs('upstream') > 0, {
+      what: 'the second instance to hear of the limit',
+      timeoutMs: 3000,
+    });
+    for (const { exchange } of [first, second]) {
+      assert.deepEqual(exchange.describeGroup().countByZone, { 'zone-1': 2 });
+    }
+    assert.notEqual(first.exchange.describeGroup().index, second.exchange.describeGroup().index);
+  });
 });
