Send no requests to an upstream that says in its answers that it leaves

The relay followed the platform's list only, so a leaving upstream got requests until the list said so, or for good when the list did not (class: a belief about an upstream has one source, though the upstream itself says more).

The run of the upstream is remembered, also while its entry is missing: an entry that comes back does not make it usable, a later start does. What an answer says is booked to the run to which the request went.

--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -119,6 +119,7 @@
       clock: this.clock,
       isStoreDisturbed: () => this.views.isStoreDisturbed(),
       getStoreRestoredAgeMs: () => this.views.upstreams.getRestoredAgeMs(),
+      isLeaving: (record) => this.notices.isLeaving(record),
       onEvent: (event, record) => this.handleUpstreamEvent(event, record),
     });
     this.limits = new UpstreamLimits({
@@ -326,7 +327,7 @@
   /** Describes an upstream whose limit the instances divide; undefined if it gets no requests. */
   private describeLimited(id: string): { pool: string; zone: string } | undefined {
     const record = this.directory.find(id)?.record;
-    if (!record || record.isDraining) return undefined;
+    if (!record || record.isDraining || this.notices.isLeaving(record)) return undefined;
     return { pool: formatVersionKey(record.service, record.version), zone: record.zone };
   }
 
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -6,6 +6,7 @@
 import type { Result } from 'neverthrow';
 
 import type { RunningCall, Upstream } from '../upstreams/upstream.js';
+import type { UpstreamRecord } from '../upstreams/upstreamRecord.js';
 import type { CallFailure } from '../upstreams/upstreamCall.js';
 import { UpstreamCall } from '../upstreams/upstreamCall.js';
 import type { Selection } from '../upstreams/upstreamSelector.js';
@@ -49,6 +50,9 @@
 export class Attempt {
   readonly startedMs: number;
 
+  /** Describes the run of the upstream to which the request is sent. */
+  readonly record: UpstreamRecord;
+
   /** Number of events that were new to the caller. */
   eventCount = 0;
 
@@ -73,6 +77,7 @@
     const { exchange, request, engine } = job;
     const { upstream } = selection;
     this.startedMs = context.clock.monotonicMs();
+    this.record = upstream.record;
     this.sizeIndex = options.sizeIndex;
     this.running = {
       backlogMs: engine ? selection.backlogMs : 0,
@@ -248,7 +253,7 @@
   if (mismatch) return err(mismatch);
   // Another upstream than the one that was called answers with this status.
   if (status !== MISDIRECTED_STATUS) {
-    notices.record(attempt.upstream.record, dialect.decodeNotice(status, answer.headers));
+    notices.record(attempt.record, dialect.decodeNotice(status, answer.headers));
   }
   return ok(head);
 }
--- a/packages/relay/src/upstreams/upstreamDirectory.ts
+++ b/packages/relay/src/upstreams/upstreamDirectory.ts
@@ -15,6 +15,8 @@
   isStoreDisturbed: () => boolean;
   /** Time since the store became available again; Infinity when it had no outage. */
   getStoreRestoredAgeMs: () => number;
+  /** Whether an upstream says in its answers that it leaves, whatever the list says. */
+  isLeaving?: (upstream: UpstreamRecord) => boolean;
   onEvent?: (event: UpstreamEvent, upstream: UpstreamRecord) => void;
 }
 
@@ -54,7 +56,7 @@
   listUsable(service: string): Upstream[] {
     const found: Upstream[] = [];
     for (const upstream of this.byService.get(service) ?? []) {
-      if (upstream.record.isDraining) continue;
+      if (upstream.record.isDraining || this.options.isLeaving?.(upstream.record)) continue;
       if (upstream.missingSinceMs !== undefined && this.isRestoreGraceOver()) {
         this.remove(upstream);
         continue;
--- a/packages/relay/src/upstreams/upstreamNotices.ts
+++ b/packages/relay/src/upstreams/upstreamNotices.ts
@@ -10,36 +10,36 @@
   onEvent?: (event: 'leaving' | 'limit' | 'paused', fields: Record<string, unknown>) => void;
 }
 
-interface NoticeState {
-  /** Start of the run of the upstream that the notices are about. */
-  startedAtMs: number;
-  isLeaving: boolean;
-}
-
-// Runs of upstreams of which something is remembered; most say nothing about themselves.
-const MAX_UPSTREAMS = 10_000;
+const MAX_LEAVING = 10_000;
 
 /**
  * Remembers what upstreams say about themselves in the heads of their answers, and whether they
  * accept a request now.
  */
 export class UpstreamNotices {
-  private readonly states = new Map<string, NoticeState>();
+  /** Start of the run that said that it leaves, by upstream id. Entries outlive the list's. */
+  private readonly leaving = new Map<string, number>();
 
   constructor(private readonly options: UpstreamNoticesOptions) {}
 
   /** Records what the head of an answer of an upstream says. */
   record(upstream: UpstreamRecord, notice: UpstreamNotice): void {
     const { limits, onEvent } = this.options;
-    const known = this.find(upstream);
     const { isLeaving, requestsPerSecond, pauseMs } = notice;
     if (pauseMs !== undefined) onEvent?.('paused', { upstream: upstream.id, pauseMs });
     if (limits.record(upstream.id, requestsPerSecond)) {
       onEvent?.('limit', { upstream: upstream.id, requestsPerSecond: requestsPerSecond ?? null });
     }
-    if (known || !isLeaving) return;
-    this.add(upstream).isLeaving = true;
-    onEvent?.('leaving', { upstream: upstream.id });
+    if (isLeaving && !this.isLeaving(upstream)) {
+      this.addLeaving(upstream);
+      onEvent?.('leaving', { upstream: upstream.id });
+    }
+  }
+
+  /** Whether this run of an upstream has said that it leaves. */
+  isLeaving({ id, startedAtMs }: UpstreamRecord): boolean {
+    const leavingRunMs = this.leaving.get(id);
+    return leavingRunMs !== undefined && startedAtMs <= leavingRunMs;
   }
 
   /** Returns the time until an upstream accepts a request of this instance, in milliseconds. */
@@ -57,22 +57,15 @@
     this.options.limits.tryTake(id);
   }
 
-  /** Forgets what an earlier run of an upstream said. */
+  /** Forgets the limit that an earlier run of an upstream named. */
   forget({ id }: UpstreamRecord): void {
     this.options.limits.forget(id);
   }
 
-  private find({ id, startedAtMs }: UpstreamRecord): NoticeState | undefined {
-    const state = this.states.get(id);
-    return state && startedAtMs <= state.startedAtMs ? state : undefined;
-  }
-
-  private add({ id, startedAtMs }: UpstreamRecord): NoticeState {
-    const state = { startedAtMs, isLeaving: false };
-    this.states.delete(id);
-    this.states.set(id, state);
-    const oldest = this.states.size > MAX_UPSTREAMS ? this.states.keys().next() : undefined;
-    if (oldest && !oldest.done) this.states.delete(oldest.value);
-    return state;
+  private addLeaving({ id, startedAtMs }: UpstreamRecord): void {
+    this.leaving.delete(id);
+    this.leaving.set(id, startedAtMs);
+    const oldest = this.leaving.size > MAX_LEAVING ? this.leaving.keys().next() : undefined;
+    if (oldest && !oldest.done) this.leaving.delete(oldest.value);
   }
 }
--- a/tests/relay/support/memorySource.ts
+++ b/tests/relay/support/memorySource.ts
@@ -24,6 +24,10 @@
     this.record({ name, revision: this.revision, value, isDeleted: false });
   }
 
+  get(name: string): T | undefined {
+    return this.items.get(name)?.value;
+  }
+
   remove(name: string): void {
     this.revision += 1;
     this.items.delete(name);
--- a/tests/relay/support/relayFixture.ts
+++ b/tests/relay/support/relayFixture.ts
@@ -166,16 +166,18 @@
       startedAtMs: 0,
       ...overrides,
     });
-    await waitFor(
-      () => this.lines.join('').includes(`"event":"upstream_seen","upstream":"${id}"`),
-      {
-        what: `the relay to discover upstream ${id}`,
-        timeoutMs: 5000,
-      },
-    );
+    await this.waitForLine(`"event":"upstream_seen","upstream":"${id}"`);
     return upstream;
   }
 
+  /** Waits until the log contains a text `count` times. */
+  async waitForLine(text: string, count = 1): Promise<void> {
+    await waitFor(() => this.lines.join('').split(text).length > count, {
+      what: `${text} in the log`,
+      timeoutMs: 5000,
+    });
+  }
+
   async waitReady(): Promise<void> {
     await waitFor(() => this.node.isReady, { what: 'the relay to be ready', timeoutMs: 5000 });
   }
--- /dev/null
+++ b/tests/relay/upstreamNotices.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+
+import { sendRequest } from './support/caller.js';
+import { createRoute, RelayFixture } from './support/relayFixture.js';
+import { formatAnswer, formatRest } from './support/scriptedUpstream.js';
+
+const streamRoute = createRoute({
+  name: 'stream',
+  pathPrefix: '/stream/',
+  kind: 'stream',
+  isResumable: true,
+  maxAttempts: 3,
+});
+const REQUEST_COUNT = 20;
+
+describe('what upstreams say about themselves', () => {
+  let fixture: RelayFixture;
+
+  afterEach(async () => {
+    await fixture.close();
+  });
+
+  async function open(): Promise<void> {
+    fixture = await RelayFixture.open([createRoute(), streamRoute]);
+  }
+
+  /** Sends requests one after the other; returns the statuses that occurred. */
+  async function sendMany(path = '/app/item') {
+    const startedMs = performance.now();
+    const statuses = new Set<number>();
+    for (let sent = 0; sent < REQUEST_COUNT; sent += 1) {
+      statuses.add((await sendRequest(fixture.callerPort, { path })).status);
+    }
+    return { statuses: [...statuses], elapsedMs: performance.now() - startedMs };
+  }
+
+  /** Adds an upstream that answers every request, with extra headers. */
+  function addSound(id: string, headers: Record<string, string> = {}) {
+    return fixture.addUpstream(id, (socket, request) =>
+      socket.end(
+        request.path.startsWith('/stream/')
+          ? formatRest(request, 4, headers)
+          : formatAnswer(request, 200, 'ok', headers),
+      ),
+    );
+  }
+
+  describe('an upstream that says in its answers that it leaves', () => {
+    const headers = { 'Server-Leaving': '1' };
+
+    for (const path of ['/app/item', '/stream/item']) {
+      it(`gets no more requests for ${path}, though it is still listed as ready`, async () => {
+        await open();
+        const leaving = await addSound('leaving', headers);
+        await addSound('sound');
+        await fixture.waitReady();
+        assert.deepEqual((await sendMany(path)).statuses, [200]);
+        assert.ok(leaving.received.length <= 1, `${leaving.received.length} requests`);
+      });
+    }
+
+    it('gets no more requests when its entry was missing for a moment', async () => {
+      await open();
+      const leaving = await addSound('leaving', headers);
+      await fixture.waitReady();
+      assert.equal((await sendRequest(fixture.callerPort)).status, 200);
+      const { upstreams } = fixture.store;
+      const record = upstreams.get('leaving')!;
+      upstreams.remove('leaving');
+      await fixture.waitForLine('"event":"upstream_gone","upstream":"leaving"');
+      upstreams.put('leaving', record);
+      await fixture.waitForLine('"event":"upstream_seen","upstream":"leaving"', 2);
+      assert.equal((await sendRequest(fixture.callerPort)).status, 503);
+      assert.equal(leaving.received.length, 1);
+    });
+
+    it('gets requests again after a restart under the same id', async () => {
+      await open();
+      const upstream = await addSound('leaving', headers);
+      await fixture.waitReady();
+      assert.equal((await sendRequest(fixture.callerPort)).status, 200);
+      upstream.script = (socket, request) => socket.end(formatAnswer(request, 200, 'ok'));
+      const { upstreams } = fixture.store;
+      upstreams.put('leaving', { ...upstreams.get('leaving')!, startedAtMs: 5 });
+      await fixture.waitForLine('"event":"upstream_restarted"');
+      assert.deepEqual((await sendMany()).statuses, [200]);
+    });
+  });
+});
