Send nothing to an upstream for as long as it asks when it turns a request away

The relay took the refusal as one failure among others: the upstream became less likely, and got the next request at once when it was the only one left (class: what an upstream asks for is weighed as a cost, where it is a condition).

A pause is kept by upstream for this instance, and a shorter one does not end a longer one; a restart of the upstream ends it. Requests that no other upstream takes are refused at once, and told when the pause ends.

relay/upstreamNotices: the two tests without another upstream failed before, the two with one passed already.

--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -128,6 +128,7 @@
       findUpstream: (id) => this.describeLimited(id),
     });
     this.notices = new UpstreamNotices({
+      clock: this.clock,
       limits: this.limits,
       onEvent: (event, fields) => log.write(`upstream_${event}`, fields),
     });
--- a/packages/relay/src/upstreams/upstreamNotices.ts
+++ b/packages/relay/src/upstreams/upstreamNotices.ts
@@ -1,16 +1,26 @@
 import type { UpstreamLimits } from '@cactusstair/routing';
+import type { Clock } from '@cactusstair/utils';
 
 import type { UpstreamNotice } from '../requests/relayRequest.js';
 import type { UpstreamRecord } from './upstreamRecord.js';
 
 /** Options of `UpstreamNotices`. */
 export interface UpstreamNoticesOptions {
+  clock: Clock;
   limits: UpstreamLimits;
   /** Called when an upstream says something new about itself. */
   onEvent?: (event: 'leaving' | 'limit' | 'paused', fields: Record<string, unknown>) => void;
 }
 
-const MAX_LEAVING = 10_000;
+const MAX_UPSTREAMS = 10_000;
+
+/** Adds an entry as the newest one; removes the oldest when there are too many. */
+function putNewest(entries: Map<string, number>, id: string, value: number): void {
+  entries.delete(id);
+  entries.set(id, value);
+  const oldest = entries.size > MAX_UPSTREAMS ? entries.keys().next() : undefined;
+  if (oldest && !oldest.done) entries.delete(oldest.value);
+}
 
 /**
  * Remembers what upstreams say about themselves in the heads of their answers, and whether they
@@ -20,18 +30,21 @@
   /** Start of the run that said that it leaves, by upstream id. Entries outlive the list's. */
   private readonly leaving = new Map<string, number>();
 
+  /** End of the pause that an upstream has asked for, on the monotonic clock, by its id. */
+  private readonly pausedUntilMs = new Map<string, number>();
+
   constructor(private readonly options: UpstreamNoticesOptions) {}
 
   /** Records what the head of an answer of an upstream says. */
   record(upstream: UpstreamRecord, notice: UpstreamNotice): void {
     const { limits, onEvent } = this.options;
     const { isLeaving, requestsPerSecond, pauseMs } = notice;
-    if (pauseMs !== undefined) onEvent?.('paused', { upstream: upstream.id, pauseMs });
+    if (pauseMs !== undefined) this.recordPause(upstream, pauseMs);
     if (limits.record(upstream.id, requestsPerSecond)) {
       onEvent?.('limit', { upstream: upstream.id, requestsPerSecond: requestsPerSecond ?? null });
     }
     if (isLeaving && !this.isLeaving(upstream)) {
-      this.addLeaving(upstream);
+      putNewest(this.leaving, upstream.id, upstream.startedAtMs);
       onEvent?.('leaving', { upstream: upstream.id });
     }
   }
@@ -44,7 +57,7 @@
 
   /** Returns the time until an upstream accepts a request of this instance, in milliseconds. */
   getWaitMs({ id }: UpstreamRecord): number {
-    return this.options.limits.getWaitMs(id);
+    return Math.max(this.getPauseLeftMs(id), this.options.limits.getWaitMs(id));
   }
 
   /** Whether an upstream takes more requests than this instance sends to it. */
@@ -57,15 +70,25 @@
     this.options.limits.tryTake(id);
   }
 
-  /** Forgets the limit that an earlier run of an upstream named. */
+  /** Forgets what an earlier run of an upstream said. */
   forget({ id }: UpstreamRecord): void {
+    this.pausedUntilMs.delete(id);
     this.options.limits.forget(id);
   }
 
-  private addLeaving({ id, startedAtMs }: UpstreamRecord): void {
-    this.leaving.delete(id);
-    this.leaving.set(id, startedAtMs);
-    const oldest = this.leaving.size > MAX_LEAVING ? this.leaving.keys().next() : undefined;
-    if (oldest && !oldest.done) this.leaving.delete(oldest.value);
+  /** Records a pause; a shorter one does not end a longer one. */
+  private recordPause({ id }: UpstreamRecord, pauseMs: number): void {
+    const { clock, onEvent } = this.options;
+    const leftMs = this.getPauseLeftMs(id);
+    if (leftMs <= 0) onEvent?.('paused', { upstream: id, pauseMs });
+    putNewest(this.pausedUntilMs, id, clock.monotonicMs() + Math.max(leftMs, pauseMs));
+  }
+
+  private getPauseLeftMs(id: string): number {
+    const untilMs = this.pausedUntilMs.get(id);
+    if (untilMs === undefined) return 0;
+    const leftMs = untilMs - this.options.clock.monotonicMs();
+    if (leftMs <= 0) this.pausedUntilMs.delete(id);
+    return Math.max(0, leftMs);
   }
 }
--- a/tests/relay/upstreamNotices.test.ts
+++ b/tests/relay/upstreamNotices.test.ts
@@ -12,6 +12,7 @@
   isResumable: true,
   maxAttempts: 3,
 });
+const PATHS = ['/app/item', '/stream/item'];
 const REQUEST_COUNT = 20;
 
 describe('what upstreams say about themselves', () => {
@@ -49,7 +50,7 @@
   describe('an upstream that says in its answers that it leaves', () => {
     const headers = { 'Server-Leaving': '1' };
 
-    for (const path of ['/app/item', '/stream/item']) {
+    PATHS.forEach((path) => {
       it(`gets no more requests for ${path}, though it is still listed as ready`, async () => {
         await open();
         const leaving = await addSound('leaving', headers);
@@ -58,7 +59,7 @@
         assert.deepEqual((await sendMany(path)).statuses, [200]);
         assert.ok(leaving.received.length <= 1, `${leaving.received.length} requests`);
       });
-    }
+    });
 
     it('gets no more requests when its entry was missing for a moment', async () => {
       await open();
@@ -87,4 +88,55 @@
       assert.deepEqual((await sendMany()).statuses, [200]);
     });
   });
+
+  describe('an upstream that asks for a pause when it turns a request away', () => {
+    const PAUSE_S = 1.5;
+
+    function addFull(id: string) {
+      return fixture.addUpstream(id, (socket, request) =>
+        socket.end(
+          formatAnswer(request, 503, '', {
+            'X-Not-Executed': '1',
+            'Retry-After': String(PAUSE_S),
+          }),
+        ),
+      );
+    }
+
+    PATHS.forEach((path) => {
+      it(`gets no requests for ${path} until the pause is over`, async () => {
+        await open();
+        const full = await addFull('full');
+        await addSound('sound');
+        await fixture.waitReady();
+        const { statuses, elapsedMs } = await sendMany(path);
+        assert.deepEqual(statuses, [200]);
+        const pauses = elapsedMs / (PAUSE_S * 1000);
+        assert.ok(full.received.length <= 1 + pauses, `${full.received.length} requests`);
+      });
+    });
+
+    it('makes the relay reject requests at once when no other upstream is left', async () => {
+      await open();
+      const full = await addFull('full');
+      await fixture.waitReady();
+      assert.equal((await sendRequest(fixture.callerPort)).status, 503);
+      const answer = await sendRequest(fixture.callerPort);
+      assert.equal(answer.status, 503);
+      assert.ok(Number(answer.headers['retry-after']) > PAUSE_S / 2);
+      assert.equal(full.received.length, 1);
+    });
+
+    it('gets requests again after the pause', async () => {
+      await open();
+      const upstream = await addFull('full');
+      await fixture.waitReady();
+      await sendRequest(fixture.callerPort);
+      const pausedMs = performance.now();
+      upstream.script = (socket, request) => socket.end(formatAnswer(request, 200, 'ok'));
+      while ((await sendRequest(fixture.callerPort)).status !== 200);
+      assert.ok(performance.now() - pausedMs > PAUSE_S * 1000 * 0.9);
+      assert.equal(upstream.received.length, 2);
+    });
+  });
 });
