Ignore entries of upstreams that cannot be called

An entry with a port or an address out of range was listed and tried first, and moved on from (no caller saw it). Deep nesting and numbers too large do not end the reading of the list (platform/storeClient, platform/decoders keep it so).

Addresses are checked in one place, ids must fit a header, and a request that cannot be opened counts as not sent.

--- a/packages/relay/src/upstreams/upstreamCall.ts
+++ b/packages/relay/src/upstreams/upstreamCall.ts
@@ -49,7 +49,8 @@
  * at most, and no late, duplicate or missing answer to an earlier request can affect this one.
  */
 export class UpstreamCall {
-  private readonly outgoing: ClientRequest;
+  /** Undefined if the request cannot be expressed in HTTP. */
+  private readonly outgoing: ClientRequest | undefined;
 
   private readonly head: Promise<Result<IncomingMessage, CallFailure>>;
 
@@ -65,18 +66,13 @@
   private hasFailed = false;
 
   constructor(private readonly options: CallOptions) {
-    const { upstream, method, path, headers } = options;
-    this.outgoing = request({
-      // Half-open, so that the socket still exists when the end of the stream is read.
-      createConnection: () =>
-        connect({ host: upstream.record.host, port: upstream.record.port, allowHalfOpen: true }),
-      method,
-      path,
-      headers: headers as never,
-      setHost: false,
-    });
-    this.head = this.waitForHead();
-    this.outgoing.end(options.body.length > 0 ? options.body : undefined);
+    try {
+      this.outgoing = this.openRequest();
+      this.head = this.waitForHead(this.outgoing);
+      this.outgoing.end(options.body.length > 0 ? options.body : undefined);
+    } catch (error) {
+      this.head = Promise.resolve(err(this.createFailure((error as Error).message)));
+    }
   }
 
   /** Whether bytes of the request may have been sent. */
@@ -100,7 +96,7 @@
         chunks.push(chunk);
         if (size > this.options.maxBodyBytes) {
           resolve(err(this.createFailure('the answer body exceeds the size limit')));
-          this.outgoing.destroy();
+          this.outgoing?.destroy();
         }
       });
       answer.on('error', (error) => resolve(err(this.createDisconnect(error.message))));
@@ -123,7 +119,7 @@
   /** Cancels the call by closing its connection. */
   cancel(reason: string): void {
     this.cancelReason ??= reason;
-    this.outgoing.destroy();
+    this.outgoing?.destroy();
   }
 
   /** Creates the failure of a call without a usable answer; a cancellation overrides `reason`. */
@@ -142,18 +138,31 @@
     return failure.type === 'lost' ? { ...failure, isDisconnected: true } : failure;
   }
 
-  private waitForHead(): Promise<Result<IncomingMessage, CallFailure>> {
+  private openRequest(): ClientRequest {
+    const { upstream, method, path, headers } = this.options;
+    return request({
+      // Half-open, so that the socket still exists when the end of the stream is read.
+      createConnection: () =>
+        connect({ host: upstream.record.host, port: upstream.record.port, allowHalfOpen: true }),
+      method,
+      path,
+      headers: headers as never,
+      setHost: false,
+    });
+  }
+
+  private waitForHead(outgoing: ClientRequest): Promise<Result<IncomingMessage, CallFailure>> {
     const { upstream, connectTimeoutMs } = this.options;
     return new Promise((resolve) => {
       const handleTimeout = () => {
         if (this.isSent) return;
         this.hasTimedOut = true;
-        this.outgoing.destroy(new Error(`no connection in ${connectTimeoutMs} ms`));
+        outgoing.destroy(new Error(`no connection in ${connectTimeoutMs} ms`));
       };
       // Timers run before sockets are polled. The extra turn of the event loop detects a connection
       // that opened while this process was busy.
       const connectTimer = setTimeout(() => setImmediate(handleTimeout), connectTimeoutMs);
-      this.outgoing.on('socket', (socket) => {
+      outgoing.on('socket', (socket) => {
         socket.setNoDelay(true);
         // libuv reports a reset directly after the last bytes as an ordinary end of the stream. The
         // remote address is undefined only after a reset. The check must run before the HTTP client
@@ -168,17 +177,17 @@
           this.options.onConnect();
         });
       });
-      this.outgoing.on('error', (error) => {
+      outgoing.on('error', (error) => {
         clearTimeout(connectTimer);
         this.hasFailed = true;
         this.isRefused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
         resolve(err(this.createDisconnect(error.message)));
       });
-      this.outgoing.on('close', () => {
+      outgoing.on('close', () => {
         clearTimeout(connectTimer);
         resolve(err(this.createDisconnect('the connection was closed')));
       });
-      this.outgoing.on('response', (answer) => {
+      outgoing.on('response', (answer) => {
         upstream.recordProgress();
         resolve(ok(answer));
       });
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -41,11 +41,26 @@
         { ...entry, service: 5 },
         { ...entry, address: 'somewhere' },
         { ...entry, address: 8080 },
+        { ...entry, address: '10.0.0.9:99999' },
+        { ...entry, address: '10.0.0.9:0' },
+        { ...entry, address: '10.0.0.999:8080' },
+        { ...entry, address: '10.0.0:8080' },
         { ...entry, state: 'unheard-of' },
         { ...entry, state: undefined },
       ];
       for (const other of others) assert.equal(decodeUpstream('i-1', other), undefined);
     });
+
+    it('rejects ids that cannot be sent in a header', () => {
+      for (const id of ['', 'i 1', 'i-1\r\nx: y', 'i-\u4e00']) {
+        assert.equal(decodeUpstream(id, entry), undefined);
+      }
+    });
+
+    it('reads numbers that are too large as absent', () => {
+      const record = decodeUpstream('i-1', JSON.parse(JSON.stringify(entry).replace('6', '6e999')));
+      assert.equal(record?.slots, 1);
+    });
   });
 
   describe('decodeRollout', () => {
--- a/tests/platform/storeClient.test.ts
+++ b/tests/platform/storeClient.test.ts
@@ -41,6 +41,21 @@
   const openSource = () =>
     client.createSource('servers', (_name, spec) => (spec === 'bad' ? undefined : spec));
 
+  it('lists the sound entries beside one that is nested deeply', async () => {
+    const depth = 100_000;
+    const nested = `${'['.repeat(depth)}${']'.repeat(depth)}`;
+    await open((_request, response) => {
+      const items = [createObject('sound', 1, 'good'), createObject('odd', 2, 'SPEC')];
+      response.end(JSON.stringify({ items, at: 2 }).replace('"SPEC"', nested));
+    });
+    const { upstreams } = createPlatformStore(client);
+    const listed = await upstreams.list();
+    assert.deepEqual(listed.isOk() && listed.value.items.map(({ name, value }) => [name, value]), [
+      ['sound', undefined],
+      ['odd', undefined],
+    ]);
+  });
+
   it('reads all pages of a list and returns the revision of the first', async () => {
     const paths: string[] = [];
     await open((request, response) => {
