--- a/tests/platform/storeClient.test.ts
+++ b/tests/platform/storeClient.test.ts
@@ -45,15 +45,20 @@
     const depth = 100_000;
     const nested = `${'['.repeat(depth)}${']'.repeat(depth)}`;
     await open((_request, response) => {
-      const items = [createObject('sound', 1, 'good'), createObject('odd', 2, 'SPEC')];
+      const entry = { service: 'app', address: '10.0.0.9:8080', state: 'ready' };
+      const items = [createObject('sound', 1, entry), createObject('odd', 2, 'SPEC')];
       response.end(JSON.stringify({ items, at: 2 }).replace('"SPEC"', nested));
     });
     const { upstreams } = createPlatformStore(client);
     const listed = await upstreams.list();
-    assert.deepEqual(listed.isOk() && listed.value.items.map(({ name, value }) => [name, value]), [
-      ['sound', undefined],
-      ['odd', undefined],
-    ]);
+    const items = listed.isOk() ? listed.value.items : [];
+    assert.deepEqual(
+      items.map(({ name, value }) => [name, value?.port]),
+      [
+        ['sound', 8080],
+        ['odd', undefined],
+      ],
+    );
   });
 
   it('reads all pages of a list and returns the revision of the first', async () => {
