Answer every request by the end of a planned stop

It could happen here: requests taken in the first 2.5 s of a stop kept their own deadline of up to 25 s, upstreams were told that time, and what was unanswered when the process exited lost its connection without a word, calls that must not be repeated among them (class: a stage inherits the deadline of the caller and not the end of its own life).

A stop now limits the deadline of all requests, open and new; each gets its final answer before the exit, and upstreams are told the time that is left. With a short grace period no connections are accepted in its second half.

relay/gracefulShutdown (non_idempotent, stream) failed before: no answer at all.

--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -60,6 +60,10 @@
 const CLOSE_AFTER_MS = 2500;
 /** Subtracted from the grace period for the exit of the process. */
 const STOP_MARGIN_MS = 500;
+/** Time between the deadline of the last requests and the exit, in which their answers leave. */
+const LAST_ANSWERS_MS = 100;
+/** Share of the grace period in which new connections are accepted at most. */
+const MAX_OPEN_SHARE = 0.5;
 const STOP_CHECK_MS = 50;
 
 /** One instance: relays callers' requests to upstreams by the configuration in the store. */
@@ -88,6 +92,8 @@
 
   private readonly views: StoreViews;
 
+  private readonly handler: RequestHandler;
+
   private readonly callerServer: CallerServer;
 
   private readonly readinessServer: CallerServer;
@@ -161,17 +167,16 @@
       onConfig: (config) => this.applyConfig(config),
       log,
     });
-    const handler = new RequestHandler({
+    this.handler = new RequestHandler({
       context: this.createContext(),
       getConfigAgeMs: () => this.views.config.getAgeMs(),
       confirmConfig: () => this.views.config.confirm(),
       maxKeyAgeMs: this.maxKeyAgeMs,
       maxAbsenceAgeMs: bounds.configApplyMs - ABSENCE_AGE_MARGIN_MS,
-      isStopping: () => this.isStopping,
       onEnd: (exchange) => this.recordEnd(exchange),
     });
     this.callerServer = new CallerServer((incoming, outgoing) => {
-      handler.handle(incoming, outgoing).catch((error: unknown) => {
+      this.handler.handle(incoming, outgoing).catch((error: unknown) => {
         this.recordFault('request', error as Error);
       });
     });
@@ -241,11 +246,14 @@
     const startedMs = this.clock.monotonicMs();
     this.options.log.write('stopping', { open: this.callerServer.openCount });
     this.peers.startLeaving();
-    const untilMs = startedMs + this.options.bounds.stopGraceMs - STOP_MARGIN_MS;
+    const { stopGraceMs } = this.options.bounds;
+    const untilMs = startedMs + stopGraceMs - STOP_MARGIN_MS;
+    this.handler.startStopping(untilMs - LAST_ANSWERS_MS);
+    const closeAfterMs = Math.min(CLOSE_AFTER_MS, stopGraceMs * MAX_OPEN_SHARE);
     while (this.clock.monotonicMs() < untilMs) {
       await this.clock.sleep(STOP_CHECK_MS);
       const elapsedMs = this.clock.monotonicMs() - startedMs;
-      if (elapsedMs < CLOSE_AFTER_MS) continue;
+      if (elapsedMs < closeAfterMs) continue;
       this.callerServer.startClosing();
       if (this.callerServer.connectionCount === 0) break;
     }
--- a/packages/relay/src/requests/exchange.ts
+++ b/packages/relay/src/requests/exchange.ts
@@ -83,9 +83,14 @@
     return this.deadlineAtMs - this.getNowMs();
   }
 
-  /** Sets the time at which the request is answered with a failure if it has no answer by then. */
-  setDeadline(deadlineAtMs: number): void {
+  /**
+   * Sets the time at which the request is answered with a failure if it has no answer by then. An
+   * earlier one that was set before stays.
+   */
+  limitDeadline(deadlineAtMs: number): void {
+    if (this.isOver || deadlineAtMs >= this.deadlineAtMs) return;
     this.deadlineAtMs = deadlineAtMs;
+    clearTimeout(this.deadlineTimer);
     const waitMs = Math.max(0, deadlineAtMs - this.getNowMs());
     this.deadlineTimer = setTimeout(() => this.handleDeadline(), waitMs);
   }
--- a/packages/relay/src/requests/requestHandler.ts
+++ b/packages/relay/src/requests/requestHandler.ts
@@ -21,8 +21,6 @@
   maxKeyAgeMs: number;
   /** Largest configuration age at which an unknown route or key is denied. */
   maxAbsenceAgeMs: number;
-  /** Whether the instance is stopping. */
-  isStopping: () => boolean;
   onEnd: (exchange: Exchange) => void;
 }
 
@@ -95,19 +93,40 @@
 
 /** Checks a caller's request and passes it to the relay function for its route's kind. */
 export class RequestHandler {
+  private readonly open = new Set<Exchange>();
+
+  /** Monotonic time at which the last answer must be sent; Infinity before a stop. */
+  private endsAtMs = Infinity;
+
   constructor(private readonly options: RequestHandlerOptions) {}
 
+  private get isStopping(): boolean {
+    return this.endsAtMs < Infinity;
+  }
+
+  /**
+   * Answers all requests by `endsAtMs`, on connections that are closed afterwards. Upstreams are told
+   * that they have no longer than that.
+   */
+  startStopping(endsAtMs: number): void {
+    this.endsAtMs = endsAtMs;
+    for (const exchange of this.open) exchange.limitDeadline(endsAtMs);
+  }
+
   async handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-    const { context, isStopping, onEnd } = this.options;
+    const { context, onEnd } = this.options;
     const getNowMs = () => context.clock.monotonicMs();
     const exchange = new Exchange(incoming, outgoing, getNowMs(), getNowMs);
-    if (isStopping()) outgoing.setHeader('connection', 'close');
+    if (this.isStopping) outgoing.setHeader('connection', 'close');
+    exchange.limitDeadline(this.endsAtMs);
+    this.open.add(exchange);
     try {
       await this.serve(exchange);
     } catch (error) {
       exchange.sendFailure('internal', (error as Error).message);
       throw error;
     } finally {
+      this.open.delete(exchange);
       onEnd(exchange);
     }
   }
@@ -216,7 +235,7 @@
       return;
     }
     const timeMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
-    exchange.setDeadline(exchange.arrivedMs + timeMs);
+    exchange.limitDeadline(exchange.arrivedMs + timeMs);
     const traits = listTraits(request);
     const admission = context.crashes.admit(traits);
     if (admission === 'refused') {
--- a/tests/relay/gracefulShutdown.test.ts
+++ b/tests/relay/gracefulShutdown.test.ts
@@ -5,7 +5,7 @@
 import { waitFor } from '@cactusstair/utils';
 
 import { sendRequest } from './support/caller.js';
-import { API_KEY, createRoute, HOST, RelayFixture } from './support/relayFixture.js';
+import { API_KEY, createRoute, HOST, RelayFixture, testBounds } from './support/relayFixture.js';
 import type { Script } from './support/scriptedUpstream.js';
 import { formatAnswer } from './support/scriptedUpstream.js';
 
@@ -89,4 +89,27 @@
     assert.equal(upstream.received.length, 1);
     agent.destroy();
   });
+
+  const kinds = ['non_idempotent', 'stream'] as const;
+  kinds.forEach((kind) => {
+    it(`answers requests that are unanswered at the end of the grace period (${kind})`, async () => {
+      fixture = await RelayFixture.open([createRoute({ kind, timeoutMs: 20_000 })]);
+      const upstream = await fixture.addUpstream('a', () => {});
+      await fixture.waitReady();
+      const statuses: number[] = [];
+      const send = () =>
+        sendRequest(fixture.callerPort, { headers: { 'x-deadline-ms': '20000' } }).then(
+          ({ status }) => statuses.push(status),
+        );
+      const early = send();
+      await waitFor(() => upstream.received.length > 0, { what: 'a request', timeoutMs: 2000 });
+      const stopped = fixture.node.stop();
+      const late = send();
+      await stopped;
+      assert.deepEqual(statuses, [504, 504]);
+      await Promise.all([early, late]);
+      const [, second] = upstream.received.map(({ headers }) => Number(headers['x-deadline-ms']));
+      assert.ok(second! < testBounds.stopGraceMs, `${second} ms for the late request`);
+    });
+  });
 });
