Compare the pace of versions under the same load, and wait for it before the last step

Traced: with an eighth of the requests on as many engines its answers are as quick as those of the old version, which is loaded; at the last step it has all requests, and was found by the pace of the last 3 s, 2.2 to 2.8 s late. A step was taken when nothing was found, not when something was known.

The pace of long streams is now compared under the load of their upstreams, by a line through the others' paces; the sums of instances add up. Its verdict is worse, not worse, or not yet. The last step waits for one until 0.78 of the order's time; the lines rollout_step show ratio and answers.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -58,6 +58,7 @@
 export type { EvidenceSums, VersionOutcome } from './rollouts/versionEvidence.js';
 export {
   addEvidence,
+  addLoadedPace,
   addPace,
   createEvidence,
   describeBadVersion,
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -166,12 +166,19 @@
     this.suspectRun?.recordProgress();
   }
 
-  /** Records how fast the upstream works, as evidence about its version. */
-  recordPace(paceMs: number): void {
+  /**
+   * Records how fast the upstream works, as evidence about its version.
+   *
+   * @param isLong whether the answer was long enough to be compared with single others
+   */
+  recordPace(paceMs: number, isLong = false): void {
     const { context, job, upstream } = this;
     // An upstream that has just started is slow, whichever version it has.
     if (upstream.record.warmupLeftMs > 0) return;
     context.rollouts.recordPace(job.service, upstream.record.version, paceMs);
+    if (isLong && this.model !== undefined) {
+      context.rollouts.recordLoadedPace(this.record, this.model, upstream.running, paceMs);
+    }
   }
 
   private recordSent(): void {
--- a/packages/relay/src/requests/streamPace.ts
+++ b/packages/relay/src/requests/streamPace.ts
@@ -14,10 +14,13 @@
 
   private isMeasured = false;
 
-  /** @param onPace called with the mean time between two events, in milliseconds */
+  /**
+   * @param onPace called with the mean time between two events, in milliseconds, and whether the
+   * stream ran on after it was measured
+   */
   constructor(
     private readonly clock: Clock,
-    private readonly onPace: (paceMs: number) => void,
+    private readonly onPace: (paceMs: number, isLong: boolean) => void,
   ) {}
 
   recordEvent(): void {
@@ -27,16 +30,16 @@
       return;
     }
     this.gaps += 1;
-    if (nowMs - this.firstAtMs >= MEASURE_AFTER_MS) this.measure();
+    if (nowMs - this.firstAtMs >= MEASURE_AFTER_MS) this.measure(true);
   }
 
   recordEnd(): void {
-    if (this.gaps > 0) this.measure();
+    if (this.gaps > 0) this.measure(false);
   }
 
-  private measure(): void {
+  private measure(isLong: boolean): void {
     if (this.isMeasured) return;
     this.isMeasured = true;
-    this.onPace((this.clock.monotonicMs() - this.firstAtMs!) / this.gaps);
+    this.onPace((this.clock.monotonicMs() - this.firstAtMs!) / this.gaps, isLong);
   }
 }
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -173,7 +173,9 @@
     progress: StreamProgress,
   ): Promise<StreamResult> {
     const splitter = new EventSplitter();
-    const pace = new StreamPace(this.context.clock, (paceMs) => attempt.recordPace(paceMs));
+    const pace = new StreamPace(this.context.clock, (paceMs, isLong) =>
+      attempt.recordPace(paceMs, isLong),
+    );
     // Without framing, bytes after the answer look like a part of it.
     const isTextAllowed = isFramed(answer) && !this.hasStarted;
     try {
--- a/packages/relay/src/rollouts/rolloutController.ts
+++ b/packages/relay/src/rollouts/rolloutController.ts
@@ -1,15 +1,17 @@
+import type { PaceVerdict } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 
 import type { WriteOutcome } from '../follow/changeSource.js';
 import type { RolloutRouter, TrackedOrder } from './rolloutRouter.js';
 import { formatVersionKey } from './rolloutRouter.js';
 import type { RolloutProgress } from './rolloutOrder.js';
-import { FIRST_STEP_TIME, LAST_STEP } from './rolloutOrder.js';
+import { FIRST_STEP_TIME, LAST_STEP, LAST_STEP_TIME } from './rolloutOrder.js';
 import type { EvidenceSums } from './versionEvidence.js';
 import {
   addEvidence,
   createEvidence,
   describeBadVersion,
+  judgeVersionPace,
   subtractEvidence,
 } from './versionEvidence.js';
 
@@ -42,6 +44,19 @@
 const LATEST_COMPLETION = 0.86;
 const EVIDENCE_WINDOW_MS = 3000;
 
+/** The next step of an order and what speaks for it. */
+interface Decision {
+  progress: RolloutProgress;
+  reason: string;
+  pace: PaceVerdict;
+}
+
+/** The target version against the others; `regression` says why the target is worse. */
+interface Comparison {
+  regression: string | undefined;
+  pace: PaceVerdict;
+}
+
 interface Sample {
   atMs: number;
   target: EvidenceSums;
@@ -83,11 +98,13 @@
       service: tracked.order.service,
       ...next.progress,
       reason: next.reason,
+      paceRatio: Number(next.pace.ratio.toFixed(2)),
+      pacedAnswers: next.pace.answers,
       outcome,
     });
   }
 
-  private decide(tracked: TrackedOrder): { progress: RolloutProgress; reason: string } | undefined {
+  private decide(tracked: TrackedOrder): Decision | undefined {
     const { order } = tracked;
     if (order.state === 'completed' || order.state === 'rolled_back') return undefined;
     const { clock } = this.options;
@@ -98,21 +115,27 @@
       step: order.step,
       startedAtWallMs: order.startedAtWallMs ?? Math.round(clock.wallMs()),
     };
-    const bad = this.findRegression(tracked, nowMs);
-    if (bad !== undefined) {
+    const comparison = this.compareVersions(tracked, nowMs);
+    const { pace } = comparison;
+    if (comparison.regression !== undefined) {
       tracked.isTargetBlocked = true;
-      return { progress: { ...progress, state: 'rolled_back' }, reason: bad };
+      const rolledBack = { ...progress, state: 'rolled_back' as const };
+      return { progress: rolledBack, reason: comparison.regression, pace };
     }
     if (order.state === undefined) {
-      return { progress: { ...progress, step: 1 }, reason: 'a new order' };
+      return { progress: { ...progress, step: 1 }, reason: 'a new order', pace };
     }
     const elapsedMs = nowMs - tracked.seenAtMs;
     const stepMs = nowMs - tracked.stepSeenAtMs;
     if (order.step < LAST_STEP) {
       const isDue = elapsedMs >= FIRST_STEP_TIME * order.durationMs && stepMs >= MIN_STEP_MS;
-      return isDue
-        ? { progress: { ...progress, step: order.step + 1 }, reason: 'no regression was found' }
-        : undefined;
+      const isUncertain = order.step === LAST_STEP - 1 && pace.verdict === 'not_yet';
+      const isLate = elapsedMs >= LAST_STEP_TIME * order.durationMs;
+      if (!isDue || (isUncertain && !isLate)) return undefined;
+      const reason = isUncertain
+        ? 'too little is known, but time is short'
+        : 'no regression was found';
+      return { progress: { ...progress, step: order.step + 1 }, reason, pace };
     }
     const isEmpty =
       stepMs >= MIN_STEP_MS &&
@@ -121,15 +144,32 @@
     return {
       progress: { ...progress, state: 'completed' },
       reason: isEmpty ? 'the old version is idle' : 'the time limit is near',
+      pace,
     };
   }
 
-  /**
-   * Compares the versions over the whole rollout and over the recent window. Returns why the target
-   * is bad, or undefined.
-   */
-  private findRegression(tracked: TrackedOrder, nowMs: number): string | undefined {
-    const { order } = tracked;
+  /** Compares the versions over the whole rollout and over the recent window. */
+  private compareVersions(tracked: TrackedOrder, nowMs: number): Comparison {
+    const { target, baseline } = this.sumEvidence(tracked);
+    const key = `${tracked.name} ${tracked.order.targetVersion}`;
+    const samples = this.samples.get(key) ?? [];
+    this.samples.set(key, samples);
+    samples.push({ atMs: nowMs, target, baseline });
+    while (samples.length > 1 && nowMs - samples[1]!.atMs >= EVIDENCE_WINDOW_MS) samples.shift();
+    const [first] = samples as [Sample];
+    const pace = judgeVersionPace(target, baseline);
+    const regression =
+      describeBadVersion(target, baseline) ??
+      describeBadVersion(
+        subtractEvidence(target, first.target),
+        subtractEvidence(baseline, first.baseline),
+      );
+    if (regression !== undefined || pace.verdict !== 'worse') return { regression, pace };
+    return { regression: describeSlowVersion(pace), pace };
+  }
+
+  /** Sums what all instances know of the target version and of the others. */
+  private sumEvidence({ order }: TrackedOrder): Omit<Sample, 'atMs'> {
     const targetKey = formatVersionKey(order.service, order.targetVersion);
     const target = createEvidence();
     const baseline = createEvidence();
@@ -139,18 +179,10 @@
         else if (key.startsWith(`${order.service} `)) addEvidence(baseline, sums);
       }
     }
-    const key = `${tracked.name} ${order.targetVersion}`;
-    const samples = this.samples.get(key) ?? [];
-    this.samples.set(key, samples);
-    samples.push({ atMs: nowMs, target, baseline });
-    while (samples.length > 1 && nowMs - samples[1]!.atMs >= EVIDENCE_WINDOW_MS) samples.shift();
-    const first = samples[0]!;
-    return (
-      describeBadVersion(target, baseline) ??
-      describeBadVersion(
-        subtractEvidence(target, first.target),
-        subtractEvidence(baseline, first.baseline),
-      )
-    );
+    return { target, baseline };
   }
 }
+
+function describeSlowVersion({ ratio, answers }: PaceVerdict): string {
+  return `${answers} answers are slower by a factor of ${ratio.toFixed(2)} than the other versions under this load`;
+}
--- a/packages/relay/src/rollouts/rolloutOrder.ts
+++ b/packages/relay/src/rollouts/rolloutOrder.ts
@@ -36,6 +36,12 @@
  */
 export const FIRST_STEP_TIME = 0.52;
 
+/**
+ * Fraction of the duration after which the last step is taken though there is not enough evidence to
+ * say that the version is not worse.
+ */
+export const LAST_STEP_TIME = 0.78;
+
 // Enough sessions to detect a version that fails a third of its requests.
 const MAX_FIRST_SHARE = 0.08;
 const MAX_SECOND_SHARE = 0.35;
--- a/packages/relay/src/rollouts/rolloutRouter.ts
+++ b/packages/relay/src/rollouts/rolloutRouter.ts
@@ -3,10 +3,11 @@
 
 import type { SourceChange, SourceItem } from '../follow/changeSource.js';
 import type { Upstream } from '../upstreams/upstream.js';
+import type { UpstreamRecord } from '../upstreams/upstreamRecord.js';
 import type { RolloutOrder } from './rolloutOrder.js';
 import { computeStepShares, FIRST_STEP, LAST_STEP } from './rolloutOrder.js';
 import type { EvidenceSums, VersionOutcome } from './versionEvidence.js';
-import { addOutcome, addPace, createEvidence } from './versionEvidence.js';
+import { addLoadedPace, addOutcome, addPace, createEvidence } from './versionEvidence.js';
 
 /** Options of `RolloutRouter`. */
 export interface RolloutRouterOptions {
@@ -159,6 +160,16 @@
     addPace(this.getEvidence(service, version), paceMs);
   }
 
+  /** Records the pace of a long stream, with the load of its upstream at that time. */
+  recordLoadedPace(
+    { service, version }: UpstreamRecord,
+    model: string,
+    running: number,
+    paceMs: number,
+  ): void {
+    addLoadedPace(this.getEvidence(service, version), model, running, paceMs);
+  }
+
   /** Returns this instance's evidence by `formatVersionKey`, for services with an order. */
   exportEvidence(): Record<string, EvidenceSums> {
     const exported: Record<string, EvidenceSums> = {};
--- a/packages/relay/src/rollouts/versionEvidence.ts
+++ b/packages/relay/src/rollouts/versionEvidence.ts
@@ -1,3 +1,6 @@
+import type { PaceSums, PaceVerdict } from '@cactusstair/routing';
+import { addPaceSample, addPaceSums, createPaceSums, judgePace } from '@cactusstair/routing';
+
 /** Outcome of one answer. */
 export interface VersionOutcome {
   isBad: boolean;
@@ -18,10 +21,12 @@
    */
   paced?: number;
   paceLogSum?: number;
+  /** Paces of long streams by the load of their upstream, by model. Absent as above. */
+  paces?: Record<string, PaceSums>;
 }
 
 export function createEvidence(): Required<EvidenceSums> {
-  return { answers: 0, bad: 0, timed: 0, latencySumMs: 0, paced: 0, paceLogSum: 0 };
+  return { answers: 0, bad: 0, timed: 0, latencySumMs: 0, paced: 0, paceLogSum: 0, paces: {} };
 }
 
 export function addOutcome(sums: EvidenceSums, outcome: VersionOutcome): void {
@@ -40,6 +45,21 @@
   sums.paceLogSum = (sums.paceLogSum ?? 0) + Math.log(Math.max(MIN_PACE_MS, paceMs));
 }
 
+function getPaces(sums: EvidenceSums, model: string): PaceSums {
+  sums.paces ??= {};
+  return (sums.paces[model] ??= createPaceSums());
+}
+
+/** Adds the pace of a long stream at an upstream with `running` requests. */
+export function addLoadedPace(
+  sums: EvidenceSums,
+  model: string,
+  running: number,
+  paceMs: number,
+): void {
+  addPaceSample(getPaces(sums, model), running, paceMs);
+}
+
 export function addEvidence(total: EvidenceSums, part: EvidenceSums): void {
   total.answers += part.answers;
   total.bad += part.bad;
@@ -47,6 +67,9 @@
   total.latencySumMs += part.latencySumMs;
   total.paced = (total.paced ?? 0) + (part.paced ?? 0);
   total.paceLogSum = (total.paceLogSum ?? 0) + (part.paceLogSum ?? 0);
+  for (const [model, sums] of Object.entries(part.paces ?? {})) {
+    addPaceSums(getPaces(total, model), sums);
+  }
 }
 
 export function subtractEvidence(total: EvidenceSums, part: EvidenceSums): EvidenceSums {
@@ -112,3 +135,13 @@
   }
   return undefined;
 }
+
+/** Judges whether a version is slower than the others under the same load. */
+export function judgeVersionPace(target: EvidenceSums, baseline: EvidenceSums): PaceVerdict {
+  return judgePace(
+    Object.entries(target.paces ?? {}).map(([model, sums]) => ({
+      target: sums,
+      baseline: baseline.paces?.[model] ?? createPaceSums(),
+    })),
+  );
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -70,6 +70,8 @@
   StartChoice,
 } from './cascadePolicy.js';
 export { CascadePolicy } from './cascadePolicy.js';
+export type { PaceComparison, PaceSums, PaceVerdict } from './rollout/paceModel.js';
+export { addPaceSample, addPaceSums, createPaceSums, judgePace } from './rollout/paceModel.js';
 export type { RolloutDecision, RolloutPolicyOptions } from './rolloutPolicy.js';
 export { assignArm, decideRollout } from './rolloutPolicy.js';
 export type {
--- a/tests/relay/rollouts.test.ts
+++ b/tests/relay/rollouts.test.ts
@@ -4,6 +4,7 @@
 import type { EvidenceSums, RolloutOrder, RolloutProgress, WriteOutcome } from '@cactusstair/relay';
 import {
   addEvidence,
+  addLoadedPace,
   addPace,
   computeStepShares,
   createEvidence,
@@ -19,6 +20,13 @@
 
 const order: RolloutOrder = { service: 'app', targetVersion: 'v2', durationMs: 24_000, step: 0 };
 
+/** Adds the paces of streams, of which each second one takes `factor` times as long. */
+function addStreams(sums: EvidenceSums, count: number, factor: number): void {
+  for (let stream = 0; stream < count; stream += 1) {
+    addLoadedPace(sums, 'small', 4 + (stream % 5), 30 * (stream % 2 === 0 ? 1 : factor));
+  }
+}
+
 function createEvidenceOf(answers: number, bad: number, latencyMs = 100): EvidenceSums {
   const timed = answers - bad;
   return { answers, bad, timed, latencySumMs: timed * latencyMs };
@@ -212,6 +220,7 @@
       const router = new RolloutRouter({ clock, sessionTtlMs: 5000, canaryShare: 0.15 });
       const target = createEvidence();
       const others = createEvidenceOf(100, 1);
+      addStreams(others, 60, 1);
       const stored: RolloutProgress[] = [];
       let oldCalls = 3;
       let revision = 1;
@@ -247,6 +256,29 @@
       return { runFor, stored, target, setOldCalls: (count: number) => (oldCalls = count) };
     }
 
+    it('takes back a version that is slow on a part of its requests, before the last step', async () => {
+      const { runFor, stored, target } = createController();
+      await runFor(400);
+      addStreams(target, 30, 4);
+      await runFor(20_000);
+      const states = stored.map(({ state }) => state);
+      assert.equal(states.at(-1), 'rolled_back');
+      assert.ok(!stored.some(({ step }) => step === 3));
+    });
+
+    it('waits with the last step until enough is known or time is short', async () => {
+      const { runFor, stored, target } = createController();
+      const hasLastStep = () => stored.some(({ step }) => step === 3);
+      await runFor(0.75 * order.durationMs);
+      assert.equal(hasLastStep(), false);
+      addStreams(target, 30, 1);
+      await runFor(400);
+      assert.equal(hasLastStep(), true);
+      const unknown = createController();
+      await unknown.runFor(0.85 * order.durationMs);
+      assert.ok(unknown.stored.some(({ step }) => step === 3));
+    });
+
     it('starts a rollout at once and completes it in time for a good version', async () => {
       const { runFor, stored, setOldCalls } = createController();
       await runFor(400);
