--- /dev/null
+++ b/review/3/case.mjs
@@ -0,0 +1,16 @@
+import { runCase } from '../common/deployment.mjs';
+import { playGarbledHeads } from '../common/garbledHeads.mjs';
+
+await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
+  const answers = await playGarbledHeads(deployment, hasTrouble);
+  const broken = answers.filter(
+    ({ status, seal }) => status >= 200 && status < 300 && seal === undefined,
+  );
+  for (const line of broken) deployment.record('MIXED broken', { attempt: line.attempt });
+  if (broken.length === 0) return undefined;
+  const [{ attempt, kind, bytes }] = broken;
+  return (
+    `MIXED: ${broken.length} clients got a success without X-Response-Seal; the first, ` +
+    `${kind} ${attempt}, with a whole body of ${bytes} bytes`
+  );
+});
