--- a/review/common/platformStandin.mjs
+++ b/review/common/platformStandin.mjs
@@ -13,8 +13,11 @@
     this.kinds = new Map();
     this.history = [];
     this.waiting = new Set();
+    this.watching = new Set();
     /** Returns a fault for a call: `undefined`, `'busy'` or `'silent'`. */
     this.getFault = () => undefined;
+    /** Called with the events of each answer to a watch, and the port at which it was asked. */
+    this.onEvents = () => {};
     this.server = createServer((request, response) => {
       this.handle(request, response).catch(() => response.destroy());
     });
@@ -50,6 +53,11 @@
     this.record(kind, object, true);
   }
 
+  /** Cuts off all watches that are waiting. */
+  cutWatches() {
+    for (const response of this.watching) response.destroy();
+  }
+
   close() {
     this.server.close();
     this.server.closeAllConnections();
@@ -116,7 +124,9 @@
     while (listEvents().length === 0 && Date.now() < untilMs && !response.destroyed) {
       await this.waitForChange(untilMs - Date.now(), response);
     }
-    send(response, 200, { events: listEvents(), at: this.revision });
+    const events = listEvents();
+    this.onEvents(kind, events, response.socket?.localPort);
+    send(response, 200, { events, at: this.revision });
   }
 
   waitForChange(waitMs, response) {
@@ -124,11 +134,13 @@
       const finish = () => {
         clearTimeout(timer);
         this.waiting.delete(finish);
+        this.watching.delete(response);
         response.off('close', finish);
         resolve();
       };
       const timer = setTimeout(finish, waitMs);
       this.waiting.add(finish);
+      this.watching.add(response);
       response.on('close', finish);
     });
   }
