--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,11 +1,11 @@
 import { runCase } from '../common/deployment.mjs';
-import { playGarbledHeads, ROUTES } from '../common/garbledHeads.mjs';
+import { playGarbledAnswers, ROUTES, spoiltHeads } from '../common/garbledAnswers.mjs';
 
 /** "half a second later" in the rule. */
 const GRACE_MS = 500;
 
 await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
-  const answers = await playGarbledHeads(deployment, hasTrouble);
+  const answers = await playGarbledAnswers(deployment, hasTrouble, spoiltHeads);
   const ran = new Set(
     deployment.events.filter(({ event }) => event === 'run').map(({ attempt }) => attempt),
   );
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,8 +1,8 @@
 import { runCase } from '../common/deployment.mjs';
-import { playGarbledHeads } from '../common/garbledHeads.mjs';
+import { playGarbledAnswers, spoiltHeads } from '../common/garbledAnswers.mjs';
 
 await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
-  const answers = await playGarbledHeads(deployment, hasTrouble);
+  const answers = await playGarbledAnswers(deployment, hasTrouble, spoiltHeads);
   const broken = answers.filter(
     ({ status, seal }) => status >= 200 && status < 300 && seal === undefined,
   );
--- a/review/common/garbledHeads.mjs
+++ b/review/common/garbledAnswers.mjs
@@ -1,7 +1,4 @@
-/**
- * Traffic of streams and plain calls while one of two servers of each service spoils a few of its
- * answers: in the head, the hyphen of `Content-Type` arrives as a space, and nothing else differs.
- */
+/** Traffic of streams and plain calls while one of two servers of each service spoils answers. */
 import { createAttemptId, createConfig, HOST, KEY, sendAttempt, sleep } from './deployment.mjs';
 import { answerAfter, createHeaders, ServerStandin } from './serverStandin.mjs';
 
@@ -54,7 +51,8 @@
 
 const DEADLINES_MS = { stream: 5000, record: 4000, standings: 4000 };
 
-function writeSpoilt({ request, attempt, server }, type, body) {
+/** Writes a whole answer in whose head the hyphen of `Content-Type` is a space. */
+function writeSpoiltHead({ request, attempt, server }, type, body) {
   const headers = createHeaders(server.options.id, attempt, {
     'Content Type': type,
     'Content-Length': Buffer.byteLength(body),
@@ -72,7 +70,7 @@
 }
 
 /** Streams the events after the one that the caller has. */
-async function stream({ request, response, attempt, server }) {
+async function stream({ request, response, attempt, server }, changePiece = (piece) => piece) {
   const first = Number(request.headers['last-event-id'] ?? 0) + 1;
   await sleep(FIRST_EVENT_MS);
   response.writeHead(
@@ -81,18 +79,35 @@
   );
   for (const piece of listPieces(attempt, first)) {
     if (response.destroyed) return;
-    response.write(piece);
+    response.write(changePiece(piece));
     await sleep(EVENT_GAP_MS);
   }
   response.end();
 }
 
-function runCall(service, call, isSpoilt) {
-  if (service === MODEL_SERVICE && !isSpoilt) stream(call).catch(() => {});
-  else if (service === MODEL_SERVICE) {
+/** Spoils the heads of answers. */
+export const spoiltHeads = {
+  stream: (call) => {
     const pieces = listPieces(call.attempt, 1).join('');
-    setTimeout(() => writeSpoilt(call, EVENT_TYPE, pieces), FIRST_EVENT_MS);
-  } else if (isSpoilt) setTimeout(() => writeSpoilt(call, 'application/json', '{}'), WORK_MS);
+    setTimeout(() => writeSpoiltHead(call, EVENT_TYPE, pieces), FIRST_EVENT_MS);
+  },
+  call: (call) => {
+    setTimeout(() => writeSpoiltHead(call, 'application/json', '{}'), WORK_MS);
+  },
+};
+
+/** Spoils one byte in the id of one event: the `1` of `id: 12` is a `3`. */
+export const spoiltIds = {
+  stream: (call) => {
+    stream(call, (piece) => piece.replace('id: 12\n', 'id: 32\n')).catch(() => {});
+  },
+};
+
+function runCall(service, call, spoil) {
+  const isStream = service === MODEL_SERVICE;
+  const runSpoilt = spoil?.[isStream ? 'stream' : 'call'];
+  if (runSpoilt) runSpoilt(call);
+  else if (isStream) stream(call).catch(() => {});
   else answerAfter(call, WORK_MS);
 }
 
@@ -124,10 +139,15 @@
     bytes: answer.body.length,
   });
   line.tookMs = line.atMs - sent.atMs;
+  line.body = answer.body;
 }
 
-/** Plays the traffic and returns what the clients got. */
-export async function playGarbledHeads(deployment, hasTrouble) {
+/**
+ * Plays the traffic and returns what the clients got.
+ *
+ * @param spoil how a spoilt `stream` and a spoilt `call` are answered
+ */
+export async function playGarbledAnswers(deployment, hasTrouble, spoil) {
   const store = await deployment.startStore();
   const zones = ['riga-a', 'riga-b'];
   let trafficMs = Infinity;
@@ -151,7 +171,7 @@
           if (isSpoilt) {
             deployment.record('spoilt', { attempt: call.attempt, server: server.options.id });
           }
-          runCall(service, call, isSpoilt);
+          runCall(service, call, isSpoilt ? spoil : undefined);
         },
       });
       await deployment.addServer(server, { service, zone, slots: 128 });
