--- a/review/common/garbledAnswers.mjs
+++ b/review/common/garbledAnswers.mjs
@@ -9,8 +9,8 @@
 const EVENT_GAP_MS = 20;
 const FIRST_EVENT_MS = 60;
 const WORK_MS = 86;
-/** Share of its answers that a faulty server spoils; `garble` in the list of troubles has 0.03. */
-const SPOILT_SHARE = 0.03;
+/** A faulty server spoils one answer in 34; `garble` in the list of troubles has a share of 0.03. */
+const SPOILT_EVERY = 34;
 /** Starts of the times in which it does, and their length, in milliseconds of traffic. */
 const FAULTS_FROM_MS = [3000, 9500, 16_000, 22_500];
 const FAULT_FOR_MS = 5000;
@@ -151,10 +151,12 @@
   const store = await deployment.startStore();
   const zones = ['riga-a', 'riga-b'];
   let trafficMs = Infinity;
-  const isFaulty = (server) => {
+  const takeSpoilt = (server) => {
     const atMs = Date.now() - trafficMs;
     const isNow = FAULTS_FROM_MS.some((from) => atMs >= from && atMs < from + FAULT_FOR_MS);
-    return hasTrouble && isNow && server.options.isFaulty && Math.random() < SPOILT_SHARE;
+    if (!hasTrouble || !isNow || !server.options.isFaulty) return false;
+    server.answered = (server.answered ?? 0) + 1;
+    return server.answered % SPOILT_EVERY === 0;
   };
   const services = [MODEL_SERVICE, APP_SERVICE];
   store.put('config', 'main', createConfig(7, Object.values(ROUTES), services));
@@ -167,7 +169,7 @@
         isFaulty: index === 0,
         record: deployment.record,
         run: (call) => {
-          const isSpoilt = isFaulty(server);
+          const isSpoilt = takeSpoilt(server);
           if (isSpoilt) {
             deployment.record('spoilt', { attempt: call.attempt, server: server.options.id });
           }
