Open no attempt for a request that has ended

Cause: the loops that wait for an upstream opened an attempt after each wait before they asked whether the request had ended; the attempt registered for a cancellation that was already past. Fix: openAttempt refuses a request that has ended, for both relay functions, deadline and caller gone; the two loops are one, awaitAttempt.

--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -19,6 +19,7 @@
   chooseUpstream,
   estimateJobNominalMs,
   estimateWorkMs,
+  getAcceptWaitMs,
   getModel,
 } from './upstreamChoice.js';
 
@@ -29,6 +30,7 @@
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Subtracted from the upstream's deadline to leave time for the answer to travel back. */
 const ANSWER_MARGIN_MS = 5;
+const ROOM_CHECK_INTERVAL_MS = 40;
 /** An upstream that crashes on a request may have begun to write its first event. */
 const MIN_PROGRESS_EVENTS = 2;
 /** Added to waits that are compared, so that a difference of milliseconds is not a large ratio. */
@@ -219,13 +221,15 @@
 /**
  * Chooses an upstream and opens a call to it.
  *
- * @returns undefined when no upstream has room.
+ * @returns undefined when no upstream has room or the request has ended: a refusal at its deadline
+ * promises that it will not run later.
  */
 export function openAttempt(
   context: RelayContext,
   job: RelayJob,
   options: AttemptOptions,
 ): Attempt | undefined {
+  if (job.exchange.isOver) return undefined;
   const selection = chooseUpstream(context, job, options.sizeIndex, options.excluded);
   if (!selection) return undefined;
   const { upstream } = selection;
@@ -245,6 +249,29 @@
   return new Attempt(context, job, selection, options, model);
 }
 
+/**
+ * Opens an attempt; when no upstream accepts the request at first, checks again for a short time.
+ *
+ * @param maxWaitMs longest wait, in milliseconds
+ * @returns undefined when no upstream accepts the request within that time or the request has ended.
+ */
+export async function awaitAttempt(
+  context: RelayContext,
+  job: RelayJob,
+  options: AttemptOptions,
+  maxWaitMs: number,
+): Promise<Attempt | undefined> {
+  const { clock } = context;
+  const untilMs = clock.monotonicMs() + maxWaitMs;
+  for (;;) {
+    const attempt = openAttempt(context, job, options);
+    if (attempt || job.exchange.isOver) return attempt;
+    const acceptWaitMs = getAcceptWaitMs(context, job, options.excluded);
+    if (clock.monotonicMs() + acceptWaitMs >= untilMs) return undefined;
+    await clock.sleep(ROOM_CHECK_INTERVAL_MS);
+  }
+}
+
 /**
  * Decodes and checks the head of an attempt's answer, and records what the upstream says in it about
  * itself.
--- a/packages/relay/src/requests/bufferedRelay.ts
+++ b/packages/relay/src/requests/bufferedRelay.ts
@@ -1,5 +1,5 @@
 import type { Attempt } from './attempt.js';
-import { openAttempt, readAnswerHead } from './attempt.js';
+import { awaitAttempt, readAnswerHead } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
 import { AttemptTracker } from './attemptTracker.js';
 import type { RelayContext } from './relayContext.js';
@@ -14,7 +14,6 @@
 const MIN_SILENCE_TIMEOUT_MS = 400;
 /** A request that no upstream accepts by then is refused. */
 const ROOM_TIMEOUT_MS = 200;
-const ROOM_CHECK_INTERVAL_MS = 40;
 /** Value of Retry-After in refusals: a few service times of a fully loaded upstream. */
 const RETRY_AFTER_MS = 400;
 
@@ -51,24 +50,6 @@
   }
 }
 
-/** Opens an attempt; when no upstream is available at first, checks again for a short time. */
-async function waitForAttempt(
-  context: RelayContext,
-  job: RelayJob,
-  tracker: AttemptTracker,
-): Promise<Attempt | undefined> {
-  const { excluded } = tracker;
-  const { lastEventId } = job.request;
-  const untilMs = context.clock.monotonicMs() + ROOM_TIMEOUT_MS;
-  for (;;) {
-    const attempt = openAttempt(context, job, { excluded, sizeIndex: undefined, lastEventId });
-    // Excluded upstreams stay excluded for this request, so waiting for them would not help.
-    if (attempt || excluded.size > 0 || job.exchange.isOver) return attempt;
-    if (context.clock.monotonicMs() + tracker.acceptWaitMs >= untilMs) return undefined;
-    await context.clock.sleep(ROOM_CHECK_INTERVAL_MS);
-  }
-}
-
 /** Records an answer, successful or not, as evidence about the upstream's version. */
 function recordAnswer(context: RelayContext, attempt: Attempt, isBad: boolean): void {
   const { job, upstream } = attempt;
@@ -88,8 +69,12 @@
   const route = exchange.route!;
   const isIdempotent = route.kind === 'idempotent';
   const tracker = new AttemptTracker(context, job, isIdempotent);
+  const { excluded } = tracker;
+  const options = { excluded, sizeIndex: undefined, lastEventId: job.request.lastEventId };
   while (tracker.tryStartAttempt()) {
-    const attempt = await waitForAttempt(context, job, tracker);
+    // Excluded upstreams stay excluded for this request, so waiting for them would not help.
+    const maxWaitMs = excluded.size > 0 ? 0 : ROOM_TIMEOUT_MS;
+    const attempt = await awaitAttempt(context, job, options, maxWaitMs);
     if (!attempt) break;
     const silenceMs =
       isIdempotent && tracker.hasRunLeft
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import type { Attempt } from './attempt.js';
-import { openAttempt, readAnswerHead } from './attempt.js';
+import { awaitAttempt, readAnswerHead } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
 import { AttemptTracker } from './attemptTracker.js';
 import { EventSplitter } from './eventSplitter.js';
@@ -26,7 +26,6 @@
 
 // A request to a fully loaded service is refused after this share of its latency goal, about 1/8.
 const ROOM_TIMEOUT_GOALS = 0.12;
-const ROOM_CHECK_INTERVAL_MS = 40;
 const RETRY_AFTER_MS = 600;
 const FOREIGN_TEXT_REASON = 'the stream holds text that belongs to no event';
 
@@ -66,7 +65,7 @@
     const { tracker } = this;
     const { exchange } = this.job;
     while (tracker.tryStartAttempt()) {
-      const attempt = await this.waitForAttempt();
+      const attempt = await this.awaitAttempt();
       if (!attempt) break;
       const result = await this.runAttempt(attempt);
       attempt.close();
@@ -86,26 +85,13 @@
     else tracker.sendFailure('answer_incomplete', 'overloaded', RETRY_AFTER_MS);
   }
 
-  /** Opens an attempt; when no upstream has room, checks again for a short time. */
-  private async waitForAttempt(): Promise<Attempt | undefined> {
-    const { context, job } = this;
+  /** Opens an attempt; waits longer for one that goes on with a stream. */
+  private awaitAttempt(): Promise<Attempt | undefined> {
+    const { context, job, lastEventId, sizeIndex } = this;
     const { excluded } = this.tracker;
-    const { exchange } = job;
-    const untilMs =
-      context.clock.monotonicMs() +
-      (this.hasStarted
-        ? exchange.route!.maxEventGapMs
-        : ROOM_TIMEOUT_GOALS * exchange.route!.latencyGoalMs);
-    for (;;) {
-      const attempt = openAttempt(context, job, {
-        excluded,
-        sizeIndex: this.sizeIndex,
-        lastEventId: this.lastEventId,
-      });
-      if (attempt || exchange.isOver) return attempt;
-      if (context.clock.monotonicMs() + this.tracker.acceptWaitMs >= untilMs) return undefined;
-      await context.clock.sleep(ROOM_CHECK_INTERVAL_MS);
-    }
+    const { latencyGoalMs, maxEventGapMs } = job.exchange.route!;
+    const maxWaitMs = this.hasStarted ? maxEventGapMs : ROOM_TIMEOUT_GOALS * latencyGoalMs;
+    return awaitAttempt(context, job, { excluded, sizeIndex, lastEventId }, maxWaitMs);
   }
 
   private async runAttempt(attempt: Attempt): Promise<StreamResult> {
