Check heads when they arrive, before anything is passed on

Cause: node:http reads header names and statuses that it refuses to write; writeHead threw after sendAnswer had ended the exchange and after startStream had set hasStarted. Fix: UpstreamCall takes an answer with such a head for none; callers' requests with such a header are answered 400 (before, they marked each upstream that was tried as down); state changes only once the head is written.

--- /dev/null
+++ b/packages/relay/src/messageHead.ts
@@ -0,0 +1,33 @@
+import { validateHeaderName, validateHeaderValue } from 'node:http';
+
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
+
+/**
+ * Checks headers that are passed on. The parser of node:http accepts names that its writer refuses,
+ * for example with a space or without a character.
+ *
+ * @param rawHeaders alternating names and values
+ * @returns what is invalid; undefined if the headers can be passed on.
+ */
+export function describeInvalidHeaders(rawHeaders: readonly string[]): string | undefined {
+  try {
+    for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+      const name = rawHeaders[index]!;
+      validateHeaderName(name);
+      validateHeaderValue(name, rawHeaders[index + 1]!);
+    }
+    return undefined;
+  } catch (error) {
+    return (error as Error).message;
+  }
+}
+
+/** Checks the head of a final answer in the same way. */
+export function describeInvalidAnswerHead(
+  status: number,
+  rawHeaders: readonly string[],
+): string | undefined {
+  if (status < MIN_FINAL_STATUS || status > MAX_STATUS) return `the status ${status} does not exist`;
+  return describeInvalidHeaders(rawHeaders);
+}
--- a/packages/relay/src/requests/exchange.ts
+++ b/packages/relay/src/requests/exchange.ts
@@ -111,19 +111,20 @@
   /** Sends an upstream's answer unchanged. */
   sendAnswer(status: number, headers: string[], body: Buffer): void {
     if (this.isOver) return;
-    this.finish(status < 500 ? 'answered' : 'failed', status);
-    this.firstByteMs ??= this.elapsedMs;
     if (body.length > 0 || status !== 204) headers.push('content-length', String(body.length));
+    // Throws if the head is invalid; the request is still to be answered then.
     this.outgoing.writeHead(status, headers as never);
+    this.firstByteMs ??= this.elapsedMs;
+    this.finish(status < 500 ? 'answered' : 'failed', status);
     this.outgoing.end(this.request?.method === 'HEAD' ? undefined : body);
   }
 
   /** Sends the head of a stream. */
   startStream(status: number, headers: string[]): void {
     if (this.isOver) return;
+    this.outgoing.writeHead(status, headers as never);
     this.status = status;
     this.firstByteMs ??= this.elapsedMs;
-    this.outgoing.writeHead(status, headers as never);
   }
 
   /** Sends bytes of a stream; drops them when nothing more can be sent to the caller. */
--- a/packages/relay/src/requests/requestHandler.ts
+++ b/packages/relay/src/requests/requestHandler.ts
@@ -3,6 +3,7 @@
 
 import type { ConfigIndex } from '../config/configIndex.js';
 import type { Route } from '../config/relayConfig.js';
+import { describeInvalidHeaders } from '../messageHead.js';
 import { relayBuffered } from './bufferedRelay.js';
 import { Exchange } from './exchange.js';
 import type { RelayContext } from './relayContext.js';
@@ -166,6 +167,11 @@
       exchange.sendFailure('headers_too_large', 'the headers exceed the configured limit');
       return;
     }
+    const invalid = describeInvalidHeaders(incoming.rawHeaders);
+    if (invalid !== undefined) {
+      exchange.sendFailure('header_invalid', `a header cannot be passed on: ${invalid}`);
+      return;
+    }
     if (request.id === '') {
       exchange.sendFailure('header_invalid', 'the request has no id header');
       return;
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -227,9 +227,9 @@
 
   private startStream(answer: IncomingMessage): void {
     if (this.hasStarted) return;
-    this.hasStarted = true;
     const headers = this.context.dialect.listAnswerHeaders(answer.rawHeaders);
     this.job.exchange.startStream(answer.statusCode ?? 200, headers);
+    this.hasStarted = true;
     this.job.exchange.addStep('first_event');
   }
 
--- a/packages/relay/src/upstreams/upstreamCall.ts
+++ b/packages/relay/src/upstreams/upstreamCall.ts
@@ -5,6 +5,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
+import { describeInvalidAnswerHead } from '../messageHead.js';
 import type { Upstream } from './upstream.js';
 
 /** Why a call ended without a complete answer. */
@@ -138,6 +139,15 @@
     return failure.type === 'lost' ? { ...failure, isDisconnected: true } : failure;
   }
 
+  /** Checks that the head of an answer can be passed on; one that cannot is no answer. */
+  private checkHead(answer: IncomingMessage): Result<IncomingMessage, CallFailure> {
+    const invalid = describeInvalidAnswerHead(answer.statusCode ?? 0, answer.rawHeaders);
+    if (invalid === undefined) return ok(answer);
+    answer.on('error', () => {});
+    this.outgoing?.destroy();
+    return err(this.createFailure(`the head of the answer is invalid: ${invalid}`));
+  }
+
   private openRequest(): ClientRequest {
     const { upstream, method, path, headers } = this.options;
     return request({
@@ -189,7 +199,7 @@
       });
       outgoing.on('response', (answer) => {
         upstream.recordProgress();
-        resolve(ok(answer));
+        resolve(this.checkHead(answer));
       });
     });
   }
