Do not take a watch that is cut off for an outage of the store

Cause: each failed call counted as an outage, and an entry that vanishes in an outage is kept. Fix: a watch that ends without an answer is followed by a short read, which decides.

--- a/packages/relay/src/follow/sourceFollower.ts
+++ b/packages/relay/src/follow/sourceFollower.ts
@@ -3,7 +3,13 @@
 import type { ClockReading } from './clockReading.js';
 import { computeAgeMs, readClocks } from './clockReading.js';
 import { ChangeLog } from './changeLog.js';
-import type { ChangeSource, SourceChange, SourceFailure, SourceItem } from './changeSource.js';
+import type {
+  ChangeSource,
+  SourceChange,
+  SourceChanges,
+  SourceFailure,
+  SourceItem,
+} from './changeSource.js';
 
 /** Options of `SourceFollower`. */
 export interface SourceFollowerOptions<T> {
@@ -163,9 +169,11 @@
         // `keepFresh` retries the store, also while a long poll hangs because the store does not
         // respond.
         await clock.sleep(AGE_CHECK_INTERVAL_MS, signal);
-      } else if (await this.poll(this.revision, waitMs)) {
+      } else if (await this.watch(this.revision, waitMs)) {
         if (this.hasNewChanges && coalesceMs > 0) await clock.sleep(coalesceMs, signal);
         this.hasNewChanges = false;
+      } else if (this.revision !== undefined) {
+        await clock.sleep(this.growRetryPause(), signal);
       }
     }
   }
@@ -194,7 +202,7 @@
   }
 
   private async readChanges(): Promise<boolean> {
-    if (this.revision !== undefined && (await this.poll(this.revision, 0))) return true;
+    if (this.revision !== undefined && (await this.poll(this.revision))) return true;
     // The store has dropped the history: list now instead of waiting for the long poll in `run`.
     return this.revision === undefined && this.isLoaded ? this.load() : false;
   }
@@ -212,11 +220,28 @@
     return true;
   }
 
-  private async poll(revision: number, waitMs: number): Promise<boolean> {
+  /**
+   * Waits for changes. The store may end a waiting call without an answer at any time, so only a
+   * short read that fails as well shows an outage.
+   */
+  private async watch(revision: number, waitMs: number): Promise<boolean> {
     const before = readClocks(this.options.clock);
     const polled = await this.options.source.poll(revision, waitMs);
-    if (polled.isErr()) return this.handleFailure(polled.error);
-    const { changes, revision: readRevision, ageMs = 0, restoredAgeMs } = polled.value;
+    if (polled.isOk()) return this.applyRead(before, polled.value);
+    if (polled.error.type === 'history_gone') return this.handleFailure(polled.error);
+    await this.confirm();
+    return false;
+  }
+
+  private async poll(revision: number): Promise<boolean> {
+    const before = readClocks(this.options.clock);
+    const polled = await this.options.source.poll(revision, 0);
+    return polled.isOk() ? this.applyRead(before, polled.value) : this.handleFailure(polled.error);
+  }
+
+  /** Applies the changes of a read that began at `before`. */
+  private applyRead(before: ClockReading, read: SourceChanges<T>): true {
+    const { changes, revision: readRevision, ageMs = 0, restoredAgeMs } = read;
     if (typeof restoredAgeMs === 'number') this.recordRestored(restoredAgeMs);
     for (const change of changes) this.apply(change, readRevision);
     const { monotonicMs, wallMs } = before;
--- a/tests/relay/sourceFollower.test.ts
+++ b/tests/relay/sourceFollower.test.ts
@@ -69,6 +69,49 @@
     });
   });
 
+  it('does not take a watch that is cut off for an outage, and reads at once', async () => {
+    const source = new MemorySource<string>();
+    source.put('a', 'one');
+    await follow(source, async ({ follower, state, clock }) => {
+      const waitForWatch = () =>
+        waitFor(
+          async () => {
+            await clock.advance(50);
+            return source.watchCount > 0;
+          },
+          { what: 'a watch', timeoutMs: 2000 },
+        );
+      for (let cut = 0; cut < 3; cut += 1) {
+        await waitForWatch();
+        source.cutWatches();
+        source.put('a', `after cut ${cut}`);
+        await waitFor(() => state.get('a') === `after cut ${cut}`, {
+          what: 'the change',
+          timeoutMs: 2000,
+        });
+        assert.equal(follower.hasRecentFailure(60_000), false);
+        assert.equal(follower.getRestoredAgeMs(), Infinity);
+      }
+    });
+  });
+
+  it('pauses before it watches again after a watch was cut off', async () => {
+    const source = new MemorySource<string>();
+    await follow(source, async () => {
+      await waitFor(() => source.watchCount > 0, { what: 'a watch', timeoutMs: 2000 });
+      const { calls } = source;
+      source.cutWatches();
+      await waitFor(() => source.calls > calls, { what: 'a read', timeoutMs: 2000 });
+      // The clock stands still, so that only calls without a pause could follow.
+      for (let turn = 0; turn < 50; turn += 1) {
+        await new Promise((resolve) => {
+          setImmediate(resolve);
+        });
+      }
+      assert.equal(source.calls, calls + 1);
+    });
+  });
+
   it('lists again after the store has dropped its history', async () => {
     const source = new MemorySource<string>();
     source.put('a', 'one');
--- a/tests/relay/support/memorySource.ts
+++ b/tests/relay/support/memorySource.ts
@@ -41,6 +41,17 @@
     this.wake();
   }
 
+  /** Ends all waiting polls without an answer, as the store may at any time. */
+  cutWatches(): void {
+    this.cuts += 1;
+    this.wake();
+  }
+
+  /** Number of waiting polls. */
+  get watchCount(): number {
+    return this.waiting.length;
+  }
+
   /** Ends all waiting polls. */
   wake(): void {
     for (const wake of this.waiting) wake();
@@ -49,6 +60,8 @@
 
   private oldestRevision = 0;
 
+  private cuts = 0;
+
   async list() {
     this.calls += 1;
     if (this.isDown) return err({ type: 'unavailable' as const, message: 'down' });
@@ -59,9 +72,11 @@
   async poll(since: number, waitMs: number) {
     this.calls += 1;
     if (!this.isDown && waitMs > 0 && since === this.revision) {
+      const { cuts } = this;
       await new Promise<void>((resolve) => {
         this.waiting.push(resolve);
       });
+      if (this.cuts > cuts) return err({ type: 'unavailable' as const, message: 'cut off' });
     }
     if (this.isDown) return err({ type: 'unavailable' as const, message: 'down' });
     if (since < this.oldestRevision) return err({ type: 'history_gone' as const });
