Share one read of the list between a follower's tasks

Fix: concurrent loads share one read. Evidence: relay/sourceFollower, 'reads one list at a time', failed before (two lists in flight).

--- a/packages/relay/src/follow/sourceFollower.ts
+++ b/packages/relay/src/follow/sourceFollower.ts
@@ -73,6 +73,8 @@
 
   private confirming: Promise<boolean> | undefined;
 
+  private loading: Promise<boolean> | undefined;
+
   private retryMs = MIN_RETRY_MS;
 
   /** Earliest time of the next read after a failed one, on the monotonic clock. */
@@ -207,7 +209,15 @@
     return this.revision === undefined && this.isLoaded ? this.load() : false;
   }
 
-  private async load(): Promise<boolean> {
+  /** Reads the whole state. Concurrent calls share one read, so that no older list comes last. */
+  private load(): Promise<boolean> {
+    this.loading ??= this.readList().finally(() => {
+      this.loading = undefined;
+    });
+    return this.loading;
+  }
+
+  private async readList(): Promise<boolean> {
     const before = readClocks(this.options.clock);
     const listed = await this.options.source.list();
     if (listed.isErr()) return this.handleFailure(listed.error);
--- a/tests/relay/sourceFollower.test.ts
+++ b/tests/relay/sourceFollower.test.ts
@@ -112,6 +112,36 @@
     });
   });
 
+  it('reads one list at a time after the store has dropped its history', async () => {
+    const releases: (() => void)[] = [];
+    let lists = 0;
+    const source: ChangeSource<string> = {
+      list: async () => {
+        lists += 1;
+        const items = [{ name: 'a', revision: lists, value: `list ${lists}` }];
+        if (lists > 1) {
+          await new Promise<void>((resolve) => {
+            releases.push(resolve);
+          });
+        }
+        return ok({ items, revision: lists });
+      },
+      poll: async () => err({ type: 'history_gone' }),
+    };
+    const { follower, state, clock } = createFollower(source);
+    const abort = new AbortController();
+    const task = follower.run(abort.signal);
+    await waitFor(() => releases.length > 0, { what: 'the second list', timeoutMs: 2000 });
+    const confirmed = follower.confirm();
+    await clock.advance(500);
+    assert.equal(lists, 2);
+    abort.abort();
+    releases.forEach((release) => release());
+    await confirmed;
+    await task;
+    assert.equal(state.get('a'), 'list 2');
+  });
+
   it('lists again after the store has dropped its history', async () => {
     const source = new MemorySource<string>();
     source.put('a', 'one');
