Drain once, however often the instance is told to stop

Cause: RelayNode.stop returned at once when it was called again, and the process exits when it returns. Fix: all calls share one stop. Evidence: platform/process with real processes, 'answers the requests in flight after a second signal (SIGTERM)' failed before.

--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -5,6 +5,7 @@
 import { CallerServer } from './callerServer.js';
 import { ConfigIndex } from './config/configIndex.js';
 import type { RelayConfig } from './config/relayConfig.js';
+import { drainCallers } from './gracefulStop.js';
 import type { EventLog } from './observe/eventLog.js';
 import { RequestMetrics } from './observe/requestMetrics.js';
 import { createStatusServer } from './observe/statusServer.js';
@@ -55,17 +56,6 @@
 /** Subtracted from the bound on revoked keys for the time between the check and the run. */
 const KEY_AGE_MARGIN_MS = 500;
 const ABSENCE_AGE_MARGIN_MS = 200;
-// The platform stops routing connections to an instance two seconds after a failed readiness check.
-// Later connections and further requests on keep-alive connections might exceed the grace period.
-const CLOSE_AFTER_MS = 2500;
-/** Subtracted from the grace period for the exit of the process. */
-const STOP_MARGIN_MS = 500;
-/** Time between the deadline of the last requests and the exit, in which their answers leave. */
-const LAST_ANSWERS_MS = 100;
-/** Share of the grace period in which new connections are accepted at most. */
-const MAX_OPEN_SHARE = 0.5;
-const STOP_CHECK_MS = 50;
-
 /** One instance: relays callers' requests to upstreams by the configuration in the store. */
 export class RelayNode {
   private readonly clock: Clock;
@@ -102,7 +92,7 @@
 
   private config: ConfigIndex | undefined;
 
-  private isStopping = false;
+  private stopping: Promise<void> | undefined;
 
   private faults = 0;
 
@@ -190,7 +180,7 @@
   /** Whether the instance accepts new connections from callers. */
   get isReady(): boolean {
     return (
-      !this.isStopping &&
+      this.stopping === undefined &&
       this.config !== undefined &&
       this.views.upstreams.isLoaded &&
       this.views.rollouts.isLoaded &&
@@ -238,27 +228,22 @@
 
   /**
    * Shuts down gracefully: reports unready, then refuses new connections, and returns when the
-   * requests in flight have ended or the grace period is over.
+   * requests in flight have ended or the grace period is over. Repeated calls return the same
+   * promise.
    */
-  async stop(): Promise<void> {
-    if (this.isStopping) return;
-    this.isStopping = true;
-    const startedMs = this.clock.monotonicMs();
-    this.options.log.write('stopping', { open: this.callerServer.openCount });
+  stop(): Promise<void> {
+    this.stopping ??= this.drain();
+    return this.stopping;
+  }
+
+  private async drain(): Promise<void> {
+    const { clock, callerServer, handler, options } = this;
+    options.log.write('stopping', { open: callerServer.openCount });
     this.peers.startLeaving();
-    const { stopGraceMs } = this.options.bounds;
-    const untilMs = startedMs + stopGraceMs - STOP_MARGIN_MS;
-    this.handler.startStopping(untilMs - LAST_ANSWERS_MS);
-    const closeAfterMs = Math.min(CLOSE_AFTER_MS, stopGraceMs * MAX_OPEN_SHARE);
-    while (this.clock.monotonicMs() < untilMs) {
-      await this.clock.sleep(STOP_CHECK_MS);
-      const elapsedMs = this.clock.monotonicMs() - startedMs;
-      if (elapsedMs < closeAfterMs) continue;
-      this.callerServer.startClosing();
-      if (this.callerServer.connectionCount === 0) break;
-    }
-    this.options.log.write('stopped', { open: this.callerServer.openCount });
-    this.options.log.flush();
+    const { stopGraceMs } = options.bounds;
+    await drainCallers({ clock, handler, callerServer, stopGraceMs });
+    options.log.write('stopped', { open: callerServer.openCount });
+    options.log.flush();
   }
 
   private get maxKeyAgeMs(): number {
@@ -357,15 +342,7 @@
 
   private recordEnd(exchange: Exchange): void {
     this.metrics.record(exchange);
-    this.options.log.write('request', {
-      id: exchange.request?.id,
-      route: exchange.route?.name,
-      workspace: exchange.workspace?.name,
-      end: exchange.end ?? 'cancelled',
-      status: exchange.status,
-      durationMs: Math.round(exchange.elapsedMs),
-      steps: exchange.steps,
-    });
+    this.options.log.write('request', exchange.describe());
   }
 
   private formatMetrics(): Promise<string> {
--- a/packages/relay/src/requests/exchange.ts
+++ b/packages/relay/src/requests/exchange.ts
@@ -200,6 +200,19 @@
     this.outgoing.end(body);
   }
 
+  /** Returns what the log says of the request. */
+  describe(): Record<string, unknown> {
+    return {
+      id: this.request?.id,
+      route: this.route?.name,
+      workspace: this.workspace?.name,
+      end: this.end ?? 'cancelled',
+      status: this.status,
+      durationMs: Math.round(this.elapsedMs),
+      steps: this.steps,
+    };
+  }
+
   private finish(end: ExchangeEnd, status: number): void {
     this.end = end;
     this.status = status;
--- /dev/null
+++ b/tests/platform/process.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import { after, afterEach, before, describe, it } from 'node:test';
+
+import { waitFor } from '@cactusstair/utils';
+
+import { sendRequest } from '../relay/support/caller.js';
+import { API_KEY, HOST } from '../relay/support/relayFixture.js';
+import type { Script } from '../relay/support/scriptedUpstream.js';
+import { formatAnswer, ScriptedUpstream } from '../relay/support/scriptedUpstream.js';
+import type { InstancePorts } from './support/instanceProcess.js';
+import { findInstancePorts, formatSettings, InstanceProgram } from './support/instanceProcess.js';
+import { StoreStandin } from './support/storeStandin.js';
+
+describe('process of an instance', () => {
+  const program = new InstanceProgram();
+  let store: StoreStandin;
+  let ports: InstancePorts;
+  let upstream: ScriptedUpstream | undefined;
+
+  before(async () => {
+    await program.build();
+    store = await StoreStandin.open();
+    store.put('config', 'main', {
+      version: 1,
+      routes: [{ name: 'route', host: HOST, path_prefix: '/app/', kind: 'unsafe', service: 'app' }],
+      services: [{ name: 'app' }],
+      tenants: [{ name: 'workspace-1', api_keys: [API_KEY] }],
+    });
+  });
+
+  afterEach(async () => {
+    await upstream?.close();
+    upstream = undefined;
+  });
+
+  after(async () => {
+    await program.close();
+    await store.close();
+  });
+
+  async function writeSettings(name: string, graceSeconds?: number): Promise<string> {
+    ports = await findInstancePorts();
+    return program.writeFile(name, formatSettings(ports, store.address, graceSeconds));
+  }
+
+  async function addUpstream(script: Script): Promise<ScriptedUpstream> {
+    upstream = await ScriptedUpstream.open(script);
+    store.put('servers', 'upstream-1', {
+      service: 'app',
+      address: `127.0.0.1:${upstream.port}`,
+      zone: 'zone-1',
+      state: 'ready',
+      slots: 8,
+    });
+    return upstream;
+  }
+
+  async function waitReady(): Promise<void> {
+    const isReady = async () => {
+      const url = `http://127.0.0.1:${ports.readiness}/cactusstair/readiness`;
+      return fetch(url).then(
+        ({ ok }) => ok,
+        () => false,
+      );
+    };
+    await waitFor(isReady, { what: 'the instance to be ready', timeoutMs: 20_000 });
+  }
+
+  ['SIGTERM', 'SIGHUP', 'SIGINT'].forEach((second) => {
+    it(`answers the requests in flight after a second signal (${second})`, async () => {
+      let answer: (() => void) | undefined;
+      const server = await addUpstream((socket, request) => {
+        answer = () => socket.end(formatAnswer(request, 200, 'whole'));
+      });
+      const settings = await writeSettings(`second-${second}.json`, 20);
+      const instance = program.start(settings);
+      await waitReady();
+      const headers = { 'x-deadline-ms': '9000' };
+      const call = sendRequest(ports.callers, { headers });
+      await waitFor(() => server.received.length > 0, { what: 'the request', timeoutMs: 5000 });
+      instance.signal('SIGTERM');
+      await instance.waitForOutput('"event":"stopping"');
+      instance.signal(second as NodeJS.Signals);
+      // A question that is answered after the signal shows that the process has received it.
+      const readiness = await fetch(`http://127.0.0.1:${ports.readiness}/cactusstair/readiness`);
+      assert.equal(readiness.status, 503);
+      answer?.();
+      assert.deepEqual([(await call).status, (await call).body], [200, 'whole']);
+      assert.equal(await instance.ended, 0);
+    });
+  });
+
+  it('ends with code 2 and the reason when the settings stay invalid', async () => {
+    const instance = program.start(program.writeFile('invalid.json', '{"node_name": 1}'));
+    assert.equal(await instance.ended, 2);
+    assert.match(instance.output, /listen_addrs\.front: expected IP:PORT/);
+  });
+});
