--- a/tests/platform/process.test.ts
+++ b/tests/platform/process.test.ts
@@ -11,6 +11,22 @@
 import { findInstancePorts, formatSettings, InstanceProgram } from './support/instanceProcess.js';
 import { StoreStandin } from './support/storeStandin.js';
 
+const STARTED = '"event":"started"';
+
+/** Sends a signal to its own process when the program has loaded its first module of Node.js. */
+const signalAtFirstModule = (signal: string) => `
+const Module = require('node:module');
+const load = Module._load;
+let isSent = false;
+Module._load = function (name, ...rest) {
+  if (!isSent && name.startsWith('node:')) {
+    isSent = true;
+    process.kill(process.pid, '${signal}');
+  }
+  return load.call(this, name, ...rest);
+};
+`;
+
 describe('process of an instance', () => {
   const program = new InstanceProgram();
   let store: StoreStandin;
@@ -66,6 +82,25 @@
     await waitFor(isReady, { what: 'the instance to be ready', timeoutMs: 20_000 });
   }
 
+  // The platform says with SIGHUP that the settings have changed, also while a process starts.
+  it('is not ended by a SIGHUP before its modules are loaded', async () => {
+    const preload = program.writeFile('hangUp.cjs', signalAtFirstModule('SIGHUP'));
+    const settings = await writeSettings('early.json');
+    const instance = program.start(settings, ['--require', preload]);
+    await instance.waitForOutput(STARTED);
+    instance.signal('SIGHUP');
+    await instance.waitForOutput('"event":"settings_changed"');
+    instance.signal('SIGTERM');
+    assert.equal(await instance.ended, 0);
+  });
+
+  it('ends with code 0 after a SIGTERM before its modules are loaded', async () => {
+    const preload = program.writeFile('terminate.cjs', signalAtFirstModule('SIGTERM'));
+    const settings = await writeSettings('terminated.json');
+    const instance = program.start(settings, ['--require', preload]);
+    assert.equal(await instance.ended, 0);
+  });
+
   ['SIGTERM', 'SIGHUP', 'SIGINT'].forEach((second) => {
     it(`answers the requests in flight after a second signal (${second})`, async () => {
       let answer: (() => void) | undefined;
