Wait for an address that another process still has

Operators would see: a process whose port was still taken when it started ended at once, each time it was started again (FAULT). Cause: the first error of listen ended the process. The instance reports ready only when it listens at all its addresses.

--- a/packages/relay/src/messageHead.ts
+++ b/packages/relay/src/messageHead.ts
@@ -28,6 +28,7 @@
   status: number,
   rawHeaders: readonly string[],
 ): string | undefined {
-  if (status < MIN_FINAL_STATUS || status > MAX_STATUS) return `the status ${status} does not exist`;
+  if (status < MIN_FINAL_STATUS || status > MAX_STATUS)
+    return `the status ${status} does not exist`;
   return describeInvalidHeaders(rawHeaders);
 }
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from './observe/eventLog.js';
 import { RequestMetrics } from './observe/requestMetrics.js';
 import { createStatusServer } from './observe/statusServer.js';
+import { openWhenFree } from './openWhenFree.js';
 import { PeerExchange } from './peers/peerExchange.js';
 import { findPeers } from './peers/peerFinder.js';
 import type { PeerRecord, RelayBounds, SocketAddress } from './relayOptions.js';
@@ -92,6 +93,9 @@
 
   private config: ConfigIndex | undefined;
 
+  /** Whether the instance has opened all its addresses. */
+  private isListening = false;
+
   private stopping: Promise<void> | undefined;
 
   private faults = 0;
@@ -180,6 +184,7 @@
   /** Whether the instance accepts new connections from callers. */
   get isReady(): boolean {
     return (
+      this.isListening &&
       this.stopping === undefined &&
       this.config !== undefined &&
       this.views.upstreams.isLoaded &&
@@ -205,10 +210,7 @@
       this.peers.addAddress({ host, port: options.peers.port });
     }
     this.views.startTasks(lifecycle);
-    await this.peers.start();
-    await this.views.listen(options.peers);
-    await this.readinessServer.listen(options.readiness);
-    await this.callerServer.listen(options.callers);
+    await this.openListeners();
     lifecycle.startTask('exchange with peers', (signal) => this.peers.run(signal));
     lifecycle.startTask('find peers', (signal) =>
       findPeers(
@@ -223,9 +225,25 @@
       ),
     );
     lifecycle.startTask('drive rollouts', (signal) => this.createRolloutController().run(signal));
+    this.isListening = true;
     options.log.write('started', { zone: options.zone });
   }
 
+  private openListeners(): Promise<void> {
+    const { callers, log, peers, readiness } = this.options;
+    const listeners = [
+      () => this.peers.start(),
+      () => this.views.listen(peers),
+      () => this.readinessServer.listen(readiness),
+      () => this.callerServer.listen(callers),
+    ];
+    return openWhenFree(listeners, {
+      clock: this.clock,
+      signal: this.lifecycle.signal,
+      onTaken: (message) => log.write('address_taken', { message }),
+    });
+  }
+
   /**
    * Shuts down gracefully: reports unready, then refuses new connections, and returns when the
    * requests in flight have ended or the grace period is over. Repeated calls return the same
@@ -241,7 +259,8 @@
     options.log.write('stopping', { open: callerServer.openCount });
     this.peers.startLeaving();
     const { stopGraceMs } = options.bounds;
-    await drainCallers({ clock, handler, callerServer, stopGraceMs });
+    // Before it listens, the instance has accepted nothing that it would have to finish.
+    if (this.isListening) await drainCallers({ clock, handler, callerServer, stopGraceMs });
     options.log.write('stopped', { open: callerServer.openCount });
     options.log.flush();
   }
--- a/tests/platform/process.test.ts
+++ b/tests/platform/process.test.ts
@@ -1,4 +1,7 @@
 import assert from 'node:assert/strict';
+import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
+import { createServer } from 'node:net';
 import { after, afterEach, before, describe, it } from 'node:test';
 
 import { waitFor } from '@cactusstair/utils';
@@ -32,6 +35,8 @@
   let store: StoreStandin;
   let ports: InstancePorts;
   let upstream: ScriptedUpstream | undefined;
+  /** Has the address of the instance. */
+  let owner: { close(): unknown } | undefined;
 
   before(async () => {
     await program.build();
@@ -47,6 +52,7 @@
   afterEach(async () => {
     await upstream?.close();
     upstream = undefined;
+    releasePort();
   });
 
   after(async () => {
@@ -71,6 +77,17 @@
     return upstream;
   }
 
+  async function takePort(port: number): Promise<void> {
+    const server = createServer().listen(port, '127.0.0.1');
+    owner = server;
+    await once(server, 'listening');
+  }
+
+  function releasePort(): void {
+    owner?.close();
+    owner = undefined;
+  }
+
   async function waitReady(): Promise<void> {
     const isReady = async () => {
       const url = `http://127.0.0.1:${ports.readiness}/cactusstair/readiness`;
@@ -125,6 +142,39 @@
     });
   });
 
+  // A process that is started again at once may meet the addresses of the one before.
+  (['callers', 'readiness', 'peers'] as const).forEach((name) => {
+    it(`waits for its ${name} port while another process has it`, async () => {
+      const settings = await writeSettings(`taken-${name}.json`);
+      await takePort(ports[name]);
+      const instance = program.start(settings);
+      await instance.waitForOutput('"event":"address_taken"');
+      releasePort();
+      await instance.waitForOutput(STARTED);
+      await waitReady();
+    });
+  });
+
+  it('waits for its peer datagram port while another process has it', async () => {
+    const settings = await writeSettings('taken-datagrams.json');
+    const socket = createSocket('udp4').bind(ports.peers, '127.0.0.1');
+    owner = socket;
+    await once(socket, 'listening');
+    const instance = program.start(settings);
+    await instance.waitForOutput('"event":"address_taken"');
+    releasePort();
+    await instance.waitForOutput(STARTED);
+  });
+
+  it('can be stopped while it waits for a port', async () => {
+    const settings = await writeSettings('stopped.json');
+    await takePort(ports.callers);
+    const instance = program.start(settings);
+    await instance.waitForOutput('"event":"address_taken"');
+    instance.signal('SIGTERM');
+    assert.equal(await instance.ended, 0);
+  });
+
   it('ends with code 2 and the reason when the settings stay invalid', async () => {
     const instance = program.start(program.writeFile('invalid.json', '{"node_name": 1}'));
     assert.equal(await instance.ended, 2);
