--- a/tests/platform/process.test.ts
+++ b/tests/platform/process.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
+import { writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
 import { after, afterEach, before, describe, it } from 'node:test';
 
@@ -175,6 +176,15 @@
     assert.equal(await instance.ended, 0);
   });
 
+  it('waits for a settings file that is being written', async () => {
+    const path = await writeSettings('partial.json');
+    const text = formatSettings(ports, store.address);
+    writeFileSync(path, text.slice(0, text.length / 2));
+    const instance = program.start(path);
+    setTimeout(() => writeFileSync(path, text), 600);
+    await instance.waitForOutput(STARTED);
+  });
+
   it('ends with code 2 and the reason when the settings stay invalid', async () => {
     const instance = program.start(program.writeFile('invalid.json', '{"node_name": 1}'));
     assert.equal(await instance.ended, 2);
