Bound the memory of all buffered answers together

Cause: 8 MiB for each answer and no bound on the sum; a declared length above the limit was read on; chunks kept whole read buffers alive; bodies of failed answers were kept with their attempts for half a second; the collector hardly sees buffers. Fix: MemoryShares (routing) divides 32 MiB among large answers, half to one upstream at most; who waits is not read on.

--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -24,6 +24,7 @@
 import { formatVersionKey, RolloutRouter } from './rollouts/rolloutRouter.js';
 import { RolloutController } from './rollouts/rolloutController.js';
 import { StoreViews } from './storeViews.js';
+import { AnswerMemory } from './upstreams/answerMemory.js';
 import { EngineEstimators } from './upstreams/engineEstimators.js';
 import { CrashDetector } from './upstreams/crashDetector.js';
 import type { Upstream } from './upstreams/upstream.js';
@@ -291,6 +292,7 @@
       rollouts: this.rollouts,
       crashes: this.crashes,
       stallMonitor: new StallMonitor(this.clock),
+      answerMemory: new AnswerMemory(),
       crashDetector: new CrashDetector((upstream) => this.recordCrash(upstream)),
       onLoadGrowth: (upstream) => this.peers.notifyLoadGrowth(upstream),
       getConfig: () => this.config,
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -26,8 +26,6 @@
 // A connection between zones opens in about 3 ms. A lost SYN is retransmitted only after a second,
 // so the request moves to another upstream well before that.
 const CONNECT_TIMEOUT_MS = 150;
-/** Limit on the body of an answer that is not a stream; it is buffered before it is passed on. */
-const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Subtracted from the upstream's deadline to leave time for the answer to travel back. */
 const ANSWER_MARGIN_MS = 5;
 const ROOM_CHECK_INTERVAL_MS = 40;
@@ -113,7 +111,11 @@
       body: request.body,
       connectTimeoutMs: Math.max(1, Math.min(CONNECT_TIMEOUT_MS, exchange.timeLeftMs)),
       onConnect: () => this.recordSent(),
-      maxBodyBytes: MAX_ANSWER_BYTES,
+      lease: {
+        memory: context.answerMemory,
+        owner: upstream.id,
+        onCallerDone: (listener) => exchange.onClosed(listener),
+      },
     });
     exchange.attempt = this;
     exchange.onCancel(this.cancelListener);
--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -13,7 +13,7 @@
   type: 'failed_answer';
   status: number;
   headers: string[];
-  body: Buffer;
+  body: Buffer[];
 }
 
 /** Why an attempt brought no answer for the caller. */
--- a/packages/relay/src/requests/bufferedRelay.ts
+++ b/packages/relay/src/requests/bufferedRelay.ts
@@ -7,7 +7,7 @@
 
 /** Outcome of one attempt. */
 type AttemptResult =
-  { type: 'answer'; status: number; headers: string[]; body: Buffer } | AttemptFailure;
+  { type: 'answer'; status: number; headers: string[]; body: Buffer[] } | AttemptFailure;
 
 // An unanswered idempotent request moves to another upstream after this many latency goals.
 const SILENCE_TIMEOUT_GOALS = 2;
--- a/packages/relay/src/requests/exchange.ts
+++ b/packages/relay/src/requests/exchange.ts
@@ -104,19 +104,28 @@
     this.cancelListeners.delete(listener);
   }
 
+  /** Calls `listener` once the caller has received everything or has left. */
+  onClosed(listener: () => void): void {
+    if (this.outgoing.closed) listener();
+    else this.outgoing.once('close', listener);
+  }
+
   addStep(step: string, fields: Record<string, unknown> = {}): void {
     this.steps.push({ atMs: Math.round(this.elapsedMs), step, ...fields });
   }
 
   /** Sends an upstream's answer unchanged. */
-  sendAnswer(status: number, headers: string[], body: Buffer): void {
+  sendAnswer(status: number, headers: string[], body: readonly Buffer[]): void {
     if (this.isOver) return;
-    if (body.length > 0 || status !== 204) headers.push('content-length', String(body.length));
+    const length = body.reduce((sum, part) => sum + part.length, 0);
+    if (length > 0 || status !== 204) headers.push('content-length', String(length));
     // Throws if the head is invalid; the request is still to be answered then.
     this.outgoing.writeHead(status, headers as never);
     this.firstByteMs ??= this.elapsedMs;
     this.finish(status < 500 ? 'answered' : 'failed', status);
-    this.outgoing.end(this.request?.method === 'HEAD' ? undefined : body);
+    const parts = this.request?.method === 'HEAD' ? [] : body;
+    for (const part of parts.slice(0, -1)) this.outgoing.write(part);
+    this.outgoing.end(parts.at(-1));
   }
 
   /** Sends the head of a stream. */
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -3,6 +3,7 @@
 
 import type { ConfigIndex } from '../config/configIndex.js';
 import type { RolloutRouter } from '../rollouts/rolloutRouter.js';
+import type { AnswerMemory } from '../upstreams/answerMemory.js';
 import type { CrashDetector } from '../upstreams/crashDetector.js';
 import type { EngineEstimators } from '../upstreams/engineEstimators.js';
 import type { Upstream } from '../upstreams/upstream.js';
@@ -25,6 +26,8 @@
   rollouts: RolloutRouter;
   crashes: CrashAttribution;
   stallMonitor: StallMonitor;
+  /** Memory for the answers that are buffered. */
+  answerMemory: AnswerMemory;
   crashDetector: CrashDetector;
   /** Called when a request has been added to the load of an upstream. */
   onLoadGrowth: (upstream: Upstream) => void;
--- a/packages/relay/src/requests/requestHandler.ts
+++ b/packages/relay/src/requests/requestHandler.ts
@@ -1,6 +1,8 @@
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import { ByteCollector } from '@cactusstair/utils';
+
 import type { ConfigIndex } from '../config/configIndex.js';
 import type { Route } from '../config/relayConfig.js';
 import { describeInvalidHeaders } from '../messageHead.js';
@@ -42,19 +44,17 @@
   maxBytes: number,
 ): Promise<Buffer | 'too_long' | 'cut'> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const body = new ByteCollector();
     incoming.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) {
+      if (body.length + chunk.length > maxBytes) {
         incoming.removeAllListeners('data');
         incoming.resume();
         resolve('too_long');
         return;
       }
-      chunks.push(chunk);
+      body.append(chunk);
     });
-    incoming.on('end', () => resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
+    incoming.on('end', () => resolve(body.takeBuffer()));
     incoming.on('error', () => resolve('cut'));
     incoming.on('close', () => resolve('cut'));
   });
--- a/packages/relay/src/upstreams/upstreamCall.ts
+++ b/packages/relay/src/upstreams/upstreamCall.ts
@@ -6,6 +6,8 @@
 import type { Result } from 'neverthrow';
 
 import { describeInvalidAnswerHead } from '../messageHead.js';
+import type { AnswerLease } from './answerMemory.js';
+import { readBoundedBody } from './answerMemory.js';
 import type { Upstream } from './upstream.js';
 
 /** Why a call ended without a complete answer. */
@@ -41,8 +43,8 @@
   connectTimeoutMs: number;
   /** Called when the connection is open. */
   onConnect: () => void;
-  /** Largest body that `readBody` accepts, in bytes. */
-  maxBodyBytes: number;
+  /** Memory for the body of the answer. */
+  lease: AnswerLease;
 }
 
 /**
@@ -87,26 +89,15 @@
   }
 
   /** Reads the body of the answer; one that is truncated or too long is a failure. */
-  readBody(answer: IncomingMessage): Promise<Result<Buffer, CallFailure>> {
-    return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
-      answer.on('data', (chunk: Buffer) => {
-        this.options.upstream.recordProgress();
-        size += chunk.length;
-        chunks.push(chunk);
-        if (size > this.options.maxBodyBytes) {
-          resolve(err(this.createFailure('the answer body exceeds the size limit')));
-          this.outgoing?.destroy();
-        }
-      });
-      answer.on('error', (error) => resolve(err(this.createDisconnect(error.message))));
-      answer.on('close', () => resolve(err(this.createDisconnect('the answer was cut off'))));
-      answer.on('end', () => {
-        if (this.isWhole(answer)) resolve(ok(Buffer.concat(chunks)));
-        else resolve(err(this.createDisconnect('the answer was cut off')));
-      });
-    });
+  async readBody(answer: IncomingMessage): Promise<Result<Buffer[], CallFailure>> {
+    const { lease, upstream } = this.options;
+    const end = await readBoundedBody(answer, lease, () => upstream.recordProgress());
+    if (end.type === 'too_long') {
+      this.outgoing?.destroy();
+      return err(this.createFailure('the answer body exceeds the size limit'));
+    }
+    if (end.type === 'whole' && this.isWhole(answer)) return ok(end.body);
+    return err(this.createDisconnect('the answer was cut off'));
   }
 
   /**
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,5 +1,6 @@
 /** Utilities for all packages: time, random numbers, waiting, settings, clean-up and logs. */
 export { alignColumns } from './alignColumns.js';
+export { ByteCollector } from './byteCollector.js';
 export type { Clock } from './clock.js';
 export { systemClock } from './clock.js';
 export { Invariants } from './invariants.js';
--- a/tests/platform/support/instanceProcess.ts
+++ b/tests/platform/support/instanceProcess.ts
@@ -1,7 +1,7 @@
 import type { ChildProcess } from 'node:child_process';
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 
@@ -13,6 +13,14 @@
 const ROOT = resolve(import.meta.dirname, '../../../..');
 const START_TIMEOUT_MS = 20_000;
 
+/** Returns the options of Node.js in the command of the deploy file. */
+function readNodeOptions(): string[] {
+  const deploy = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
+  const command = /^run = "node (.*) target\/cactusstair\.cjs"$/m.exec(deploy)?.[1];
+  if (command === undefined) throw new Error('deploy/system.toml has no run line for node');
+  return command.split(' ');
+}
+
 /** How a process ended: its exit code, or the name of the signal. */
 export type ProcessEnd = number | NodeJS.Signals;
 
@@ -51,9 +59,10 @@
     return path;
   }
 
-  /** Starts an instance; `nodeArgs` come before the program. */
+  /** Starts an instance as the deploy file does, with further options of Node.js. */
   start(settingsPath: string, nodeArgs: readonly string[] = []): InstanceProcess {
-    const instance = new InstanceProcess([...nodeArgs, this.path], settingsPath);
+    const args = [...readNodeOptions(), ...nodeArgs, this.path];
+    const instance = new InstanceProcess(args, settingsPath);
     this.started.push(instance);
     return instance;
   }
--- /dev/null
+++ b/tests/routing/memoryShares.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import fc from 'fast-check';
+
+import type { ReleaseMemory } from '@cactusstair/routing';
+import { MemoryShares } from '@cactusstair/routing';
+
+const SEED = 20261205;
+
+describe('MemoryShares', () => {
+  /** Asks for memory and records the grants in order. */
+  function createRecorder(maxBytes: number) {
+    const shares = new MemoryShares(maxBytes);
+    const granted: string[] = [];
+    const ask = (owner: string, bytes: number, name = owner) =>
+      shares.request(owner, bytes, () => granted.push(name));
+    return { shares, granted, ask };
+  }
+
+  it('grants at once while there is memory, and later what is given back', () => {
+    const { granted, ask } = createRecorder(100);
+    const release = ask('a', 50);
+    ask('b', 50);
+    ask('c', 50);
+    assert.deepEqual(granted, ['a', 'b']);
+    release();
+    release();
+    assert.deepEqual(granted, ['a', 'b', 'c']);
+  });
+
+  it('leaves half of the memory to others, however much one owner asks for', () => {
+    const { granted, ask } = createRecorder(100);
+    for (let index = 0; index < 50; index += 1) ask('endless', 25, `endless ${index}`);
+    assert.equal(granted.length, 2);
+    ask('sound', 50);
+    assert.equal(granted.at(-1), 'sound');
+  });
+
+  it('serves the owner that holds least before the oldest request', () => {
+    const { granted, ask } = createRecorder(100);
+    ask('a', 25, 'a1');
+    const release = ask('b', 50, 'b1');
+    ask('c', 25, 'c1');
+    ask('a', 25, 'a2');
+    ask('d', 25, 'd1');
+    release();
+    assert.deepEqual(granted, ['a1', 'b1', 'c1', 'd1', 'a2']);
+  });
+
+  it('forgets a request that is withdrawn', () => {
+    const { granted, shares, ask } = createRecorder(100);
+    const release = ask('a', 50);
+    ask('b', 50);
+    ask('c', 50)();
+    release();
+    assert.deepEqual(granted, ['a', 'b']);
+    assert.equal(shares.usedBytes, 50);
+  });
+
+  it('never exceeds its memory and serves everyone whose turn comes', () => {
+    const request = fc.record({
+      owner: fc.constantFrom('a', 'b', 'c', 'd'),
+      bytes: fc.integer({ min: 0, max: 80 }),
+      isReleasedEarly: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(request, { maxLength: 60 }), (requests) => {
+        const { shares, granted, ask } = createRecorder(100);
+        const releases: ReleaseMemory[] = [];
+        requests.forEach(({ owner, bytes, isReleasedEarly }, index) => {
+          const release = ask(owner, bytes, String(index));
+          assert.ok(shares.usedBytes <= 100);
+          if (isReleasedEarly) release();
+          else releases.push(release);
+        });
+        // A request that is given back when it was granted makes room for the next.
+        releases.forEach((release) => {
+          release();
+          assert.ok(shares.usedBytes <= 100);
+        });
+        assert.equal(shares.usedBytes, 0);
+        assert.equal(new Set(granted).size, granted.length);
+      }),
+      { seed: SEED },
+    );
+  });
+});
