--- a/tests/platform/storeClient.test.ts
+++ b/tests/platform/storeClient.test.ts
@@ -8,6 +8,9 @@
 
 type Handler = (request: IncomingMessage, response: ServerResponse, body: string) => void;
 
+/** Eight parts take longer than the 1.2 s in which a call may be silent. */
+const SLOW_PART_MS = 250;
+
 describe('StoreClient', () => {
   let server: Server;
   let client: StoreClient;
@@ -41,6 +44,34 @@
   const openSource = () =>
     client.createSource('servers', (_name, spec) => (spec === 'bad' ? undefined : spec));
 
+  // An instance that was cut off read no configuration for as long as one took longer than a call.
+  it('reads an answer that arrives slowly for longer than a call may be silent', async () => {
+    const items = [createObject('slow', 1, 'x'.repeat(4000))];
+    await open((_request, response) => {
+      const bytes = Buffer.from(JSON.stringify({ items, at: 1 }));
+      const parts = 8;
+      let sent = 0;
+      const sendPart = () => {
+        const size = Math.ceil(bytes.length / parts);
+        response.write(bytes.subarray(sent * size, (sent + 1) * size));
+        sent += 1;
+        if (sent < parts) setTimeout(sendPart, SLOW_PART_MS);
+        else response.end();
+      };
+      sendPart();
+    });
+    const listed = await openSource().list();
+    assert.deepEqual(listed.isOk() && listed.value.items.map(({ name }) => name), ['slow']);
+  });
+
+  it('gives up an answer that stops arriving', async () => {
+    await open((_request, response) => {
+      response.write('{"items": [');
+    });
+    const listed = await openSource().list();
+    assert.equal(listed.isErr() && listed.error.type, 'unavailable');
+  });
+
   it('lists the sound entries beside one that is nested deeply', async () => {
     const depth = 100_000;
     const nested = `${'['.repeat(depth)}${']'.repeat(depth)}`;
