Pass the events of a first run on as they came

Cause: the filter against repeats of a resumed run also applied to the first run. Fix: EventOrder decides, without a network; no upstream is asked to go on where the ids do not fit, and an event that does not follow ends a resumed run as failed.

--- /dev/null
+++ b/packages/relay/src/requests/eventOrder.ts
@@ -0,0 +1,63 @@
+const EVENT_ID = /^\d{1,15}$/;
+
+function parseEventId(id: string | undefined): number | undefined {
+  return id !== undefined && EVENT_ID.test(id) ? Number(id) : undefined;
+}
+
+/** What to do with an event of a run that goes on with a stream. */
+export type ResumedEvent = 'new' | 'repeated' | 'out_of_order';
+
+/**
+ * Follows the ids of a stream's events, which rise, mostly by one. An id is spoilt if it does not
+ * fit those around it: the event is passed on as it came, but no other upstream can go on after it
+ * until the ids fit again.
+ */
+export class EventOrder {
+  /** Last id that fits those before it. */
+  private lastSound: number | undefined;
+
+  /** Id of the last event, if it is a number. */
+  private last: number | undefined;
+
+  /** Events since the last one whose id fits. */
+  private unsoundCount = 0;
+
+  /** Whether ids have risen by more than one. */
+  private hasGaps = false;
+
+  /** Whether no event has come, or another upstream can go on after the last one. */
+  get canResume(): boolean {
+    return this.unsoundCount === 0;
+  }
+
+  /** Records an event of the first run, which is passed on whatever its id. */
+  record(id: string | undefined): void {
+    const number = parseEventId(id);
+    if (number !== undefined && this.isSound(number)) {
+      this.lastSound = number;
+      this.unsoundCount = 0;
+    } else this.unsoundCount += 1;
+    this.last = number;
+  }
+
+  /** Classifies and records an event of a run that goes on after the last event. */
+  recordResumed(id: string | undefined): ResumedEvent {
+    const number = parseEventId(id);
+    if (number === undefined || this.lastSound === undefined) return 'out_of_order';
+    if (number <= this.lastSound) return 'repeated';
+    if (number > this.lastSound + 1 && !this.hasGaps) return 'out_of_order';
+    this.record(id);
+    return 'new';
+  }
+
+  private isSound(number: number): boolean {
+    const { last, lastSound, unsoundCount } = this;
+    if (lastSound === undefined) return unsoundCount === 0 || number === (last ?? NaN) + 1;
+    if (number === lastSound + unsoundCount + 1) return true;
+    if (last === undefined || unsoundCount === 0) return false;
+    if (number === last + 1) return true;
+    const isRising = lastSound < last && last < number;
+    this.hasGaps ||= isRising;
+    return isRising;
+  }
+}
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -4,6 +4,7 @@
 import { awaitAttempt, readAnswerHead } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
 import { AttemptTracker } from './attemptTracker.js';
+import { EventOrder } from './eventOrder.js';
 import { EventSplitter } from './eventSplitter.js';
 import type { StreamEvent } from './eventSplitter.js';
 import type { RelayContext } from './relayContext.js';
@@ -27,6 +28,7 @@
 // A request to a fully loaded service is refused after this share of its latency goal, about 1/8.
 const ROOM_TIMEOUT_GOALS = 0.12;
 const RETRY_AFTER_MS = 600;
+const OUT_OF_ORDER_REASON = 'the events do not follow those before';
 const FOREIGN_TEXT_REASON = 'the stream holds text that belongs to no event';
 
 /** State of one stream over all its attempts. */
@@ -35,6 +37,8 @@
 
   private lastEventId: string | undefined;
 
+  private readonly order = new EventOrder();
+
   private hasStarted = false;
 
   private sizeIndex: number | undefined;
@@ -79,7 +83,7 @@
       if (result.type === 'escalated') {
         exchange.addStep('escalated', { upstream: attempt.upstream.id });
         this.sizeIndex = result.sizeIndex;
-      } else if (!tracker.record(attempt, result)) break;
+      } else if (!tracker.record(attempt, result) || !this.order.canResume) break;
     }
     if (this.hasStarted) exchange.breakStream(tracker.lastReason);
     else tracker.sendFailure('answer_incomplete', 'overloaded', RETRY_AFTER_MS);
@@ -162,8 +166,9 @@
     const pace = new StreamPace(this.context.clock, (paceMs, isLong) =>
       attempt.recordPace(paceMs, isLong),
     );
+    const isResumed = this.hasStarted;
     // Without framing, bytes after the answer look like a part of it.
-    const isTextAllowed = isFramed(answer) && !this.hasStarted;
+    const isTextAllowed = isFramed(answer) && !isResumed;
     try {
       for await (const chunk of answer as AsyncIterable<Buffer>) {
         attempt.upstream.recordProgress();
@@ -174,6 +179,10 @@
         }
         for (const event of events.value) {
           pace.recordEvent();
+          const kind = isResumed ? this.order.recordResumed(event.id) : 'new';
+          if (kind === 'out_of_order') return attempt.createFailure(OUT_OF_ORDER_REASON);
+          if (kind === 'repeated') continue;
+          if (!isResumed) this.order.record(event.id);
           this.forwardEvent(attempt, answer, event, progress);
         }
         await this.waitForCaller(progress);
@@ -202,7 +211,7 @@
     progress: StreamProgress,
   ): void {
     const { exchange } = this.job;
-    if (exchange.isOver || !this.isNewEvent(event.id)) return;
+    if (exchange.isOver) return;
     attempt.recordEvent();
     if (!progress.hasEvents) this.recordOutcome(attempt, false);
     progress.recordEvent();
@@ -219,12 +228,6 @@
     progress.stopWaitingForCaller();
   }
 
-  /** Whether an event is newer than the last one sent; a resumed stream may repeat events. */
-  private isNewEvent(id: string | undefined): boolean {
-    if (id === undefined || this.lastEventId === undefined) return true;
-    return Number(id) > Number(this.lastEventId);
-  }
-
   private startStream(answer: IncomingMessage): void {
     if (this.hasStarted) return;
     const headers = this.context.dialect.listAnswerHeaders(answer.rawHeaders);
@@ -255,6 +258,7 @@
     const { context, job, tracker } = this;
     const excluded = new Set([...tracker.excluded, attempt.upstream.id]);
     return (
+      this.order.canResume &&
       tracker.hasRunLeft &&
       hasUpstreamWithRoom(context, job, excluded, this.sizeIndex) &&
       tracker.tryReserveAttempt()
--- /dev/null
+++ b/tests/relay/eventOrder.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { EventOrder } from '@cactusstair/relay';
+
+/** Records the ids of a first run; returns whether it could be resumed after each. */
+function recordAll(ids: readonly (string | undefined)[], order = new EventOrder()): boolean[] {
+  return ids.map((id) => {
+    order.record(id);
+    return order.canResume;
+  });
+}
+
+describe('EventOrder', () => {
+  it('can be resumed before the first event and after each that fits', () => {
+    assert.equal(new EventOrder().canResume, true);
+    assert.deepEqual(recordAll(['1', '2', '3']), [true, true, true]);
+    assert.deepEqual(recordAll(['7', '8']), [true, true]);
+  });
+
+  ['32', '2', 'x', '', '1e1', undefined].forEach((spoilt) => {
+    it(`cannot be resumed after a spoilt id (${spoilt}), but after those that follow`, () => {
+      assert.deepEqual(recordAll(['10', '11', spoilt, '13', '14']), [
+        true,
+        true,
+        false,
+        true,
+        true,
+      ]);
+    });
+  });
+
+  it('cannot be resumed after a spoilt first id until two follow each other', () => {
+    assert.deepEqual(recordAll(['x', '2', '3']), [false, false, true]);
+  });
+
+  it('accepts ids that rise by more than one', () => {
+    assert.deepEqual(recordAll(['5', '10', '15']), [true, false, true]);
+  });
+
+  describe('in a run that goes on', () => {
+    function createOrder(ids: readonly string[]): EventOrder {
+      const order = new EventOrder();
+      recordAll(ids, order);
+      return order;
+    }
+
+    it('drops repeated events and takes those that follow', () => {
+      const order = createOrder(['1', '2', '3']);
+      const kinds = ['2', '3', '4', '5'].map((id) => order.recordResumed(id));
+      assert.deepEqual(kinds, ['repeated', 'repeated', 'new', 'new']);
+    });
+
+    ['5', 'x', undefined].forEach((id) => {
+      it(`takes no event that does not follow (${id})`, () => {
+        assert.equal(createOrder(['1', '2', '3']).recordResumed(id), 'out_of_order');
+      });
+    });
+
+    it('takes events that follow with a gap where the first run had gaps', () => {
+      const order = createOrder(['5', '10', '15']);
+      assert.equal(order.recordResumed('20'), 'new');
+    });
+  });
+});
--- a/tests/relay/streamRelay.test.ts
+++ b/tests/relay/streamRelay.test.ts
@@ -49,6 +49,62 @@
     return upstreams;
   }
 
+  describe('spoilt event ids', () => {
+    const head = formatEvents(1, 11);
+    const spoilt = formatEvents(12, 12).replace('id: 12', 'id: 32');
+
+    // The sound events after one spoilt id were dropped and the stream ended as complete (ORDER).
+    ['id: 32', 'id: 2', 'id: x', 'ix: 12'].forEach((line) => {
+      it(`do not drop the events that follow (${line})`, async () => {
+        const body = head + formatEvents(12, 12).replace('id: 12', line) + formatEvents(13, 20);
+        await openFixture((socket, request) => {
+          socket.end(formatStreamHead(request) + formatChunk(body) + LAST_CHUNK);
+        });
+        const answer = await sendRequest(fixture.callerPort);
+        assert.deepEqual([answer.body, answer.isWhole], [body, true]);
+      });
+    });
+
+    it('do not let another upstream go on at a wrong place', async () => {
+      await openFixture(
+        runOnce((socket, request) => {
+          socket.write(formatStreamHead(request) + formatChunk(head + spoilt), () =>
+            socket.resetAndDestroy(),
+          );
+        }, streamRest(40)),
+      );
+      const answer = await sendRequest(fixture.callerPort);
+      assert.deepEqual([answer.body, answer.isWhole], [head + spoilt, false]);
+    });
+
+    it('in a run that goes on are left to a further run', async () => {
+      let runs = 0;
+      await openFixture((socket, request) => {
+        runs += 1;
+        if (runs === 1) {
+          socket.write(formatStreamHead(request) + formatChunk(head), () =>
+            socket.resetAndDestroy(),
+          );
+        } else if (runs === 2) {
+          const rest = spoilt + formatEvents(13, 20);
+          socket.end(formatStreamHead(request) + formatChunk(rest) + LAST_CHUNK);
+        } else streamRest(20)(socket, request);
+      });
+      const answer = await sendRequest(fixture.callerPort);
+      assert.equal(answer.isWhole ? answer.body : formatEvents(1, 20), formatEvents(1, 20));
+    });
+
+    it('are passed on as they came to a caller that goes on with its own stream', async () => {
+      const body = formatEvents(3, 8);
+      await openFixture((socket, request) => {
+        socket.end(formatStreamHead(request) + formatChunk(body) + LAST_CHUNK);
+      });
+      const headers = { 'last-event-id': '5' };
+      const answer = await sendRequest(fixture.callerPort, { headers });
+      assert.deepEqual([answer.body, answer.isWhole], [body, true]);
+    });
+  });
+
   describe('broken stream', () => {
     it('resumes at another upstream after the last complete event', async () => {
       const upstreams = await openFixture(
