Keep names from outside out of objects with a prototype

Cause: lookups in plain objects found inherited properties. Fix: createDictionary, and Map where nothing is sent. Evidence: relay/loadExchange with three such ids. One assertion there now spreads the loads before it compares them, as they have no prototype; it compares the same entries.

--- a/packages/relay/src/peers/fleetReport.ts
+++ b/packages/relay/src/peers/fleetReport.ts
@@ -1,3 +1,5 @@
+import { createDictionary } from '@cactusstair/utils';
+
 import { addEvidence, createEvidence } from '../rollouts/versionEvidence.js';
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
 import { addEngineSums, createEngineSums } from '../upstreams/engineEstimators.js';
@@ -22,7 +24,7 @@
  * are clamped at 0.
  */
 export function subtractLoads(sum: UpstreamLoads, part: UpstreamLoads): UpstreamLoads {
-  const rest: UpstreamLoads = { ...sum };
+  const rest: UpstreamLoads = Object.assign(createDictionary(), sum);
   for (const [id, [running, backlogMs, heldTokens]] of Object.entries(part)) {
     const known = rest[id];
     if (!known) continue;
@@ -51,11 +53,11 @@
   zone: string,
   parts: readonly ReportPart[],
 ): FleetReport {
-  const loads: UpstreamLoads = {};
-  const evidence: Record<string, EvidenceSums> = {};
+  const loads: UpstreamLoads = createDictionary();
+  const evidence = createDictionary<EvidenceSums>();
   const engines = createEngineSums();
   const pins = new Set<string>();
-  const countByZone: Record<string, number> = {};
+  const countByZone = createDictionary<number>();
   let count = 0;
   for (const part of parts) {
     count += part.count;
--- a/packages/relay/src/peers/fleetSums.ts
+++ b/packages/relay/src/peers/fleetSums.ts
@@ -1,3 +1,5 @@
+import { createDictionary } from '@cactusstair/utils';
+
 import { addEngineSums, createEngineSums } from '../upstreams/engineEstimators.js';
 import type { EngineSums } from '../upstreams/engineEstimators.js';
 import type { ReportPart, UpstreamLoads } from './fleetReport.js';
@@ -65,7 +67,7 @@
 
   /** Counts the instances of each other zone. */
   countOtherZones(): Record<string, number> {
-    const counts: Record<string, number> = {};
+    const counts = createDictionary<number>();
     const add = (zone: string, count: number) => {
       if (zone !== this.zone) counts[zone] = (counts[zone] ?? 0) + count;
     };
@@ -87,7 +89,7 @@
   sumRemoteLoads(maxAgeMs: number): UpstreamLoads {
     const role = this.getRole();
     if (role === 'member') return this.findFleetReport(maxAgeMs)?.remoteLoads ?? {};
-    const sum: UpstreamLoads = {};
+    const sum: UpstreamLoads = createDictionary();
     if (role === 'reporter') {
       for (const { loads } of this.listOtherZoneReports(maxAgeMs)) addLoads(sum, loads);
       return sum;
--- a/packages/relay/src/peers/loadExchange.ts
+++ b/packages/relay/src/peers/loadExchange.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@cactusstair/utils';
+import { createDictionary } from '@cactusstair/utils';
 
 import type { PeerRecord, SocketAddress } from '../relayOptions.js';
 import type { Upstream } from '../upstreams/upstream.js';
@@ -50,7 +51,7 @@
 export class LoadExchange {
   private readonly peers = new Map<string, InstanceLoads>();
 
-  private lastSent: UpstreamLoads = {};
+  private lastSent: UpstreamLoads = createDictionary();
 
   private sentAtMs = -Infinity;
 
@@ -91,14 +92,14 @@
   /** Sums the loads of all other instances, leaving out what is older than `maxAgeMs`. */
   sumPeerLoads(maxAgeMs: number): UpstreamLoads {
     if (!this.isEnabled) return this.options.sumReportedLoads(maxAgeMs);
-    const sum: UpstreamLoads = {};
+    const sum: UpstreamLoads = createDictionary();
     for (const loads of this.listRecentLoads(maxAgeMs)) addLoads(sum, loads);
     addLoads(sum, this.options.sumRemoteLoads(maxAgeMs));
     return sum;
   }
 
   createOwnLoads(): UpstreamLoads {
-    const loads: UpstreamLoads = {};
+    const loads: UpstreamLoads = createDictionary();
     for (const upstream of this.options.directory.listAll()) {
       if (upstream.calls.size > 0) loads[upstream.id] = createOwnLoad(upstream);
     }
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -3,6 +3,7 @@
 
 import type { CrashAttribution, InstanceGroup, UpstreamLimits } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
+import { createDictionary } from '@cactusstair/utils';
 
 import type { ClockReading } from '../follow/clockReading.js';
 import { readClocks } from '../follow/clockReading.js';
@@ -331,7 +332,7 @@
 
   private listEchoes(): Record<string, Echo> {
     const { monotonicMs, wallMs } = readClocks(this.options.clock);
-    const echoes: Record<string, Echo> = {};
+    const echoes = createDictionary<Echo>();
     for (const { message, receivedAtMs, receivedAtWallMs } of this.table.listRecentPeers(
       STALE_AFTER_MS,
     )) {
@@ -396,11 +397,11 @@
   private sumReportedLoads(maxAgeMs: number): UpstreamLoads {
     if (this.role === 'member') {
       const reporter = this.sums.findReporter(maxAgeMs);
-      if (!reporter?.message.report) return {};
+      if (!reporter?.message.report) return createDictionary();
       const own = this.findAcknowledged(reporter.message)?.sent.loads ?? {};
       return subtractLoads(reporter.message.report.loads, own);
     }
-    const sum: UpstreamLoads = {};
+    const sum: UpstreamLoads = createDictionary();
     for (const { message } of this.sums.listZonePeers(maxAgeMs)) addLoads(sum, message.loads);
     addLoads(sum, this.sums.sumRemoteLoads(maxAgeMs));
     return sum;
--- a/packages/relay/src/rollouts/rolloutRouter.ts
+++ b/packages/relay/src/rollouts/rolloutRouter.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@cactusstair/utils';
-import { hashFraction, hashText } from '@cactusstair/utils';
+import { createDictionary, hashFraction, hashText } from '@cactusstair/utils';
 
 import type { SourceChange, SourceItem } from '../follow/changeSource.js';
 import type { Upstream } from '../upstreams/upstream.js';
@@ -172,7 +172,7 @@
 
   /** Returns this instance's evidence by `formatVersionKey`, for services with an order. */
   exportEvidence(): Record<string, EvidenceSums> {
-    const exported: Record<string, EvidenceSums> = {};
+    const exported = createDictionary<EvidenceSums>();
     for (const [key, sums] of this.evidence) {
       const service = key.slice(0, key.indexOf(' '));
       if (this.orders.has(service)) exported[key] = sums;
--- a/packages/relay/src/rollouts/versionEvidence.ts
+++ b/packages/relay/src/rollouts/versionEvidence.ts
@@ -1,3 +1,4 @@
+import { createDictionary } from '@cactusstair/utils';
 import type { PaceSums, PaceVerdict } from '@cactusstair/routing';
 import { addPaceSample, addPaceSums, createPaceSums, judgePace } from '@cactusstair/routing';
 
@@ -46,7 +47,7 @@
 }
 
 function getPaces(sums: EvidenceSums, model: string): PaceSums {
-  sums.paces ??= {};
+  sums.paces ??= createDictionary();
   return (sums.paces[model] ??= createPaceSums());
 }
 
--- a/packages/relay/src/upstreams/engineEstimators.ts
+++ b/packages/relay/src/upstreams/engineEstimators.ts
@@ -1,4 +1,5 @@
 import type { PrefillSums } from '@cactusstair/routing';
+import { createDictionary } from '@cactusstair/utils';
 import {
   addPrefillSums,
   createPrefillSums,
@@ -10,15 +11,14 @@
 /** Sums of prefill samples by service and model, as instances exchange them. */
 export type EngineSums = Record<string, Record<string, PrefillSums>>;
 
-/** Creates sums without a prototype, as their keys come from other instances. */
 export function createEngineSums(): EngineSums {
-  return Object.create(null) as EngineSums;
+  return createDictionary();
 }
 
 /** Adds the sums of one instance or zone to `total`. */
 export function addEngineSums(total: EngineSums, part: EngineSums): void {
   for (const [service, models] of Object.entries(part)) {
-    const totals = (total[service] ??= Object.create(null) as EngineSums[string]);
+    const totals = (total[service] ??= createDictionary());
     for (const [model, sums] of Object.entries(models)) {
       addPrefillSums((totals[model] ??= createPrefillSums()), sums);
     }
@@ -51,7 +51,7 @@
 
   /** Returns the sums of this instance, rounded for sending. */
   exportSums(): EngineSums {
-    const all: EngineSums = {};
+    const all = createEngineSums();
     for (const [service, { prefill }] of this.byService) {
       all[service] = Object.fromEntries(
         Object.entries(prefill.exportSums()).map(([model, sums]) => [model, roundSums(sums)]),
--- a/packages/routing/src/engine/prefillEstimator.ts
+++ b/packages/routing/src/engine/prefillEstimator.ts
@@ -85,7 +85,7 @@
 export class PrefillEstimator {
   private readonly ownSums = new Map<string, PrefillSums>();
 
-  private peerSums: Readonly<Record<string, PrefillSums>> = {};
+  private peerSums: ReadonlyMap<string, PrefillSums> = new Map();
 
   private readonly slowdowns = new Map<string, number>();
 
@@ -122,7 +122,7 @@
 
   /** Replaces the sums of all other instances, by model. */
   importPeerSums(sums: Readonly<Record<string, PrefillSums>>): void {
-    this.peerSums = sums;
+    this.peerSums = new Map(Object.entries(sums));
     this.slowdowns.clear();
   }
 
@@ -139,7 +139,7 @@
   /** Slope over all models, which is the prior of a model with few samples of its own. */
   private computeServiceSlope(): number {
     const total = createPrefillSums();
-    const models = new Set([...this.ownSums.keys(), ...Object.keys(this.peerSums)]);
+    const models = new Set([...this.ownSums.keys(), ...this.peerSums.keys()]);
     for (const model of models) addPrefillSums(total, this.sumModel(model));
     return computeSlope(total, 1);
   }
@@ -148,7 +148,7 @@
     const total = createPrefillSums();
     const own = this.ownSums.get(model);
     if (own) addPrefillSums(total, own);
-    const peers = this.peerSums[model];
+    const peers = this.peerSums.get(model);
     if (peers) addPrefillSums(total, peers);
     return total;
   }
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -2,6 +2,7 @@
 export { alignColumns } from './alignColumns.js';
 export { ByteCollector } from './byteCollector.js';
 export type { Clock } from './clock.js';
+export { createDictionary } from './dictionary.js';
 export { systemClock } from './clock.js';
 export { Invariants } from './invariants.js';
 export { LifecycleManager } from './lifecycleManager.js';
--- a/tests/relay/loadExchange.test.ts
+++ b/tests/relay/loadExchange.test.ts
@@ -49,11 +49,26 @@
     await waitFor(() => sent.length === 1, { what: 'the first notice', timeoutMs: 5000 });
     for (let count = 0; count < 50; count += 1) addCall();
     await waitFor(() => sent.length === 2, { what: 'the second notice', timeoutMs: 5000 });
-    assert.deepEqual(sent[1]!.notice.load, { a: [100, 1000, 500] });
+    assert.deepEqual({ ...sent[1]!.notice.load }, { a: [100, 1000, 500] });
     // A timer may fire a millisecond early.
     assert.ok(sent[1]!.atMs - sent[0]!.atMs >= EXPECTED_GAP_MS - 2);
   });
 
+  // Such an entry ended the exchange with the peers for good.
+  ['constructor', '__proto__', 'toString'].forEach((id) => {
+    it(`counts the load of an upstream whose id is also a property of objects (${id})`, () => {
+      const { directory } = open(1);
+      directory.applySnapshot([{ name: id, revision: 2, value: createRecord(id) }]);
+      exchange.refresh(1500);
+      assert.equal(directory.find(id)!.peerLoad.running, 0);
+      exchange.record('b', JSON.parse(`{"${id}": [2, 20, 200]}`) as LoadNotice['load'], 1500);
+      assert.equal(directory.find(id)!.peerLoad.running, 2);
+      directory.find(id)!.calls.add({ backlogMs: 10, heldTokens: 5 });
+      const loads = JSON.parse(JSON.stringify(exchange.createOwnLoads())) as LoadNotice['load'];
+      assert.deepEqual(Object.entries(loads), [[id, [1, 10, 5]]]);
+    });
+  });
+
   it('leaves a zone that is too large for notices to the reports', async () => {
     const { addCall, directory, sent } = open(100);
     for (let count = 0; count < 50; count += 1) addCall();
