--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -212,8 +212,8 @@
     }
     this.views.startTasks(lifecycle);
     await this.openListeners();
-    lifecycle.startTask('exchange with peers', (signal) => this.peers.run(signal));
-    lifecycle.startTask('find peers', (signal) =>
+    lifecycle.startLastingTask('exchange with peers', (signal) => this.peers.run(signal));
+    lifecycle.startLastingTask('find peers', (signal) =>
       findPeers(
         {
           clock: this.clock,
@@ -225,7 +225,9 @@
         signal,
       ),
     );
-    lifecycle.startTask('drive rollouts', (signal) => this.createRolloutController().run(signal));
+    lifecycle.startLastingTask('drive rollouts', (signal) =>
+      this.createRolloutController().run(signal),
+    );
     this.isListening = true;
     options.log.write('started', { zone: options.zone });
   }
--- a/packages/relay/src/storeViews.ts
+++ b/packages/relay/src/storeViews.ts
@@ -110,8 +110,8 @@
   startTasks(lifecycle: LifecycleManager): void {
     const followers = { config: this.config, upstreams: this.upstreams, rollouts: this.rollouts };
     for (const [name, follower] of Object.entries(followers)) {
-      lifecycle.startTask(`follow ${name}`, (signal) => follower.run(signal));
-      lifecycle.startTask(`confirm ${name}`, (signal) => follower.keepFresh(signal));
+      lifecycle.startLastingTask(`follow ${name}`, (signal) => follower.run(signal));
+      lifecycle.startLastingTask(`confirm ${name}`, (signal) => follower.keepFresh(signal));
     }
   }
 
--- a/packages/utils/src/lifecycleManager.ts
+++ b/packages/utils/src/lifecycleManager.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 type Cleanup = () => Promise<void> | void;
 
@@ -7,6 +8,9 @@
   cleanup: Cleanup;
 }
 
+/** Pause after a failure before a task is started again, in milliseconds. */
+const TASK_RESTART_MS = 1000;
+
 /**
  * Owns resources and releases them in reverse order of registration.
  *
@@ -43,6 +47,24 @@
     this.addCleanup(name, () => task);
   }
 
+  /**
+   * Starts a background task that is started again after a failure, which it reports to
+   * `onTaskError`. It must return soon after its signal aborts.
+   */
+  startLastingTask(name: string, run: (signal: AbortSignal) => Promise<void>): void {
+    this.startTask(name, async (signal) => {
+      while (!signal.aborted) {
+        try {
+          await run(signal);
+          return;
+        } catch (error) {
+          if (!signal.aborted) this.onTaskError(name, error);
+        }
+        await sleep(TASK_RESTART_MS, undefined, { signal }).catch(() => {});
+      }
+    });
+  }
+
   /** Aborts the tasks and releases all resources. Repeated calls return the same promise. */
   close(): Promise<void> {
     this.closing ??= this.releaseAll();
