--- a/packages/server/src/upstreams/upstreamNotice.ts
+++ b/packages/server/src/upstreams/upstreamNotice.ts
@@ -1,4 +1,5 @@
 import type { UpstreamNotice } from '@cactusstair/routing';
+import { isHeaderSet } from '@cactusstair/utils';
 
 type AnswerHeaders = Record<string, string | string[] | undefined>;
 
@@ -14,7 +15,7 @@
   const pauseSeconds =
     status === SERVICE_UNAVAILABLE ? parseAmount(headers['retry-after']) : undefined;
   return {
-    isLeaving: headers['x-upstream-leaving'] !== undefined,
+    isLeaving: isHeaderSet(headers['x-upstream-leaving']),
     requestsPerSecond: parseAmount(headers['x-upstream-limit']),
     pauseMs: pauseSeconds === undefined ? undefined : pauseSeconds * MS_PER_SECOND,
   };
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -4,6 +4,7 @@
 export type { Clock } from './clock.js';
 export { createDictionary } from './dictionary.js';
 export { systemClock } from './clock.js';
+export { isHeaderSet } from './headerFlag.js';
 export { Invariants } from './invariants.js';
 export { LifecycleManager } from './lifecycleManager.js';
 export type { Logger, LoggerOptions, LogLevel } from './logger.js';
--- a/tests/relay/bufferedRelay.test.ts
+++ b/tests/relay/bufferedRelay.test.ts
@@ -54,6 +54,20 @@
       assert.deepEqual([answer.status, answer.body], [200, 'whole']);
     });
 
+    it('is not repeated when the answer says that it may have run', async () => {
+      fixture = await RelayFixture.open([route]);
+      const script: Script = (socket, request) => {
+        socket.end(formatAnswer(request, 503, '', { 'X-Not-Executed': '0' }));
+      };
+      const first = await fixture.addUpstream('a', script);
+      const second = await fixture.addUpstream('b', script);
+      await fixture.waitReady();
+      const answer = await sendRequest(fixture.callerPort);
+      assert.equal(answer.status, 503);
+      assert.equal(answer.headers['x-response-seal'], 'seal');
+      assert.equal(first.received.length + second.received.length, 1);
+    });
+
     it('is not repeated after a refusal that was written for another request', async () => {
       fixture = await RelayFixture.open([route]);
       const received: string[] = [];
--- a/tests/relay/upstreamNotices.test.ts
+++ b/tests/relay/upstreamNotices.test.ts
@@ -54,6 +54,17 @@
       });
     });
 
+    // The header was read as leaving whatever its value was.
+    ['0', 'false', ' '].forEach((value) => {
+      it(`goes on getting requests when the header says that it does not ("${value}")`, async () => {
+        await open();
+        const staying = await addSound('staying', { 'Server-Leaving': value });
+        await fixture.waitReady();
+        assert.deepEqual((await sendMany()).statuses, [200]);
+        assert.equal(staying.received.length, REQUEST_COUNT);
+      });
+    });
+
     it('gets no more requests when its entry was missing for a moment', async () => {
       await open();
       const leaving = await addSound('leaving', headers);
