Bound the answers that the entry instance reads

Fix: 8 MiB for an answer, declared or read, 256 KiB for an event of an engine; a status that does not exist is a failure. The stand-in of services can write any bytes in place of an answer.

--- a/packages/server/src/upstreams/engineClient.ts
+++ b/packages/server/src/upstreams/engineClient.ts
@@ -57,6 +57,8 @@
 });
 
 const MIN_SERVER_ERROR_STATUS = 500;
+/** Bounds the memory for an event whose end has not come, in bytes. */
+const MAX_EVENT_BYTES = 256 * 1024;
 
 /** Calls the chat completions API of model engines, always as a stream. */
 export class EngineClient {
@@ -153,8 +155,13 @@
     usage: undefined,
     quality: undefined,
   };
+  let bytesSinceEvent = 0;
   for await (const bytes of body) {
     parser.feed(decoder.decode(bytes, { stream: true }));
+    bytesSinceEvent = messages.length > 0 ? 0 : bytesSinceEvent + bytes.length;
+    if (bytesSinceEvent > MAX_EVENT_BYTES) {
+      throw new UpstreamCallError('mismatch', 'an event of the answer has no end', true);
+    }
     for (const message of messages.splice(0)) {
       if (message.data === '[DONE]') {
         if (done.finishReason === '') break;
--- a/packages/server/src/upstreams/serviceClient.ts
+++ b/packages/server/src/upstreams/serviceClient.ts
@@ -1,6 +1,7 @@
 import type { Dispatcher } from 'undici';
 
 import type { UpstreamNotice } from '@cactusstair/routing';
+import { ByteCollector } from '@cactusstair/utils';
 
 import type { Link } from './link.js';
 import { classifyCallError, UpstreamCallError } from './upstreamCallError.js';
@@ -30,6 +31,39 @@
   body: Buffer;
 }
 
+/** Largest answer that is buffered before it is passed on, in bytes. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
+
+/** Returns why an answer cannot be passed on, from its head; undefined if it can. */
+function describeUnusable({ headers, statusCode }: Dispatcher.ResponseData): string | undefined {
+  if (statusCode < MIN_FINAL_STATUS || statusCode > MAX_STATUS) {
+    return `the status ${statusCode} does not exist`;
+  }
+  return Number(headers['content-length'] ?? 0) > MAX_ANSWER_BYTES
+    ? 'the answer declares more than the size limit'
+    : undefined;
+}
+
+/** @throws UpstreamCallError when the answer is unusable or longer than the limit */
+async function readBody(answer: Dispatcher.ResponseData): Promise<Buffer> {
+  const fail = (reason: string): never => {
+    // Closes the connection, on which more bytes may follow.
+    answer.body.on('error', () => {});
+    answer.body.destroy();
+    throw new UpstreamCallError('mismatch', reason, true);
+  };
+  const unusable = describeUnusable(answer);
+  if (unusable !== undefined) return fail(unusable);
+  const body = new ByteCollector();
+  for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+    body.append(chunk);
+    if (body.length > MAX_ANSWER_BYTES) return fail('the answer exceeds the size limit');
+  }
+  return body.takeBuffer();
+}
+
 /** Calls plain services. */
 export class ServiceClient {
   /** @throws UpstreamCallError when no complete answer arrives in time. */
@@ -65,7 +99,7 @@
       answer.body.destroy();
       throw new UpstreamCallError('mismatch', 'the answer belongs to another request', true);
     }
-    const body = Buffer.from(await answer.body.arrayBuffer());
+    const body = await readBody(answer);
     return {
       status: answer.statusCode,
       contentType: String(answer.headers['content-type'] ?? 'application/octet-stream'),
--- a/packages/standins/src/serviceStandin.ts
+++ b/packages/standins/src/serviceStandin.ts
@@ -1,3 +1,5 @@
+import type { Socket } from 'node:net';
+
 import type { Random } from '@cactusstair/utils';
 import { createRandom, systemClock } from '@cactusstair/utils';
 import type { FastifyReply, FastifyRequest } from 'fastify';
@@ -51,6 +53,8 @@
   repeatRefusal: {},
   /** Runs a call, writes the first `bytes` of the head of its answer and closes the connection. */
   cutHead: { bytes: z.number().int().positive() },
+  /** Runs a call and writes `text` in place of its answer; `isEndless`: and more bytes without end. */
+  rawAnswer: { text: z.string(), isEndless: z.boolean().default(false) },
   /** Announces that the service is shutting down; it refuses calls after `refuseAfterMs`. */
   leaving: { refuseAfterMs: z.number().nonnegative().default(3_600_000) },
   ...noticeFaults,
@@ -72,6 +76,7 @@
 }
 
 const DEFAULT_CALL_MS = 2;
+const RAW_BLOCK = Buffer.alloc(65_536, 'x');
 const DEFAULT_SLOTS = 32;
 const DEFAULT_LOAD_LAG_MS = 300;
 const ECHOED_HEADERS = ['x-request-id', 'x-attempt'];
@@ -217,6 +222,12 @@
       reply.raw.socket?.end(formatHead(entry.requestId).slice(0, cut.bytes));
       return reply;
     }
+    const raw = this.faults.take('rawAnswer');
+    if (raw) {
+      reply.hijack();
+      writeRawAnswer(reply.raw.socket, raw);
+      return reply;
+    }
     if (this.faults.take('repeatRefusal')) {
       reply.header('x-request-id', 'an-earlier-request');
       return sendRefusal(reply, 503, 'overloaded');
@@ -261,3 +272,20 @@
     crashed.catch(() => {});
   }
 }
+
+/** Writes bytes of a faulty service; without end, as fast as they are read. */
+function writeRawAnswer(
+  socket: Socket | null,
+  { text, isEndless }: { text: string; isEndless: boolean },
+): void {
+  if (!isEndless) {
+    socket?.end(text);
+    return;
+  }
+  const write = () => {
+    while (socket && !socket.destroyed && socket.write(RAW_BLOCK));
+  };
+  socket?.on('drain', write);
+  socket?.write(text);
+  write();
+}
