Leave time for the read of a state within its bound

Cause, as the review read it: a state was read at an age of 2,550 ms, looked at each 100 ms, after up to 300 ms for a reporter, which leaves 50 ms for the read. Fix: the age leaves 600 ms. Sites with bounds of 2 s and of 4 s and more are not affected.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -42,6 +42,7 @@
 export { computeAgeMs, readClocks } from './follow/clockReading.js';
 export type { PeerSourceOptions } from './peers/peerSource.js';
 export { PeerSource } from './peers/peerSource.js';
+export { SharedViews } from './peers/sharedViews.js';
 export { ViewServer } from './peers/viewServer.js';
 export type { PeerExchangeOptions } from './peers/peerExchange.js';
 export { PeerExchange } from './peers/peerExchange.js';
--- a/packages/relay/src/peers/sharedViews.ts
+++ b/packages/relay/src/peers/sharedViews.ts
@@ -24,6 +24,12 @@
 };
 /** With a larger factor the ages would come close to the bound on revoked keys. */
 const MAX_AGE_FACTOR = 1.5;
+/**
+ * Longest time from the age at which a state is due to be read until the read is applied: the age is
+ * looked at each 100 ms, a reporter has 300 ms to answer before the store is asked, and the store
+ * and a small machine take the rest.
+ */
+const READ_TIME_MS = 600;
 /** Minimum time between two reads of a view that are caused by a peer with a different state. */
 const MISMATCH_READ_INTERVAL_MS = 400;
 
@@ -44,7 +50,8 @@
   static getMaxAgeMs(name: ViewName, rank: number, boundMs: number): number {
     const { first, others } = MAX_AGES_MS[name];
     const factor = Math.min(MAX_AGE_FACTOR, Math.max(1, boundMs / BASE_BOUND_MS));
-    return (rank === 0 ? first : others) * factor;
+    if (rank === 0) return first * factor;
+    return Math.max(others, Math.min(others * factor, boundMs - READ_TIME_MS));
   }
 
   /** Returns the confirmed states and the ages of their confirmations. */
