--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -47,7 +47,7 @@
 export type { PeerExchangeOptions } from './peers/peerExchange.js';
 export { PeerExchange } from './peers/peerExchange.js';
 export type { ViewName, ViewState } from './peers/peerMessage.js';
-export type { ResumedEvent } from './requests/eventOrder.js';
+export type { EventKind } from './requests/eventOrder.js';
 export { EventOrder } from './requests/eventOrder.js';
 export { EventSplitter } from './requests/eventSplitter.js';
 export type { StreamEvent } from './requests/eventSplitter.js';
--- a/packages/relay/src/requests/eventOrder.ts
+++ b/packages/relay/src/requests/eventOrder.ts
@@ -4,8 +4,8 @@
   return id !== undefined && EVENT_ID.test(id) ? Number(id) : undefined;
 }
 
-/** What to do with an event of a run that goes on with a stream. */
-export type ResumedEvent = 'new' | 'repeated' | 'out_of_order';
+/** What to do with an event: pass it on, drop it, or give up its run. */
+export type EventKind = 'new' | 'repeated' | 'out_of_order';
 
 /**
  * Follows the ids of a stream's events, which rise, mostly by one. An id is spoilt if it does not
@@ -19,6 +19,8 @@
   /** Id of the last event, if it is a number. */
   private last: number | undefined;
 
+  private lastBytes: Buffer | undefined;
+
   /** Events since the last one whose id fits. */
   private unsoundCount = 0;
 
@@ -30,24 +32,29 @@
     return this.unsoundCount === 0;
   }
 
-  /** Records an event of the first run, which is passed on whatever its id. */
-  record(id: string | undefined): void {
+  /**
+   * Records an event of the first run. It is passed on whatever its id, unless it is the one before
+   * once more: an upstream in trouble may repeat that forever.
+   */
+  record(id: string | undefined, bytes: Buffer): EventKind {
     const number = parseEventId(id);
+    if (number !== undefined && this.lastBytes?.equals(bytes)) return 'repeated';
     if (number !== undefined && this.isSound(number)) {
       this.lastSound = number;
       this.unsoundCount = 0;
     } else this.unsoundCount += 1;
     this.last = number;
+    this.lastBytes = bytes;
+    return 'new';
   }
 
   /** Classifies and records an event of a run that goes on after the last event. */
-  recordResumed(id: string | undefined): ResumedEvent {
+  recordResumed(id: string | undefined, bytes: Buffer): EventKind {
     const number = parseEventId(id);
     if (number === undefined || this.lastSound === undefined) return 'out_of_order';
     if (number <= this.lastSound) return 'repeated';
     if (number > this.lastSound + 1 && !this.hasGaps) return 'out_of_order';
-    this.record(id);
-    return 'new';
+    return this.record(id, bytes);
   }
 
   private isSound(number: number): boolean {
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -179,10 +179,11 @@
         }
         for (const event of events.value) {
           pace.recordEvent();
-          const kind = isResumed ? this.order.recordResumed(event.id) : 'new';
+          const kind = isResumed
+            ? this.order.recordResumed(event.id, event.bytes)
+            : this.order.record(event.id, event.bytes);
           if (kind === 'out_of_order') return attempt.createFailure(OUT_OF_ORDER_REASON);
           if (kind === 'repeated') continue;
-          if (!isResumed) this.order.record(event.id);
           this.forwardEvent(attempt, answer, event, progress);
         }
         await this.waitForCaller(progress);
--- a/tests/relay/eventOrder.test.ts
+++ b/tests/relay/eventOrder.test.ts
@@ -3,10 +3,17 @@
 
 import { EventOrder } from '@cactusstair/relay';
 
+/** Bytes of an event that differ from those of all others. */
+let eventCount = 0;
+function createBytes(): Buffer {
+  eventCount += 1;
+  return Buffer.from(`data: piece ${eventCount}\n\n`);
+}
+
 /** Records the ids of a first run; returns whether it could be resumed after each. */
 function recordAll(ids: readonly (string | undefined)[], order = new EventOrder()): boolean[] {
   return ids.map((id) => {
-    order.record(id);
+    assert.equal(order.record(id, createBytes()), 'new');
     return order.canResume;
   });
 }
@@ -34,6 +41,22 @@
     assert.deepEqual(recordAll(['x', '2', '3']), [false, false, true]);
   });
 
+  it('drops an event that is the one before once more, and no other', () => {
+    const order = new EventOrder();
+    const bytes = createBytes();
+    const kinds = [bytes, bytes, createBytes()].map((next) => order.record('1', next));
+    assert.deepEqual(kinds, ['new', 'repeated', 'new']);
+  });
+
+  it('passes on equal events that have no id', () => {
+    const order = new EventOrder();
+    const bytes = createBytes();
+    assert.deepEqual(
+      [order.record(undefined, bytes), order.record(undefined, bytes)],
+      ['new', 'new'],
+    );
+  });
+
   it('accepts ids that rise by more than one', () => {
     assert.deepEqual(recordAll(['5', '10', '15']), [true, false, true]);
   });
@@ -47,19 +70,19 @@
 
     it('drops repeated events and takes those that follow', () => {
       const order = createOrder(['1', '2', '3']);
-      const kinds = ['2', '3', '4', '5'].map((id) => order.recordResumed(id));
+      const kinds = ['2', '3', '4', '5'].map((id) => order.recordResumed(id, createBytes()));
       assert.deepEqual(kinds, ['repeated', 'repeated', 'new', 'new']);
     });
 
     ['5', 'x', undefined].forEach((id) => {
       it(`takes no event that does not follow (${id})`, () => {
-        assert.equal(createOrder(['1', '2', '3']).recordResumed(id), 'out_of_order');
+        assert.equal(createOrder(['1', '2', '3']).recordResumed(id, createBytes()), 'out_of_order');
       });
     });
 
     it('takes events that follow with a gap where the first run had gaps', () => {
       const order = createOrder(['5', '10', '15']);
-      assert.equal(order.recordResumed('20'), 'new');
+      assert.equal(order.recordResumed('20', createBytes()), 'new');
     });
   });
 });
