Read the change again: one piece where it had several

Behaviour and bounds are unchanged. The limit of a body is part of ByteCollector and serves its five readers, that of PeerSource among them; the check of a status serves both doors; the time of a read in SharedViews is the sum of the times it is made of; StreamRelay takes the last event id from EventOrder in place of a copy; a getter of AttemptTracker that nothing else used is gone. Tests share writeWithoutEnd (standins), formatUnframedHead, RelayFixture.openPair and waitReady; no assertion changed, one case for the limit of ByteCollector is new.

--- a/packages/relay/src/follow/sourceFollower.ts
+++ b/packages/relay/src/follow/sourceFollower.ts
@@ -41,7 +41,8 @@
 // Refused calls also have a cost, so failed reads are retried with a growing pause.
 const MIN_RETRY_MS = 150;
 const DEFAULT_MAX_RETRY_MS = 700;
-const AGE_CHECK_INTERVAL_MS = 100;
+/** Interval at which the age of the state is looked at. */
+export const AGE_CHECK_INTERVAL_MS = 100;
 
 /** The changes that a view has applied since a revision, as sent to another instance. */
 export interface ExportedChanges<T> {
--- a/packages/relay/src/messageHead.ts
+++ b/packages/relay/src/messageHead.ts
@@ -1,7 +1,6 @@
 import { validateHeaderName, validateHeaderValue } from 'node:http';
 
-const MIN_FINAL_STATUS = 200;
-const MAX_STATUS = 599;
+import { describeInvalidStatus } from '@cactusstair/utils';
 
 /**
  * Checks headers that are passed on. The parser of node:http accepts names that its writer refuses,
@@ -28,7 +27,5 @@
   status: number,
   rawHeaders: readonly string[],
 ): string | undefined {
-  if (status < MIN_FINAL_STATUS || status > MAX_STATUS)
-    return `the status ${status} does not exist`;
-  return describeInvalidHeaders(rawHeaders);
+  return describeInvalidStatus(status) ?? describeInvalidHeaders(rawHeaders);
 }
--- a/packages/relay/src/peers/peerSource.ts
+++ b/packages/relay/src/peers/peerSource.ts
@@ -1,5 +1,6 @@
 import { request } from 'node:http';
 
+import { ByteCollector } from '@cactusstair/utils';
 import type { Result } from 'neverthrow';
 import { ok } from 'neverthrow';
 
@@ -19,7 +20,7 @@
 }
 
 // Within a zone an answer takes a few milliseconds. After this timeout the store is read instead.
-const CALL_TIMEOUT_MS = 300;
+export const PEER_CALL_TIMEOUT_MS = 300;
 /** If the peer confirmed its state longer ago than this, the store is read instead. */
 const MAX_PEER_AGE_MS = 1500;
 /** Many times the longest answer that a peer sends. */
@@ -42,7 +43,7 @@
 function fetchText(address: SocketAddress, path: string): Promise<string | undefined> {
   return new Promise((resolve) => {
     const outgoing = request({ ...address, path, agent: false });
-    const timer = setTimeout(() => outgoing.destroy(), CALL_TIMEOUT_MS);
+    const timer = setTimeout(() => outgoing.destroy(), PEER_CALL_TIMEOUT_MS);
     const finish = (text: string | undefined) => {
       clearTimeout(timer);
       resolve(text);
@@ -50,17 +51,14 @@
     outgoing.on('error', () => finish(undefined));
     outgoing.on('close', () => finish(undefined));
     outgoing.on('response', (answer) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
+      const received = new ByteCollector(MAX_ANSWER_BYTES);
       answer.on('data', (chunk: Buffer) => {
-        size += chunk.length;
-        if (size > MAX_ANSWER_BYTES) outgoing.destroy();
-        chunks.push(chunk);
+        if (!received.append(chunk)) outgoing.destroy();
       });
       answer.on('error', () => finish(undefined));
       answer.on('end', () => {
         const isWhole = answer.complete && answer.statusCode === 200;
-        finish(isWhole ? Buffer.concat(chunks).toString('utf8') : undefined);
+        finish(isWhole ? received.takeBuffer().toString('utf8') : undefined);
       });
     });
     outgoing.end();
--- a/packages/relay/src/peers/sharedViews.ts
+++ b/packages/relay/src/peers/sharedViews.ts
@@ -2,8 +2,10 @@
 
 import type { ClockReading } from '../follow/clockReading.js';
 import { computeAgeMs } from '../follow/clockReading.js';
+import { AGE_CHECK_INTERVAL_MS } from '../follow/sourceFollower.js';
 import type { SourceFollower } from '../follow/sourceFollower.js';
 import type { ViewName, ViewState } from './peerMessage.js';
+import { PEER_CALL_TIMEOUT_MS } from './peerSource.js';
 
 /** A followed state that instances confirm for each other. */
 export interface SharedView {
@@ -24,12 +26,10 @@
 };
 /** With a larger factor the ages would come close to the bound on revoked keys. */
 const MAX_AGE_FACTOR = 1.5;
-/**
- * Longest time from the age at which a state is due to be read until the read is applied: the age is
- * looked at each 100 ms, a reporter has 300 ms to answer before the store is asked, and the store
- * and a small machine take the rest.
- */
-const READ_TIME_MS = 600;
+/** Time for the answer of the store and for applying it on a small machine. */
+const STORE_READ_MS = 200;
+/** Longest time from the age at which a state is due to be read until the read is applied. */
+const READ_TIME_MS = AGE_CHECK_INTERVAL_MS + PEER_CALL_TIMEOUT_MS + STORE_READ_MS;
 /** Minimum time between two reads of a view that are caused by a peer with a different state. */
 const MISMATCH_READ_INTERVAL_MS = 400;
 
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -58,6 +58,7 @@
 /** Subtracted from the bound on revoked keys for the time between the check and the run. */
 const KEY_AGE_MARGIN_MS = 500;
 const ABSENCE_AGE_MARGIN_MS = 200;
+
 /** One instance: relays callers' requests to upstreams by the configuration in the store. */
 export class RelayNode {
   private readonly clock: Clock;
--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -182,11 +182,6 @@
     return handle(attempt, failure);
   }
 
-  /** Time until an upstream accepts the request, in milliseconds. */
-  get acceptWaitMs(): number {
-    return getAcceptWaitMs(this.context, this.job, this.excluded);
-  }
-
   /**
    * Answers the caller after the last attempt failed.
    *
@@ -210,7 +205,7 @@
 
   /** Returns when an upstream will accept the request again, but no sooner than `minMs`. */
   private computeRetryAfterMs(minMs: number): number {
-    const waitMs = this.acceptWaitMs;
+    const waitMs = getAcceptWaitMs(this.context, this.job, this.excluded);
     return Number.isFinite(waitMs) ? Math.max(minMs, waitMs) : minMs;
   }
 
--- a/packages/relay/src/requests/eventOrder.ts
+++ b/packages/relay/src/requests/eventOrder.ts
@@ -21,12 +21,19 @@
 
   private lastBytes: Buffer | undefined;
 
+  private lastId: string | undefined;
+
   /** Events since the last one whose id fits. */
   private unsoundCount = 0;
 
   /** Whether ids have risen by more than one. */
   private hasGaps = false;
 
+  /** Last id as it came; undefined before the first. */
+  get lastEventId(): string | undefined {
+    return this.lastId;
+  }
+
   /** Whether no event has come, or another upstream can go on after the last one. */
   get canResume(): boolean {
     return this.unsoundCount === 0;
@@ -45,6 +52,7 @@
     } else this.unsoundCount += 1;
     this.last = number;
     this.lastBytes = bytes;
+    this.lastId = id ?? this.lastId;
     return 'new';
   }
 
--- a/packages/relay/src/requests/requestHandler.ts
+++ b/packages/relay/src/requests/requestHandler.ts
@@ -44,15 +44,12 @@
   maxBytes: number,
 ): Promise<Buffer | 'too_long' | 'cut'> {
   return new Promise((resolve) => {
-    const body = new ByteCollector();
+    const body = new ByteCollector(maxBytes);
     incoming.on('data', (chunk: Buffer) => {
-      if (body.length + chunk.length > maxBytes) {
-        incoming.removeAllListeners('data');
-        incoming.resume();
-        resolve('too_long');
-        return;
-      }
-      body.append(chunk);
+      if (body.append(chunk)) return;
+      incoming.removeAllListeners('data');
+      incoming.resume();
+      resolve('too_long');
     });
     incoming.on('end', () => resolve(body.takeBuffer()));
     incoming.on('error', () => resolve('cut'));
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -35,8 +35,6 @@
 class StreamRelay {
   private readonly tracker: AttemptTracker;
 
-  private lastEventId: string | undefined;
-
   private readonly order = new EventOrder();
 
   private hasStarted = false;
@@ -50,7 +48,6 @@
     const { exchange, request } = job;
     const route = exchange.route!;
     this.tracker = new AttemptTracker(context, job, route.isResumable);
-    this.lastEventId = request.lastEventId;
     if (request.model === '*' && route.modelSizes.length > 0) {
       // The smallest model answers most requests in a tenth of the time of the largest.
       this.sizeIndex = 0;
@@ -91,7 +88,8 @@
 
   /** Opens an attempt; waits longer for one that goes on with a stream. */
   private awaitAttempt(): Promise<Attempt | undefined> {
-    const { context, job, lastEventId, sizeIndex } = this;
+    const { context, job, sizeIndex } = this;
+    const lastEventId = this.order.lastEventId ?? job.request.lastEventId;
     const { excluded } = this.tracker;
     const { latencyGoalMs, maxEventGapMs } = job.exchange.route!;
     const maxWaitMs = this.hasStarted ? maxEventGapMs : ROOM_TIMEOUT_GOALS * latencyGoalMs;
@@ -217,7 +215,6 @@
     if (!progress.hasEvents) this.recordOutcome(attempt, false);
     progress.recordEvent();
     this.startStream(answer);
-    if (event.id !== undefined) this.lastEventId = event.id;
     exchange.writeStream(event.bytes);
   }
 
--- a/packages/relay/src/upstreams/answerMemory.ts
+++ b/packages/relay/src/upstreams/answerMemory.ts
@@ -77,7 +77,7 @@
     return Promise.resolve({ type: 'too_long' });
   }
   return new Promise((resolve) => {
-    const body = new ByteCollector();
+    const body = new ByteCollector(MAX_ANSWER_BYTES);
     let release: ReleaseMemory | undefined;
     const fail = (type: 'cut' | 'too_long') => {
       release?.();
@@ -97,12 +97,11 @@
     };
     answer.on('data', (chunk: Buffer) => {
       onProgress();
-      if (body.length + chunk.length > MAX_ANSWER_BYTES) {
+      if (!body.append(chunk)) {
         answer.removeAllListeners('data');
         fail('too_long');
         return;
       }
-      body.append(chunk);
       if (body.length <= SMALL_ANSWER_BYTES) return;
       memory.recordRead(chunk.length);
       if (!release) reserve();
--- a/packages/server/src/upstreams/serviceClient.ts
+++ b/packages/server/src/upstreams/serviceClient.ts
@@ -1,7 +1,7 @@
 import type { Dispatcher } from 'undici';
 
 import type { UpstreamNotice } from '@cactusstair/routing';
-import { ByteCollector } from '@cactusstair/utils';
+import { ByteCollector, describeInvalidStatus } from '@cactusstair/utils';
 
 import type { Link } from './link.js';
 import { classifyCallError, UpstreamCallError } from './upstreamCallError.js';
@@ -33,14 +33,11 @@
 
 /** Largest answer that is buffered before it is passed on, in bytes. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-const MIN_FINAL_STATUS = 200;
-const MAX_STATUS = 599;
 
 /** Returns why an answer cannot be passed on, from its head; undefined if it can. */
 function describeUnusable({ headers, statusCode }: Dispatcher.ResponseData): string | undefined {
-  if (statusCode < MIN_FINAL_STATUS || statusCode > MAX_STATUS) {
-    return `the status ${statusCode} does not exist`;
-  }
+  const invalid = describeInvalidStatus(statusCode);
+  if (invalid !== undefined) return invalid;
   return Number(headers['content-length'] ?? 0) > MAX_ANSWER_BYTES
     ? 'the answer declares more than the size limit'
     : undefined;
@@ -56,10 +53,9 @@
   };
   const unusable = describeUnusable(answer);
   if (unusable !== undefined) return fail(unusable);
-  const body = new ByteCollector();
+  const body = new ByteCollector(MAX_ANSWER_BYTES);
   for await (const chunk of answer.body as AsyncIterable<Buffer>) {
-    body.append(chunk);
-    if (body.length > MAX_ANSWER_BYTES) return fail('the answer exceeds the size limit');
+    if (!body.append(chunk)) return fail('the answer exceeds the size limit');
   }
   return body.takeBuffer();
 }
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,6 +1,7 @@
 /** Stand-ins for the systems that the router depends on, each as a class and as a process. */
 export type { QualityInput } from './answerText.js';
 export { computeQuality, createAnswerText, createToken } from './answerText.js';
+export { writeWithoutEnd } from './endlessWriter.js';
 export type { EngineOptions, LoadedVersion } from './engineOptions.js';
 export { engineFaults } from './engineOptions.js';
 export type { EngineJournalEntry, RunOutcome } from './engineRun.js';
--- a/packages/standins/src/serviceStandin.ts
+++ b/packages/standins/src/serviceStandin.ts
@@ -5,6 +5,7 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { z } from 'zod';
 
+import { writeWithoutEnd } from './endlessWriter.js';
 import { FaultTable } from './faultTable.js';
 import type { HttpStandinOptions } from './httpStandin.js';
 import { HttpStandin, isControlRequest, resetConnection } from './httpStandin.js';
@@ -273,19 +274,13 @@
   }
 }
 
-/** Writes bytes of a faulty service; without end, as fast as they are read. */
+/** Writes bytes of a faulty service; with more of them without end if `isEndless`. */
 function writeRawAnswer(
   socket: Socket | null,
   { text, isEndless }: { text: string; isEndless: boolean },
 ): void {
-  if (!isEndless) {
-    socket?.end(text);
-    return;
-  }
-  const write = () => {
-    while (socket && !socket.destroyed && socket.write(RAW_BLOCK));
-  };
-  socket?.on('drain', write);
-  socket?.write(text);
-  write();
+  if (!socket) return;
+  socket.write(text);
+  if (isEndless) writeWithoutEnd(socket, RAW_BLOCK);
+  else socket.end();
 }
--- a/packages/utils/src/byteCollector.ts
+++ b/packages/utils/src/byteCollector.ts
@@ -14,13 +14,17 @@
 
   private total = 0;
 
+  /** @param maxBytes largest number of bytes that is collected; default: no limit */
+  constructor(private readonly maxBytes = Infinity) {}
+
   /** Number of bytes collected. */
   get length(): number {
     return this.total;
   }
 
-  /** Copies a chunk. */
-  append(chunk: Buffer): void {
+  /** Copies a chunk; returns false, and keeps nothing of it, if it exceeds the limit. */
+  append(chunk: Buffer): boolean {
+    if (this.total + chunk.length > this.maxBytes) return false;
     let copied = 0;
     while (copied < chunk.length) {
       const block = this.findRoom(chunk.length - copied);
@@ -29,6 +33,7 @@
       copied += count;
     }
     this.total += chunk.length;
+    return true;
   }
 
   /** Returns the collected bytes in order and forgets them, so that the collector holds no memory. */
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,5 +1,6 @@
 /** Utilities for all packages: time, random numbers, waiting, settings, clean-up and logs. */
 export { alignColumns } from './alignColumns.js';
+export { describeInvalidStatus } from './answerStatus.js';
 export { ByteCollector } from './byteCollector.js';
 export type { Clock } from './clock.js';
 export { createDictionary } from './dictionary.js';
--- a/tests/platform/memory.test.ts
+++ b/tests/platform/memory.test.ts
@@ -3,13 +3,18 @@
 import type { Socket } from 'node:net';
 import { after, before, describe, it } from 'node:test';
 
-import { waitFor } from '@cactusstair/utils';
+import { writeWithoutEnd } from '@cactusstair/standins';
 
 import { sendRequest } from '../relay/support/caller.js';
 import { API_KEY, HOST } from '../relay/support/relayFixture.js';
-import { formatAnswer, ScriptedUpstream } from '../relay/support/scriptedUpstream.js';
+import { formatUnframedHead, ScriptedUpstream } from '../relay/support/scriptedUpstream.js';
 import type { InstancePorts, InstanceProcess } from './support/instanceProcess.js';
-import { findInstancePorts, formatSettings, InstanceProgram } from './support/instanceProcess.js';
+import {
+  findInstancePorts,
+  formatSettings,
+  InstanceProgram,
+  waitReady,
+} from './support/instanceProcess.js';
 import { StoreStandin } from './support/storeStandin.js';
 
 const MEBIBYTE = 1024 * 1024;
@@ -17,18 +22,9 @@
 const MAX_PEAK_MB = 150;
 const REQUEST_COUNT = 300;
 const CONCURRENT_REQUESTS = 100;
+const BLOCK = Buffer.alloc(65_536, 'x');
 const KINDS = { safe: '/safe/', unsafe: '/unsafe/', streaming: '/streaming/' };
 
-/** Writes blocks until the connection closes, as fast as they are read. */
-function writeWithoutEnd(socket: Socket): void {
-  const block = Buffer.alloc(65_536, 'x');
-  const write = () => {
-    while (!socket.destroyed && socket.write(block));
-  };
-  socket.on('drain', write);
-  write();
-}
-
 /** Returns the largest memory that a process has had, in MB; 0 if the system does not tell. */
 function readPeakMb(pid: number): number {
   const match = /VmHWM:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'));
@@ -62,7 +58,7 @@
     });
     await addUpstream('endless', 'app', (socket, head) => {
       socket.write(head);
-      writeWithoutEnd(socket);
+      writeWithoutEnd(socket, BLOCK);
     });
     await addUpstream('sound', 'sound', (socket, head) => {
       socket.end(head + 'y'.repeat(8 * MEBIBYTE));
@@ -71,13 +67,7 @@
     instance = program.start(
       program.writeFile('settings.json', formatSettings(ports, store.address)),
     );
-    const url = `http://127.0.0.1:${ports.readiness}/cactusstair/readiness`;
-    const isReady = () =>
-      fetch(url).then(
-        ({ ok }) => ok,
-        () => false,
-      );
-    await waitFor(isReady, { what: 'the instance to be ready', timeoutMs: 20_000 });
+    await waitReady(ports);
   });
 
   after(async () => {
@@ -93,7 +83,7 @@
     write: (socket: Socket, head: string) => void,
   ): Promise<void> {
     const upstream = await ScriptedUpstream.open((socket, request) =>
-      write(socket, formatAnswer(request, 200, '').replace('Content-Length: 0\r\n', '')),
+      write(socket, formatUnframedHead(request)),
     );
     upstreams.push(upstream);
     const address = `127.0.0.1:${upstream.port}`;
--- a/tests/platform/process.test.ts
+++ b/tests/platform/process.test.ts
@@ -12,7 +12,13 @@
 import type { Script } from '../relay/support/scriptedUpstream.js';
 import { formatAnswer, ScriptedUpstream } from '../relay/support/scriptedUpstream.js';
 import type { InstancePorts } from './support/instanceProcess.js';
-import { findInstancePorts, formatSettings, InstanceProgram } from './support/instanceProcess.js';
+import {
+  fetchReadiness,
+  findInstancePorts,
+  formatSettings,
+  InstanceProgram,
+  waitReady,
+} from './support/instanceProcess.js';
 import { StoreStandin } from './support/storeStandin.js';
 
 const STARTED = '"event":"started"';
@@ -89,17 +95,6 @@
     owner = undefined;
   }
 
-  async function waitReady(): Promise<void> {
-    const isReady = async () => {
-      const url = `http://127.0.0.1:${ports.readiness}/cactusstair/readiness`;
-      return fetch(url).then(
-        ({ ok }) => ok,
-        () => false,
-      );
-    };
-    await waitFor(isReady, { what: 'the instance to be ready', timeoutMs: 20_000 });
-  }
-
   // The platform says with SIGHUP that the settings have changed, also while a process starts.
   it('is not ended by a SIGHUP before its modules are loaded', async () => {
     const preload = program.writeFile('hangUp.cjs', signalAtFirstModule('SIGHUP'));
@@ -127,7 +122,7 @@
       });
       const settings = await writeSettings(`second-${second}.json`, 20);
       const instance = program.start(settings);
-      await waitReady();
+      await waitReady(ports);
       const headers = { 'x-deadline-ms': '9000' };
       const call = sendRequest(ports.callers, { headers });
       await waitFor(() => server.received.length > 0, { what: 'the request', timeoutMs: 5000 });
@@ -135,8 +130,7 @@
       await instance.waitForOutput('"event":"stopping"');
       instance.signal(second as NodeJS.Signals);
       // A question that is answered after the signal shows that the process has received it.
-      const readiness = await fetch(`http://127.0.0.1:${ports.readiness}/cactusstair/readiness`);
-      assert.equal(readiness.status, 503);
+      assert.equal((await fetchReadiness(ports)).status, 503);
       answer?.();
       assert.deepEqual([(await call).status, (await call).body], [200, 'whole']);
       assert.equal(await instance.ended, 0);
@@ -152,7 +146,7 @@
       await instance.waitForOutput('"event":"address_taken"');
       releasePort();
       await instance.waitForOutput(STARTED);
-      await waitReady();
+      await waitReady(ports);
     });
   });
 
--- a/tests/platform/support/instanceProcess.ts
+++ b/tests/platform/support/instanceProcess.ts
@@ -126,6 +126,21 @@
   return { callers, readiness, peers };
 }
 
+/** Asks an instance whether it is ready. */
+export function fetchReadiness({ readiness }: InstancePorts): Promise<Response> {
+  return fetch(`http://127.0.0.1:${readiness}/cactusstair/readiness`);
+}
+
+/** Waits until an instance says that it is ready. */
+export async function waitReady(ports: InstancePorts): Promise<void> {
+  const isReady = () =>
+    fetchReadiness(ports).then(
+      ({ ok }) => ok,
+      () => false,
+    );
+  await waitFor(isReady, { what: 'the instance to be ready', timeoutMs: START_TIMEOUT_MS });
+}
+
 /** Formats the settings file of an instance as the platform writes it. */
 export function formatSettings(ports: InstancePorts, store: string, graceSeconds = 8): string {
   const ip = '127.0.0.1';
--- a/tests/relay/endlessAnswers.test.ts
+++ b/tests/relay/endlessAnswers.test.ts
@@ -2,12 +2,18 @@
 import type { Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 
+import { writeWithoutEnd } from '@cactusstair/standins';
 import { waitFor } from '@cactusstair/utils';
 
 import { sendRequest } from './support/caller.js';
 import { createRoute, RelayFixture } from './support/relayFixture.js';
 import type { ReceivedRequest } from './support/scriptedUpstream.js';
-import { formatAnswer, formatChunk, LAST_CHUNK } from './support/scriptedUpstream.js';
+import {
+  formatAnswer,
+  formatChunk,
+  formatUnframedHead,
+  LAST_CHUNK,
+} from './support/scriptedUpstream.js';
 
 const MEBIBYTE = 1024 * 1024;
 const MAX_ANSWER_BYTES = 8 * MEBIBYTE;
@@ -19,20 +25,6 @@
 
 const headers = { 'x-deadline-ms': '60000' };
 
-/** Writes blocks until the connection closes, as fast as they are read. */
-function writeWithoutEnd(socket: Socket, block: Buffer | string): void {
-  const write = () => {
-    while (!socket.destroyed && socket.write(block));
-  };
-  socket.on('drain', write);
-  write();
-}
-
-/** Formats the head of an answer that ends with its connection. */
-function formatUnframedHead(request: ReceivedRequest, status = 200): string {
-  return formatAnswer(request, status, '').replace(/Content-Length: 0\r\n/, '');
-}
-
 describe('answers without end', () => {
   let fixture: RelayFixture;
 
--- a/tests/relay/invalidHead.test.ts
+++ b/tests/relay/invalidHead.test.ts
@@ -45,13 +45,9 @@
   });
 
   async function open(script: Script) {
-    fixture = await RelayFixture.open(routes);
-    const upstreams = [
-      await fixture.addUpstream('a', script),
-      await fixture.addUpstream('b', script),
-    ];
-    await fixture.waitReady();
-    return upstreams;
+    const pair = await RelayFixture.openPair(routes, script);
+    fixture = pair.fixture;
+    return pair.upstreams;
   }
 
   Object.entries(spoil).forEach(([name, change]) => {
--- a/tests/relay/streamRelay.test.ts
+++ b/tests/relay/streamRelay.test.ts
@@ -40,13 +40,9 @@
   });
 
   async function openFixture(script: Script, routes = [route]) {
-    fixture = await RelayFixture.open(routes);
-    const upstreams = [
-      await fixture.addUpstream('a', script),
-      await fixture.addUpstream('b', script),
-    ];
-    await fixture.waitReady();
-    return upstreams;
+    const pair = await RelayFixture.openPair(routes, script);
+    fixture = pair.fixture;
+    return pair.upstreams;
   }
 
   describe('spoilt event ids', () => {
--- a/tests/relay/support/relayFixture.ts
+++ b/tests/relay/support/relayFixture.ts
@@ -156,6 +156,17 @@
     return fixture;
   }
 
+  /** Opens a relay with two upstreams that run the same script, and waits until it is ready. */
+  static async openPair(routes: Route[], script: Script) {
+    const fixture = await RelayFixture.open(routes);
+    const upstreams = [
+      await fixture.addUpstream('a', script),
+      await fixture.addUpstream('b', script),
+    ];
+    await fixture.waitReady();
+    return { fixture, upstreams };
+  }
+
   /** Adds an upstream of the service `app`. */
   async addUpstream(
     id: string,
--- a/tests/relay/support/scriptedUpstream.ts
+++ b/tests/relay/support/scriptedUpstream.ts
@@ -121,6 +121,11 @@
   return `HTTP/1.1 ${status} Answer\r\n${lines.join('')}\r\n${body}`;
 }
 
+/** Formats the head of an answer that ends with its connection. */
+export function formatUnframedHead(request: ReceivedRequest, status = 200): string {
+  return formatAnswer(request, status, '').replace('Content-Length: 0\r\n', '');
+}
+
 /** Formats the head of a stream with chunked encoding. */
 export function formatStreamHead(
   request: ReceivedRequest,
--- a/tests/utils/byteCollector.test.ts
+++ b/tests/utils/byteCollector.test.ts
@@ -25,6 +25,14 @@
     );
   });
 
+  it('refuses a chunk that exceeds its limit, and keeps what it has', () => {
+    const collector = new ByteCollector(4);
+    assert.equal(collector.append(Buffer.from('abc')), true);
+    assert.equal(collector.append(Buffer.from('de')), false);
+    assert.equal(collector.append(Buffer.from('d')), true);
+    assert.equal(collector.takeBuffer().toString(), 'abcd');
+  });
+
   it('copies chunks, so that it keeps no buffer of the reader', () => {
     const collector = new ByteCollector();
     const chunk = Buffer.from('ab');
