Take a first event id that nothing speaks for as no place to go on

What callers saw: the id of a stream's first event was spoilt (9 for 1) and the server broke off right after it.

Cause: EventOrder compared each id with those before it, and took the first one, which has none, as sound whatever it was.

Fix: a first id is taken as sound only if it is the expected one (1, or the one after the caller's Last-Event-Id); any other once the next event fits. Until then no other upstream is asked to go on, and a stream that breaks there is broken off for the caller. The order of the ids is otherwise followed as before.

Tests changed: three cases of relay/eventOrder began at ids 5, 7 and 10 and asked that the first could be gone on from, which is the fault; they now ask that it cannot, or name the caller's id before it.

--- a/packages/relay/src/requests/eventOrder.ts
+++ b/packages/relay/src/requests/eventOrder.ts
@@ -29,6 +29,17 @@
   /** Whether ids have risen by more than one. */
   private hasGaps = false;
 
+  /** Whether the first id is the one expected, or an id has fitted those before it. */
+  private isConfirmed = false;
+
+  /** Id with which the stream should begin: 1, or the one after the caller's. */
+  private readonly expectedFirst: number;
+
+  /** @param callerLastEventId id after which the caller goes on with its own stream */
+  constructor(callerLastEventId?: string) {
+    this.expectedFirst = (parseEventId(callerLastEventId) ?? 0) + 1;
+  }
+
   /** Last id as it came; undefined before the first. */
   get lastEventId(): string | undefined {
     return this.lastId;
@@ -36,7 +47,8 @@
 
   /** Whether no event has come, or another upstream can go on after the last one. */
   get canResume(): boolean {
-    return this.unsoundCount === 0;
+    if (this.lastBytes === undefined) return true;
+    return this.isConfirmed && this.unsoundCount === 0;
   }
 
   /**
@@ -47,6 +59,8 @@
     const number = parseEventId(id);
     if (number !== undefined && this.lastBytes?.equals(bytes)) return 'repeated';
     if (number !== undefined && this.isSound(number)) {
+      // A first id can be compared with no id before it.
+      this.isConfirmed ||= this.lastBytes !== undefined || number === this.expectedFirst;
       this.lastSound = number;
       this.unsoundCount = 0;
     } else this.unsoundCount += 1;
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -35,7 +35,7 @@
 class StreamRelay {
   private readonly tracker: AttemptTracker;
 
-  private readonly order = new EventOrder();
+  private readonly order: EventOrder;
 
   private hasStarted = false;
 
@@ -48,6 +48,7 @@
     const { exchange, request } = job;
     const route = exchange.route!;
     this.tracker = new AttemptTracker(context, job, route.isResumable);
+    this.order = new EventOrder(request.lastEventId);
     if (request.model === '*' && route.modelSizes.length > 0) {
       // The smallest model answers most requests in a tenth of the time of the largest.
       this.sizeIndex = 0;
--- a/tests/relay/eventOrder.test.ts
+++ b/tests/relay/eventOrder.test.ts
@@ -22,18 +22,24 @@
   it('can be resumed before the first event and after each that fits', () => {
     assert.equal(new EventOrder().canResume, true);
     assert.deepEqual(recordAll(['1', '2', '3']), [true, true, true]);
-    assert.deepEqual(recordAll(['7', '8']), [true, true]);
+    assert.deepEqual(recordAll(['7', '8'], new EventOrder('6')), [true, true]);
+  });
+
+  it('cannot be resumed after a first id that is not the expected one until the next fits', () => {
+    assert.deepEqual(recordAll(['7', '8']), [false, true]);
+    assert.deepEqual(recordAll(['1', '2'], new EventOrder('6')), [false, true]);
+  });
+
+  it('cannot be resumed after a spoilt first id until two of those that follow fit', () => {
+    assert.deepEqual(recordAll(['9', '2', '3']), [false, false, true]);
+    assert.deepEqual(recordAll(['0', '2', '3']), [false, false, true]);
+    assert.deepEqual(recordAll(['2', '2', '3']), [false, false, true]);
   });
 
   ['32', '2', 'x', '', '1e1', undefined].forEach((spoilt) => {
     it(`cannot be resumed after a spoilt id (${spoilt}), but after those that follow`, () => {
-      assert.deepEqual(recordAll(['10', '11', spoilt, '13', '14']), [
-        true,
-        true,
-        false,
-        true,
-        true,
-      ]);
+      const ids = ['10', '11', spoilt, '13', '14'];
+      assert.deepEqual(recordAll(ids, new EventOrder('9')), [true, true, false, true, true]);
     });
   });
 
@@ -58,7 +64,7 @@
   });
 
   it('accepts ids that rise by more than one', () => {
-    assert.deepEqual(recordAll(['5', '10', '15']), [true, false, true]);
+    assert.deepEqual(recordAll(['5', '10', '15']), [false, false, true]);
   });
 
   describe('in a run that goes on', () => {
--- a/tests/relay/streamRelay.test.ts
+++ b/tests/relay/streamRelay.test.ts
@@ -73,6 +73,20 @@
       assert.deepEqual([answer.body, answer.isWhole], [head + spoilt, false]);
     });
 
+    // The pieces after a spoilt first id were skipped and the stream ended as complete (ORDER).
+    it('of the first event do not let another upstream go on after them', async () => {
+      const first = formatEvents(1, 1).replace('id: 1', 'id: 9');
+      await openFixture(
+        runOnce((socket, request) => {
+          socket.write(formatStreamHead(request) + formatChunk(first), () =>
+            socket.resetAndDestroy(),
+          );
+        }, streamRest(20)),
+      );
+      const answer = await sendRequest(fixture.callerPort);
+      assert.deepEqual([answer.body, answer.isWhole], [first, false]);
+    });
+
     it('in a run that goes on are left to a further run', async () => {
       let runs = 0;
       await openFixture((socket, request) => {
