Do not drop the last event of a stream as a repeat it only looks like

What callers saw: a stream broke off after event 19 of 20 and was resumed; the id of event 20 was spoilt (10). The event was dropped as a repeat, and the stream ended as complete without its last piece (ORDER).

Cause: in a run that goes on, each event whose id is not above the last one was taken for a repeat, without asking whether the run then leads up to the last event or past it.

Fix: a dropped event is doubtful unless it equals the last one byte for byte. The run may not end there, nor skip ids; the event that follows the last one clears the doubt.

--- a/packages/relay/src/requests/eventOrder.ts
+++ b/packages/relay/src/requests/eventOrder.ts
@@ -29,6 +29,9 @@
   /** Whether ids have risen by more than one. */
   private hasGaps = false;
 
+  /** Whether the run that goes on sent events last that may not be the repeats they look like. */
+  private hasDoubtfulRepeat = false;
+
   /** Whether the first id is the one expected, or an id has fitted those before it. */
   private isConfirmed = false;
 
@@ -51,6 +54,16 @@
     return this.isConfirmed && this.unsoundCount === 0;
   }
 
+  /** Whether the current run may end here: none of the events that were dropped was a new one. */
+  get canEnd(): boolean {
+    return !this.hasDoubtfulRepeat;
+  }
+
+  /** Starts a run that goes on after the last event. */
+  startResumedRun(): void {
+    this.hasDoubtfulRepeat = false;
+  }
+
   /**
    * Records an event of the first run. It is passed on whatever its id, unless it is the one before
    * once more: an upstream in trouble may repeat that forever.
@@ -74,8 +87,14 @@
   recordResumed(id: string | undefined, bytes: Buffer): EventKind {
     const number = parseEventId(id);
     if (number === undefined || this.lastSound === undefined) return 'out_of_order';
-    if (number <= this.lastSound) return 'repeated';
-    if (number > this.lastSound + 1 && !this.hasGaps) return 'out_of_order';
+    if (number <= this.lastSound) {
+      // Only the last event is still known; any other has to lead up to the one that follows it.
+      this.hasDoubtfulRepeat = !this.lastBytes?.equals(bytes);
+      return 'repeated';
+    }
+    const canSkip = this.hasGaps && !this.hasDoubtfulRepeat;
+    if (number > this.lastSound + 1 && !canSkip) return 'out_of_order';
+    this.hasDoubtfulRepeat = false;
     return this.record(id, bytes);
   }
 
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -166,6 +166,7 @@
       attempt.recordPace(paceMs, isLong),
     );
     const isResumed = this.hasStarted;
+    if (isResumed) this.order.startResumedRun();
     // Without framing, bytes after the answer look like a part of it.
     const isTextAllowed = isFramed(answer) && !isResumed;
     try {
@@ -197,6 +198,7 @@
     if (!isTextAllowed && splitter.hasForeignText) {
       return attempt.createFailure(FOREIGN_TEXT_REASON);
     }
+    if (!this.order.canEnd) return attempt.createFailure(OUT_OF_ORDER_REASON);
     pace.recordEnd();
     this.startStream(answer);
     const { trailingBytes } = splitter;
--- a/tests/relay/eventOrder.test.ts
+++ b/tests/relay/eventOrder.test.ts
@@ -80,6 +80,35 @@
       assert.deepEqual(kinds, ['repeated', 'repeated', 'new', 'new']);
     });
 
+    // A last event whose id was spoilt was dropped as a repeat of an earlier one.
+    it('cannot end after an event that only looks like a repeat', () => {
+      const order = createOrder(['1', '2', '3']);
+      order.startResumedRun();
+      assert.equal(order.canEnd, true);
+      assert.equal(order.recordResumed('3', createBytes()), 'repeated');
+      assert.equal(order.canEnd, false);
+      assert.equal(order.recordResumed('4', createBytes()), 'new');
+      assert.equal(order.canEnd, true);
+    });
+
+    it('can end after the last event once more', () => {
+      const order = createOrder(['1', '2']);
+      const bytes = createBytes();
+      order.record('3', bytes);
+      order.startResumedRun();
+      assert.equal(order.recordResumed('3', bytes), 'repeated');
+      assert.equal(order.canEnd, true);
+    });
+
+    it('takes no gap after an event that only looks like a repeat, but a further run may', () => {
+      const order = createOrder(['5', '10', '15']);
+      order.startResumedRun();
+      assert.equal(order.recordResumed('10', createBytes()), 'repeated');
+      assert.equal(order.recordResumed('25', createBytes()), 'out_of_order');
+      order.startResumedRun();
+      assert.equal(order.recordResumed('20', createBytes()), 'new');
+    });
+
     ['5', 'x', undefined].forEach((id) => {
       it(`takes no event that does not follow (${id})`, () => {
         assert.equal(createOrder(['1', '2', '3']).recordResumed(id, createBytes()), 'out_of_order');
--- a/tests/relay/streamRelay.test.ts
+++ b/tests/relay/streamRelay.test.ts
@@ -104,6 +104,26 @@
       assert.equal(answer.isWhole ? answer.body : formatEvents(1, 20), formatEvents(1, 20));
     });
 
+    // The last piece was dropped as a repeat of an earlier one and the stream ended as complete (ORDER).
+    ['id: 10', 'id: 19'].forEach((line) => {
+      it(`of the last event of a run that goes on do not make it a repeat (${line})`, async () => {
+        const last = formatEvents(20, 20).replace('id: 20', line);
+        await openFixture(
+          runOnce(
+            (socket, request) => {
+              const events = formatChunk(formatEvents(1, 19));
+              socket.write(formatStreamHead(request) + events, () => socket.resetAndDestroy());
+            },
+            (socket, request) => {
+              socket.end(formatStreamHead(request) + formatChunk(last) + LAST_CHUNK);
+            },
+          ),
+        );
+        const answer = await sendRequest(fixture.callerPort);
+        assert.deepEqual([answer.body, answer.isWhole], [formatEvents(1, 19), false]);
+      });
+    });
+
     it('are passed on as they came to a caller that goes on with its own stream', async () => {
       const body = formatEvents(3, 8);
       await openFixture((socket, request) => {
