Do not go on after an event that may hold two

What callers saw: the blank line between two events was spoilt in one byte and the server broke off after them. The instance took both for one event with the first id and resumed after it, so that the second came twice (ORDER).

Cause: the id of an event was the first line that looks like one, whatever else its bytes held.

Fix: an event has an id only if that line is the only one of its kind and nothing but fields of an event follows it. Any other is passed on as it came, and is no place to go on.

--- a/packages/relay/src/requests/eventSplitter.ts
+++ b/packages/relay/src/requests/eventSplitter.ts
@@ -3,7 +3,7 @@
 
 /** One event of a stream, with the blank line that ends it. */
 export interface StreamEvent {
-  /** Value of the `id` field; undefined when the event has none. */
+  /** Value of the `id` field; undefined when the event has none, or may be more than one event. */
   id: string | undefined;
   bytes: Buffer;
   /** Whether `bytes` starts with text that belongs to no event and is no comment. */
@@ -19,9 +19,15 @@
 /** Start of a line that makes its block an event: a block of comments or other fields is none. */
 const EVENT_LINE = /^(?:id|data)(?::|\r|$)/;
 
+/**
+ * Matches an event with one id, followed by nothing but fields of an event. What else follows may be
+ * the start of the next event, if the blank line between them was spoilt.
+ */
+const SINGLE_EVENT =
+  /^(?:(?!id:)[^\n]*\n)*id:[ ]?([^\r\n]*)\r?\n(?:(?:data|event|retry)(?::[^\n]*|\r?)\n)*\r?\n$/;
+
 function parseEventId(bytes: Buffer): string | undefined {
-  const match = /(?:^|\n)id:[ ]?([^\r\n]*)/.exec(bytes.toString('latin1'));
-  return match?.[1];
+  return SINGLE_EVENT.exec(bytes.toString('latin1'))?.[1];
 }
 
 /**
--- a/tests/relay/streamRelay.test.ts
+++ b/tests/relay/streamRelay.test.ts
@@ -87,6 +87,28 @@
       assert.deepEqual([answer.body, answer.isWhole], [first, false]);
     });
 
+    // An event whose end was spoilt holds the next one too, which then came twice (ORDER).
+    const pieces = [11, 12, 13].map((id) => formatEvents(id, id));
+    const joined = {
+      'a byte of the blank line': pieces.join('').replace('12\n\nid', '12\nxid'),
+      'a byte of the blank line, a colon': pieces.join('').replace('12\n\nid', '12\n:id'),
+      'the end of the last line': pieces.join('').replace('12\n\nid', '12x\nid'),
+    };
+    Object.entries(joined).forEach(([name, text]) => {
+      it(`do not let another upstream go on within an event that holds two (${name})`, async () => {
+        const body = formatEvents(1, 10) + text;
+        await openFixture(
+          runOnce((socket, request) => {
+            socket.write(formatStreamHead(request) + formatChunk(body), () =>
+              socket.resetAndDestroy(),
+            );
+          }, streamRest(20)),
+        );
+        const answer = await sendRequest(fixture.callerPort);
+        assert.deepEqual([answer.body, answer.isWhole], [body, false]);
+      });
+    });
+
     it('in a run that goes on are left to a further run', async () => {
       let runs = 0;
       await openFixture((socket, request) => {
