Let go of a large answer that its caller does not read when others wait

Cause: the memory of a large answer was held until its caller had received it, however long that took, and shares are by upstream only.

Fix: a large answer is handed over in slices as its caller reads, and gives back memory as it goes.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -47,6 +47,8 @@
 export type { PeerExchangeOptions } from './peers/peerExchange.js';
 export { PeerExchange } from './peers/peerExchange.js';
 export type { ViewName, ViewState } from './peers/peerMessage.js';
+export type { BufferedAnswer } from './requests/answerDelivery.js';
+export { AnswerDelivery } from './requests/answerDelivery.js';
 export type { EventKind } from './requests/eventOrder.js';
 export { EventOrder } from './requests/eventOrder.js';
 export { EventSplitter } from './requests/eventSplitter.js';
@@ -66,6 +68,8 @@
   createEvidence,
   describeBadVersion,
 } from './rollouts/versionEvidence.js';
+export { AnswerBody } from './upstreams/answerBody.js';
+export { AnswerMemory } from './upstreams/answerMemory.js';
 export { Upstream } from './upstreams/upstream.js';
 export { UpstreamNotices } from './upstreams/upstreamNotices.js';
 export { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -2,6 +2,8 @@
 import type { RetryBudget } from '@cactusstair/routing';
 
 import type { CallFailure } from '../upstreams/upstreamCall.js';
+import type { BufferedAnswer } from './answerDelivery.js';
+import { sendAnswer } from './answerDelivery.js';
 import type { Attempt } from './attempt.js';
 import { MISDIRECTED_STATUS } from './attempt.js';
 import type { RelayContext } from './relayContext.js';
@@ -9,11 +11,8 @@
 import { getAcceptWaitMs } from './upstreamChoice.js';
 
 /** An upstream's error answer, kept to be sent if no other attempt succeeds. */
-export interface FailedAnswer {
+export interface FailedAnswer extends BufferedAnswer {
   type: 'failed_answer';
-  status: number;
-  headers: string[];
-  body: Buffer[];
 }
 
 /** Why an attempt brought no answer for the caller. */
@@ -189,12 +188,14 @@
    * @param refused code to send when none did
    * @param retryAfterMs shortest time after which a refused caller may return
    */
-  sendFailure(unknown: ResultCodeName, refused: ResultCodeName, retryAfterMs: number): void {
+  async sendFailure(
+    unknown: ResultCodeName,
+    refused: ResultCodeName,
+    retryAfterMs: number,
+  ): Promise<void> {
     const { exchange } = this.job;
-    if (this.lastAnswer) {
-      const { status, headers, body } = this.lastAnswer;
-      exchange.sendAnswer(status, headers, body);
-    } else if (exchange.mayHaveRun) exchange.sendFailure(unknown, this.reason);
+    if (this.lastAnswer) await sendAnswer(this.context, exchange, this.lastAnswer);
+    else if (exchange.mayHaveRun) exchange.sendFailure(unknown, this.reason);
     else exchange.sendFailure(refused, this.reason, this.computeRetryAfterMs(retryAfterMs));
   }
 
--- a/packages/relay/src/requests/bufferedRelay.ts
+++ b/packages/relay/src/requests/bufferedRelay.ts
@@ -1,3 +1,5 @@
+import type { BufferedAnswer } from './answerDelivery.js';
+import { sendAnswer } from './answerDelivery.js';
 import type { Attempt } from './attempt.js';
 import { awaitAttempt, readAnswerHead } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
@@ -6,8 +8,7 @@
 import type { RelayJob } from './relayJob.js';
 
 /** Outcome of one attempt. */
-type AttemptResult =
-  { type: 'answer'; status: number; headers: string[]; body: Buffer[] } | AttemptFailure;
+type AttemptResult = ({ type: 'answer' } & BufferedAnswer) | AttemptFailure;
 
 // An unanswered idempotent request moves to another upstream after this many latency goals.
 const SILENCE_TIMEOUT_GOALS = 2;
@@ -30,7 +31,8 @@
   const body = await attempt.readBody(answer);
   if (body.isErr()) return body.error;
   const headers = context.dialect.listAnswerHeaders(answer.rawHeaders);
-  return { type: status < 500 ? 'answer' : 'failed_answer', status, headers, body: body.value };
+  const type = status < 500 ? 'answer' : 'failed_answer';
+  return { type, status, headers, owner: attempt.upstream.id, body: body.value };
 }
 
 /** Runs one attempt and cancels it when it has not ended after `silenceMs`. */
@@ -87,10 +89,10 @@
     }
     if (result.type === 'answer') {
       attempt.upstream.recordSuccess();
-      exchange.sendAnswer(result.status, result.headers, result.body);
+      await sendAnswer(context, exchange, result);
       return;
     }
     if (!tracker.record(attempt, result)) break;
   }
-  tracker.sendFailure('outcome_unknown', 'no_upstream', RETRY_AFTER_MS);
+  await tracker.sendFailure('outcome_unknown', 'no_upstream', RETRY_AFTER_MS);
 }
--- a/packages/relay/src/requests/exchange.ts
+++ b/packages/relay/src/requests/exchange.ts
@@ -114,18 +114,26 @@
     this.steps.push({ atMs: Math.round(this.elapsedMs), step, ...fields });
   }
 
-  /** Sends an upstream's answer unchanged. */
-  sendAnswer(status: number, headers: string[], body: readonly Buffer[]): void {
-    if (this.isOver) return;
-    const length = body.reduce((sum, part) => sum + part.length, 0);
+  /**
+   * Sends the head of an upstream's whole answer unchanged; its body is to follow.
+   *
+   * @returns false if nothing more can be sent to the caller
+   */
+  startAnswer(status: number, headers: string[], length: number): boolean {
+    if (this.isOver) return false;
     if (length > 0 || status !== 204) headers.push('content-length', String(length));
     // Throws if the head is invalid; the request is still to be answered then.
     this.outgoing.writeHead(status, headers as never);
     this.firstByteMs ??= this.elapsedMs;
     this.finish(status < 500 ? 'answered' : 'failed', status);
-    const parts = this.request?.method === 'HEAD' ? [] : body;
-    for (const part of parts.slice(0, -1)) this.outgoing.write(part);
-    this.outgoing.end(parts.at(-1));
+    return true;
+  }
+
+  /** Closes the connection to a caller that does not read its answer. */
+  abandonAnswer(reason: string): void {
+    this.addStep('answer_abandoned', { reason });
+    this.end = 'failed';
+    this.outgoing.destroy();
   }
 
   /** Sends the head of a stream. */
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -84,7 +84,7 @@
       } else if (!tracker.record(attempt, result) || !this.order.canResume) break;
     }
     if (this.hasStarted) exchange.breakStream(tracker.lastReason);
-    else tracker.sendFailure('answer_incomplete', 'overloaded', RETRY_AFTER_MS);
+    else await tracker.sendFailure('answer_incomplete', 'overloaded', RETRY_AFTER_MS);
   }
 
   /** Opens an attempt; waits longer for one that goes on with a stream. */
@@ -126,7 +126,8 @@
       const body = await attempt.readBody(answer);
       if (body.isErr()) return body.error;
       const headers = context.dialect.listAnswerHeaders(answer.rawHeaders);
-      return { type: 'failed_answer', status, headers, body: body.value };
+      const owner = attempt.upstream.id;
+      return { type: 'failed_answer', status, headers, owner, body: body.value };
     }
     const sizeIndex = this.hasStarted ? undefined : this.chooseEscalation(head.confidence);
     if (sizeIndex !== undefined) return { type: 'escalated', sizeIndex };
--- a/packages/relay/src/upstreams/answerMemory.ts
+++ b/packages/relay/src/upstreams/answerMemory.ts
@@ -1,13 +1,8 @@
-import type { IncomingMessage } from 'node:http';
-
-import type { ReleaseMemory } from '@cactusstair/routing';
+import type { MemoryGrant } from '@cactusstair/routing';
 import { MemoryShares } from '@cactusstair/routing';
-import { ByteCollector } from '@cactusstair/utils';
 
 /** Largest answer that is buffered before it is passed on, in bytes. */
-const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-/** Answers up to this size are buffered without asking for memory, in bytes. */
-const SMALL_ANSWER_BYTES = 32 * 1024;
+export const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Memory for the larger answers of an instance together, in bytes. */
 const SHARED_MEMORY_BYTES = 4 * MAX_ANSWER_BYTES;
 /** Bytes of large answers that are read before their buffers are collected. */
@@ -24,10 +19,15 @@
    *
    * @param owner the upstream that answers; upstreams share the memory evenly
    */
-  reserve(owner: string, bytes: number, onGranted: () => void): ReleaseMemory {
+  reserve(owner: string, bytes: number, onGranted: () => void): MemoryGrant {
     return this.shares.request(owner, bytes, onGranted);
   }
 
+  /** Whether an answer that cannot be read on waits for memory of the upstream's answers. */
+  isAwaitedFrom(owner: string): boolean {
+    return this.shares.isAwaitedFrom(owner);
+  }
+
   /**
    * Counts bytes of a large answer. Node.js reads them into buffers whose size the garbage collector
    * hardly sees, so it is called in time where it is exposed (`--expose-gc`).
@@ -48,68 +48,3 @@
   /** Calls a listener when the caller has received everything or has left. */
   onCallerDone: (listener: () => void) => void;
 }
-
-/** How the reading of a body ended. */
-export type BodyEnd =
-  | { type: 'whole'; body: Buffer[] }
-  /** The connection ended before. */
-  | { type: 'cut' }
-  | { type: 'too_long' };
-
-/** Returns the length that the head of an answer declares, in bytes; undefined if none. */
-function readDeclaredBytes({ headers }: IncomingMessage): number | undefined {
-  const text = headers['content-length'];
-  return text === undefined ? undefined : Number(text);
-}
-
-/**
- * Reads the body of an answer into memory. A large one is read on when there is memory for it; until
- * then its upstream has to wait. One that declares too great a length is not read at all.
- */
-export function readBoundedBody(
-  answer: IncomingMessage,
-  { memory, owner, onCallerDone }: AnswerLease,
-  onProgress: () => void,
-): Promise<BodyEnd> {
-  const declaredBytes = readDeclaredBytes(answer);
-  if (declaredBytes !== undefined && declaredBytes > MAX_ANSWER_BYTES) {
-    answer.on('error', () => {});
-    return Promise.resolve({ type: 'too_long' });
-  }
-  return new Promise((resolve) => {
-    const body = new ByteCollector(MAX_ANSWER_BYTES);
-    let release: ReleaseMemory | undefined;
-    const fail = (type: 'cut' | 'too_long') => {
-      release?.();
-      // What crashed an upstream is searched among requests that ended a while ago as well, so the
-      // answer is kept in memory longer than its body may be.
-      body.takeBuffers();
-      resolve({ type });
-    };
-    const reserve = () => {
-      let isGranted = false;
-      release = memory.reserve(owner, declaredBytes ?? MAX_ANSWER_BYTES, () => {
-        isGranted = true;
-        answer.resume();
-      });
-      onCallerDone(release);
-      if (!isGranted) answer.pause();
-    };
-    answer.on('data', (chunk: Buffer) => {
-      onProgress();
-      if (!body.append(chunk)) {
-        answer.removeAllListeners('data');
-        fail('too_long');
-        return;
-      }
-      if (body.length <= SMALL_ANSWER_BYTES) return;
-      memory.recordRead(chunk.length);
-      if (!release) reserve();
-    });
-    answer.on('error', () => fail('cut'));
-    answer.on('end', () => resolve({ type: 'whole', body: body.takeBuffers() }));
-    answer.on('close', () => {
-      if (!answer.readableEnded) fail('cut');
-    });
-  });
-}
--- a/packages/relay/src/upstreams/upstreamCall.ts
+++ b/packages/relay/src/upstreams/upstreamCall.ts
@@ -6,8 +6,9 @@
 import type { Result } from 'neverthrow';
 
 import { describeInvalidAnswerHead } from '../messageHead.js';
+import type { AnswerBody } from './answerBody.js';
+import { readBoundedBody } from './answerBody.js';
 import type { AnswerLease } from './answerMemory.js';
-import { readBoundedBody } from './answerMemory.js';
 import type { Upstream } from './upstream.js';
 
 /** Why a call ended without a complete answer. */
@@ -89,7 +90,7 @@
   }
 
   /** Reads the body of the answer; one that is truncated or too long is a failure. */
-  async readBody(answer: IncomingMessage): Promise<Result<Buffer[], CallFailure>> {
+  async readBody(answer: IncomingMessage): Promise<Result<AnswerBody, CallFailure>> {
     const { lease, upstream } = this.options;
     const end = await readBoundedBody(answer, lease, () => upstream.recordProgress());
     if (end.type === 'too_long') {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -33,7 +33,7 @@
 export { WorkAverage } from './engine/workAverage.js';
 export type { UrgencyRequest } from './engine/requestUrgency.js';
 export { computeUrgency } from './engine/requestUrgency.js';
-export type { ReleaseMemory } from './limits/memoryShares.js';
+export type { MemoryGrant } from './limits/memoryShares.js';
 export { MemoryShares } from './limits/memoryShares.js';
 export { RateAllowance } from './limits/rateAllowance.js';
 export type { InstanceGroup, LimitedUpstream } from './limits/rateLimitShares.js';
--- a/packages/routing/src/limits/memoryShares.ts
+++ b/packages/routing/src/limits/memoryShares.ts
@@ -6,8 +6,13 @@
   onGranted: () => void;
 }
 
-/** Gives back memory, or withdraws the request for it. Repeated calls have no effect. */
-export type ReleaseMemory = () => void;
+/** Memory that was granted or is asked for, as its holder sees it. */
+export interface MemoryGrant {
+  /** Gives back all but `bytes` of the memory; no effect if it holds less or was not granted yet. */
+  shrinkTo(bytes: number): void;
+  /** Gives back the memory, or withdraws the request for it. Repeated calls have no effect. */
+  release(): void;
+}
 
 /** Share of the memory that one owner may hold, so that it cannot keep all others waiting. */
 const MAX_OWNER_SHARE = 0.5;
@@ -43,19 +48,30 @@
    *
    * @param bytes at most half of the memory; more counts as half
    */
-  request(owner: string, bytes: number, onGranted: () => void): ReleaseMemory {
+  request(owner: string, bytes: number, onGranted: () => void): MemoryGrant {
     const request: MemoryRequest = { owner, bytes: Math.min(bytes, this.maxOwnerBytes), onGranted };
     this.waiting.add(request);
-    let isReleased = false;
     this.grant();
-    return () => {
-      if (isReleased) return;
-      isReleased = true;
-      if (!this.waiting.delete(request)) this.takeBack(request);
-      this.grant();
+    return {
+      shrinkTo: (leftBytes) => {
+        if (!this.waiting.has(request)) this.shrink(request, leftBytes);
+      },
+      release: () => {
+        if (!this.waiting.delete(request)) this.shrink(request, 0);
+        else this.grant();
+      },
     };
   }
 
+  /** Whether memory that the owner gives back brings a request that waits closer to its grant. */
+  isAwaitedFrom(owner: string): boolean {
+    for (const request of this.waiting) {
+      const isOwnLimit = this.exceedsOwnerLimit(request);
+      if (isOwnLimit ? request.owner === owner : request.bytes > this.free) return true;
+    }
+    return false;
+  }
+
   /** Grants requests while there is memory for the next one. */
   private grant(): void {
     for (;;) {
@@ -74,21 +90,29 @@
     let leastHeld = Infinity;
     for (const request of this.waiting) {
       const held = this.getHeldBytes(request.owner);
-      if (held >= leastHeld || held + request.bytes > this.maxOwnerBytes) continue;
+      if (held >= leastHeld || this.exceedsOwnerLimit(request)) continue;
       next = request;
       leastHeld = held;
     }
     return next;
   }
 
+  private exceedsOwnerLimit({ owner, bytes }: MemoryRequest): boolean {
+    return this.getHeldBytes(owner) + bytes > this.maxOwnerBytes;
+  }
+
   private getHeldBytes(owner: string): number {
     return this.heldBytes.get(owner) ?? 0;
   }
 
-  private takeBack({ owner, bytes }: MemoryRequest): void {
-    const held = this.getHeldBytes(owner) - bytes;
-    if (held > 0) this.heldBytes.set(owner, held);
-    else this.heldBytes.delete(owner);
+  private shrink(request: MemoryRequest, leftBytes: number): void {
+    const bytes = request.bytes - leftBytes;
+    if (bytes <= 0) return;
+    request.bytes = leftBytes;
+    const held = this.getHeldBytes(request.owner) - bytes;
+    if (held > 0) this.heldBytes.set(request.owner, held);
+    else this.heldBytes.delete(request.owner);
     this.free += bytes;
+    this.grant();
   }
 }
--- a/tests/platform/memory.test.ts
+++ b/tests/platform/memory.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { readFileSync } from 'node:fs';
+import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { after, before, describe, it } from 'node:test';
 
@@ -18,10 +19,12 @@
 import { StoreStandin } from './support/storeStandin.js';
 
 const MEBIBYTE = 1024 * 1024;
-/** Target of the users for an instance whose upstreams answer without end. */
+/** Target of the users for an instance whose upstreams answer without end, or whose callers do not read. */
 const MAX_PEAK_MB = 150;
 const REQUEST_COUNT = 300;
 const CONCURRENT_REQUESTS = 100;
+const IDLE_CALLERS = 12;
+const OTHER_CALLERS = 16;
 const BLOCK = Buffer.alloc(65_536, 'x');
 const KINDS = { safe: '/safe/', unsafe: '/unsafe/', streaming: '/streaming/' };
 
@@ -31,9 +34,10 @@
   return Number(match?.[1] ?? 0) / 1024;
 }
 
-describe('memory of an instance whose upstream answers without end', () => {
+describe('memory of an instance', () => {
   const program = new InstanceProgram();
   const upstreams: ScriptedUpstream[] = [];
+  const idleCallers: Socket[] = [];
   let store: StoreStandin;
   let ports: InstancePorts;
   let instance: InstanceProcess;
@@ -71,6 +75,7 @@
   });
 
   after(async () => {
+    idleCallers.forEach((socket) => socket.destroy());
     await program.close();
     for (const upstream of upstreams) await upstream.close();
     await store.close();
@@ -103,6 +108,34 @@
     await Promise.all(Array.from({ length: CONCURRENT_REQUESTS }, sendOneByOne));
   }
 
+  /** Asks for a large answer and reads nothing of it. */
+  function sendWithoutReading(index: number): void {
+    const socket = connect(ports.callers, '127.0.0.1');
+    idleCallers.push(socket);
+    socket.on('error', () => {});
+    const head = [`POST /sound/item HTTP/1.1`, `Host: ${HOST}`, `Api-Key: ${API_KEY}`];
+    const id = [`X-Attempt-Id: idle-${index}`, 'X-Deadline-Ms: 20000', 'Content-Length: 0'];
+    socket.write(`${[...head, ...id].join('\r\n')}\r\n\r\n`);
+  }
+
+  // Answers that their callers do not read kept the memory, so that no other was read.
+  it(`stays below ${MAX_PEAK_MB} MB, and others are served, when callers read nothing`, async () => {
+    for (let index = 0; index < IDLE_CALLERS; index += 1) sendWithoutReading(index);
+    const headers = { 'x-deadline-ms': '20000' };
+    const answers = await Promise.all(
+      Array.from({ length: OTHER_CALLERS }, () =>
+        sendRequest(ports.callers, { path: '/sound/item', headers }),
+      ),
+    );
+    assert.deepEqual(
+      answers.map(({ status, body }) => [status, body.length]),
+      answers.map(() => [200, 8 * MEBIBYTE]),
+    );
+    const peakMb = readPeakMb(instance.pid);
+    console.log(`callers that read nothing: peak ${peakMb.toFixed(0)} MB`);
+    assert.ok(peakMb < MAX_PEAK_MB, `${peakMb} MB`);
+  });
+
   Object.entries(KINDS).forEach(([kind, path]) => {
     it(`stays below ${MAX_PEAK_MB} MB, and the largest answers are served (${kind})`, async () => {
       let isFlooded = true;
--- a/tests/routing/memoryShares.test.ts
+++ b/tests/routing/memoryShares.test.ts
@@ -3,7 +3,7 @@
 
 import fc from 'fast-check';
 
-import type { ReleaseMemory } from '@cactusstair/routing';
+import type { MemoryGrant } from '@cactusstair/routing';
 import { MemoryShares } from '@cactusstair/routing';
 
 const SEED = 20261205;
@@ -20,12 +20,12 @@
 
   it('grants at once while there is memory, and later what is given back', () => {
     const { granted, ask } = createRecorder(100);
-    const release = ask('a', 50);
+    const grant = ask('a', 50);
     ask('b', 50);
     ask('c', 50);
     assert.deepEqual(granted, ['a', 'b']);
-    release();
-    release();
+    grant.release();
+    grant.release();
     assert.deepEqual(granted, ['a', 'b', 'c']);
   });
 
@@ -40,24 +40,47 @@
   it('serves the owner that holds least before the oldest request', () => {
     const { granted, ask } = createRecorder(100);
     ask('a', 25, 'a1');
-    const release = ask('b', 50, 'b1');
+    const grant = ask('b', 50, 'b1');
     ask('c', 25, 'c1');
     ask('a', 25, 'a2');
     ask('d', 25, 'd1');
-    release();
+    grant.release();
     assert.deepEqual(granted, ['a1', 'b1', 'c1', 'd1', 'a2']);
   });
 
   it('forgets a request that is withdrawn', () => {
     const { granted, shares, ask } = createRecorder(100);
-    const release = ask('a', 50);
+    const grant = ask('a', 50);
     ask('b', 50);
-    ask('c', 50)();
-    release();
+    ask('c', 50).release();
+    grant.release();
     assert.deepEqual(granted, ['a', 'b']);
     assert.equal(shares.usedBytes, 50);
   });
 
+  it('grants what a grant gives back in part', () => {
+    const { granted, shares, ask } = createRecorder(100);
+    const grant = ask('a', 50, 'a1');
+    ask('a', 30, 'a2');
+    grant.shrinkTo(60);
+    assert.deepEqual(granted, ['a1']);
+    grant.shrinkTo(20);
+    assert.deepEqual(granted, ['a1', 'a2']);
+    grant.release();
+    assert.equal(shares.usedBytes, 30);
+  });
+
+  it('tells whose memory is awaited: of all when none is free, else of its own owner', () => {
+    const { shares, ask } = createRecorder(100);
+    ask('a', 50);
+    assert.equal(shares.isAwaitedFrom('a'), false);
+    ask('a', 10);
+    assert.deepEqual([shares.isAwaitedFrom('a'), shares.isAwaitedFrom('b')], [true, false]);
+    ask('b', 50);
+    ask('c', 10);
+    assert.deepEqual([shares.isAwaitedFrom('a'), shares.isAwaitedFrom('b')], [true, true]);
+  });
+
   it('never exceeds its memory and serves everyone whose turn comes', () => {
     const request = fc.record({
       owner: fc.constantFrom('a', 'b', 'c', 'd'),
@@ -67,16 +90,18 @@
     fc.assert(
       fc.property(fc.array(request, { maxLength: 60 }), (requests) => {
         const { shares, granted, ask } = createRecorder(100);
-        const releases: ReleaseMemory[] = [];
+        const grants: MemoryGrant[] = [];
         requests.forEach(({ owner, bytes, isReleasedEarly }, index) => {
-          const release = ask(owner, bytes, String(index));
+          const grant = ask(owner, bytes, String(index));
           assert.ok(shares.usedBytes <= 100);
-          if (isReleasedEarly) release();
-          else releases.push(release);
+          if (isReleasedEarly) grant.release();
+          else grants.push(grant);
         });
         // A request that is given back when it was granted makes room for the next.
-        releases.forEach((release) => {
-          release();
+        grants.forEach((grant) => {
+          grant.shrinkTo(10);
+          assert.ok(shares.usedBytes <= 100);
+          grant.release();
           assert.ok(shares.usedBytes <= 100);
         });
         assert.equal(shares.usedBytes, 0);
