Give up no buffered run before another one can replace it

Cause: the silence timer of buffered requests asked only whether the route allows another run.

Fix: AttemptTracker.tryReserveMove, which streams had for themselves, now decides for both: a run, a retry and an upstream with room, or the attempt stays. Silence is time without progress, and does not count while the answer waits for memory of this instance.

--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -5,6 +5,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
+import type { BodyListener } from '../upstreams/answerBody.js';
 import type { RunningCall, Upstream } from '../upstreams/upstream.js';
 import type { UpstreamRecord } from '../upstreams/upstreamRecord.js';
 import type { CallFailure } from '../upstreams/upstreamCall.js';
@@ -136,8 +137,8 @@
     return this.call.readHead();
   }
 
-  readBody(answer: IncomingMessage) {
-    return this.call.readBody(answer);
+  readBody(answer: IncomingMessage, listener?: BodyListener) {
+    return this.call.readBody(answer, listener);
   }
 
   isWhole(answer: IncomingMessage): boolean {
--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -8,7 +8,7 @@
 import { MISDIRECTED_STATUS } from './attempt.js';
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
-import { getAcceptWaitMs } from './upstreamChoice.js';
+import { getAcceptWaitMs, hasUpstreamWithRoom } from './upstreamChoice.js';
 
 /** An upstream's error answer, kept to be sent if no other attempt succeeds. */
 export interface FailedAnswer extends BufferedAnswer {
@@ -140,10 +140,23 @@
   }
 
   /**
-   * Takes the retry that another attempt needs from the budget, so that the current one is given up
-   * only if another can follow. What is not used goes back with `releaseReservation`.
+   * Reserves a run and a retry for an attempt that replaces the current one, if another upstream has
+   * room for it. An attempt that goes on is given up only then; cancelling it would lose its answer.
+   * What is not used goes back with `releaseReservation`.
+   *
+   * @param sizeIndex index into the route's model sizes; undefined when the caller named the model
    */
-  tryReserveAttempt(): boolean {
+  tryReserveMove(current: Attempt, sizeIndex: number | undefined): boolean {
+    const excluded = new Set([...this.excluded, current.upstream.id]);
+    return (
+      this.canRepeat &&
+      this.hasRunLeft &&
+      hasUpstreamWithRoom(this.context, this.job, excluded, sizeIndex) &&
+      this.tryReserveAttempt()
+    );
+  }
+
+  private tryReserveAttempt(): boolean {
     if (this.tries >= MAX_TRIES) return false;
     this.hasReservation ||= this.budget.tryTake();
     return this.hasReservation;
--- a/packages/relay/src/requests/bufferedRelay.ts
+++ b/packages/relay/src/requests/bufferedRelay.ts
@@ -1,5 +1,6 @@
 import type { BufferedAnswer } from './answerDelivery.js';
 import { sendAnswer } from './answerDelivery.js';
+import { AnswerProgress } from './answerProgress.js';
 import type { Attempt } from './attempt.js';
 import { awaitAttempt, readAnswerHead } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
@@ -10,7 +11,7 @@
 /** Outcome of one attempt. */
 type AttemptResult = ({ type: 'answer' } & BufferedAnswer) | AttemptFailure;
 
-// An unanswered idempotent request moves to another upstream after this many latency goals.
+// An idempotent request whose upstream is silent for this many latency goals moves to another one.
 const SILENCE_TIMEOUT_GOALS = 2;
 const MIN_SILENCE_TIMEOUT_MS = 400;
 /** A request that no upstream accepts by then is refused. */
@@ -18,7 +19,11 @@
 /** Value of Retry-After in refusals: a few service times of a fully loaded upstream. */
 const RETRY_AFTER_MS = 400;
 
-async function readAnswer(context: RelayContext, attempt: Attempt): Promise<AttemptResult> {
+async function readAnswer(
+  context: RelayContext,
+  attempt: Attempt,
+  progress: AnswerProgress,
+): Promise<AttemptResult> {
   const head = await attempt.readHead();
   if (head.isErr()) return head.error;
   const answer = head.value;
@@ -28,26 +33,30 @@
   if (checked.isErr() || checked.value.isNotRun) answer.on('error', () => {});
   if (checked.isErr()) return checked.error;
   if (checked.value.isNotRun) return { type: 'not_run', status };
-  const body = await attempt.readBody(answer);
+  const body = await attempt.readBody(answer, progress);
   if (body.isErr()) return body.error;
   const headers = context.dialect.listAnswerHeaders(answer.rawHeaders);
   const type = status < 500 ? 'answer' : 'failed_answer';
   return { type, status, headers, owner: attempt.upstream.id, body: body.value };
 }
 
-/** Runs one attempt and cancels it when it has not ended after `silenceMs`. */
+/** Runs one attempt and gives it up when it is silent and another one can replace it. */
 async function runAttempt(
   context: RelayContext,
   attempt: Attempt,
-  silenceMs: number,
+  tracker: AttemptTracker,
 ): Promise<AttemptResult> {
-  const timer = Number.isFinite(silenceMs)
-    ? setTimeout(() => attempt.cancel('no answer within the silence timeout'), silenceMs)
-    : undefined;
+  const { latencyGoalMs } = attempt.job.exchange.route!;
+  const progress = new AnswerProgress(attempt, {
+    silenceMs: Math.max(MIN_SILENCE_TIMEOUT_MS, SILENCE_TIMEOUT_GOALS * latencyGoalMs),
+    tryReserveMove: () => tracker.tryReserveMove(attempt, undefined),
+    getNowMs: () => context.clock.monotonicMs(),
+  });
+  context.stallMonitor.add(progress);
   try {
-    return await readAnswer(context, attempt);
+    return await readAnswer(context, attempt, progress);
   } finally {
-    clearTimeout(timer);
+    context.stallMonitor.remove(progress);
     attempt.close();
   }
 }
@@ -67,22 +76,28 @@
  * requests only if the upstream proved that it did not run them.
  */
 export async function relayBuffered(context: RelayContext, job: RelayJob): Promise<void> {
-  const { exchange } = job;
-  const route = exchange.route!;
-  const isIdempotent = route.kind === 'idempotent';
+  const isIdempotent = job.exchange.route!.kind === 'idempotent';
   const tracker = new AttemptTracker(context, job, isIdempotent);
+  try {
+    await runAttempts(context, job, tracker);
+  } finally {
+    tracker.releaseReservation();
+  }
+}
+
+async function runAttempts(
+  context: RelayContext,
+  job: RelayJob,
+  tracker: AttemptTracker,
+): Promise<void> {
+  const { exchange } = job;
   const { excluded } = tracker;
   const options = { excluded, sizeIndex: undefined, lastEventId: job.request.lastEventId };
+  let canWaitForRoom = true;
   while (tracker.tryStartAttempt()) {
-    // Excluded upstreams stay excluded for this request, so waiting for them would not help.
-    const maxWaitMs = excluded.size > 0 ? 0 : ROOM_TIMEOUT_MS;
-    const attempt = await awaitAttempt(context, job, options, maxWaitMs);
+    const attempt = await awaitAttempt(context, job, options, canWaitForRoom ? ROOM_TIMEOUT_MS : 0);
     if (!attempt) break;
-    const silenceMs =
-      isIdempotent && tracker.hasRunLeft
-        ? Math.max(MIN_SILENCE_TIMEOUT_MS, SILENCE_TIMEOUT_GOALS * route.latencyGoalMs)
-        : Infinity;
-    const result = await runAttempt(context, attempt, silenceMs);
+    const result = await runAttempt(context, attempt, tracker);
     if (exchange.isOver) return;
     if (result.type === 'answer' || result.type === 'failed_answer') {
       recordAnswer(context, attempt, result.type === 'failed_answer');
@@ -93,6 +108,8 @@
       return;
     }
     if (!tracker.record(attempt, result)) break;
+    // A run was given up for another one, whose room may have been taken meanwhile.
+    canWaitForRoom = result.type === 'cancelled';
   }
   await tracker.sendFailure('outcome_unknown', 'no_upstream', RETRY_AFTER_MS);
 }
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -10,11 +10,7 @@
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
 import { computeAcceptConfidence, estimatePressure } from './sizePolicy.js';
-import {
-  estimateFirstEventMs,
-  hasUpstreamWithRoom,
-  listAcceptingUpstreams,
-} from './upstreamChoice.js';
+import { estimateFirstEventMs, listAcceptingUpstreams } from './upstreamChoice.js';
 import { StreamPace } from './streamPace.js';
 import { StreamProgress } from './streamProgress.js';
 
@@ -246,26 +242,15 @@
   }
 
   private createProgress(attempt: Attempt): StreamProgress {
-    const { isResumable, latencyGoalMs, maxEventGapMs } = this.job.exchange.route!;
+    const { latencyGoalMs, maxEventGapMs } = this.job.exchange.route!;
     return new StreamProgress(attempt, {
       latencyGoalMs,
       maxEventGapMs,
-      tryReserveMove: () => isResumable && this.tryReserveMove(attempt),
+      tryReserveMove: () =>
+        this.order.canResume && this.tracker.tryReserveMove(attempt, this.sizeIndex),
       getNowMs: () => this.context.clock.monotonicMs(),
     });
   }
-
-  /** Reserves a run and a retry for another attempt, if another upstream has room for it. */
-  private tryReserveMove(attempt: Attempt): boolean {
-    const { context, job, tracker } = this;
-    const excluded = new Set([...tracker.excluded, attempt.upstream.id]);
-    return (
-      this.order.canResume &&
-      tracker.hasRunLeft &&
-      hasUpstreamWithRoom(context, job, excluded, this.sizeIndex) &&
-      tracker.tryReserveAttempt()
-    );
-  }
 }
 
 /** Whether the end of an answer is marked, other than by the end of its connection. */
--- a/packages/relay/src/upstreams/answerBody.ts
+++ b/packages/relay/src/upstreams/answerBody.ts
@@ -54,6 +54,14 @@
   }
 }
 
+/** Hears how the reading of a body goes. */
+export interface BodyListener {
+  onBytes(count: number): void;
+  /** Called when the reading stops until there is memory for the body. */
+  onMemoryWait(): void;
+  onMemoryGranted(): void;
+}
+
 /** How the reading of a body ended. */
 export type BodyEnd =
   | { type: 'whole'; body: AnswerBody }
@@ -74,7 +82,7 @@
 export function readBoundedBody(
   answer: IncomingMessage,
   { memory, owner, onCallerDone }: AnswerLease,
-  onProgress: () => void,
+  listener: BodyListener,
 ): Promise<BodyEnd> {
   const declaredBytes = readDeclaredBytes(answer);
   if (declaredBytes !== undefined && declaredBytes > MAX_ANSWER_BYTES) {
@@ -95,14 +103,17 @@
       let isGranted = false;
       const reserved = memory.reserve(owner, declaredBytes ?? MAX_ANSWER_BYTES, () => {
         isGranted = true;
+        listener.onMemoryGranted();
         answer.resume();
       });
       grant = reserved;
       onCallerDone(() => reserved.release());
-      if (!isGranted) answer.pause();
+      if (isGranted) return;
+      listener.onMemoryWait();
+      answer.pause();
     };
     answer.on('data', (chunk: Buffer) => {
-      onProgress();
+      listener.onBytes(chunk.length);
       if (!collector.append(chunk)) {
         answer.removeAllListeners('data');
         fail('too_long');
--- a/packages/relay/src/upstreams/upstreamCall.ts
+++ b/packages/relay/src/upstreams/upstreamCall.ts
@@ -6,7 +6,7 @@
 import type { Result } from 'neverthrow';
 
 import { describeInvalidAnswerHead } from '../messageHead.js';
-import type { AnswerBody } from './answerBody.js';
+import type { AnswerBody, BodyListener } from './answerBody.js';
 import { readBoundedBody } from './answerBody.js';
 import type { AnswerLease } from './answerMemory.js';
 import type { Upstream } from './upstream.js';
@@ -90,9 +90,19 @@
   }
 
   /** Reads the body of the answer; one that is truncated or too long is a failure. */
-  async readBody(answer: IncomingMessage): Promise<Result<AnswerBody, CallFailure>> {
+  async readBody(
+    answer: IncomingMessage,
+    listener?: BodyListener,
+  ): Promise<Result<AnswerBody, CallFailure>> {
     const { lease, upstream } = this.options;
-    const end = await readBoundedBody(answer, lease, () => upstream.recordProgress());
+    const end = await readBoundedBody(answer, lease, {
+      onBytes: (count) => {
+        upstream.recordProgress();
+        listener?.onBytes(count);
+      },
+      onMemoryWait: () => listener?.onMemoryWait(),
+      onMemoryGranted: () => listener?.onMemoryGranted(),
+    });
     if (end.type === 'too_long') {
       this.outgoing?.destroy();
       return err(this.createFailure('the answer body exceeds the size limit'));
--- a/tests/relay/bufferedRelay.test.ts
+++ b/tests/relay/bufferedRelay.test.ts
@@ -5,7 +5,7 @@
 
 import { sendRequest } from './support/caller.js';
 import { createRoute, RelayFixture } from './support/relayFixture.js';
-import type { Script } from './support/scriptedUpstream.js';
+import type { Script, ScriptedUpstream } from './support/scriptedUpstream.js';
 import { formatAnswer } from './support/scriptedUpstream.js';
 
 const answerWhole: Script = (socket, request) => {
@@ -148,6 +148,71 @@
     });
   });
 
+  describe('idempotent request at a slow service', () => {
+    /** Longer than the time after which a silent upstream is left, shorter than the deadline. */
+    const SLOW_ANSWER_MS = 1000;
+    const answerSlowly: Script = (socket, request) => {
+      setTimeout(() => answerWhole(socket, request), SLOW_ANSWER_MS);
+    };
+
+    async function openSlow(ids: readonly string[], script: Script) {
+      fixture = await RelayFixture.open([createRoute({ timeoutMs: 4000 })]);
+      const upstreams: ScriptedUpstream[] = [];
+      for (const id of ids) upstreams.push(await fixture.addUpstream(id, script, { slots: 100 }));
+      await fixture.waitReady();
+      return upstreams;
+    }
+
+    // Sound runs were cancelled with no retry left, and their callers got 502.
+    it('is not given up when the retry budget is spent', async () => {
+      await openSlow(['a', 'b'], answerSlowly);
+      const answers = await Promise.all(
+        Array.from({ length: 60 }, () => sendRequest(fixture.callerPort)),
+      );
+      assert.deepEqual(new Set(answers.map(({ status }) => status)), new Set([200]));
+    });
+
+    it('is not given up when no other upstream could run it', async () => {
+      const [upstream] = await openSlow(['a'], answerSlowly);
+      const answer = await sendRequest(fixture.callerPort);
+      assert.deepEqual([answer.status, answer.body], [200, 'whole']);
+      assert.equal(upstream!.received.length, 1);
+    });
+
+    it('is not given up while a long answer arrives', async () => {
+      const parts = 10;
+      const part = 'x'.repeat(32 * 1024);
+      const upstreams = await openSlow(['a', 'b'], (socket, request) => {
+        socket.write(formatAnswer(request, 200, part.repeat(parts)).slice(0, -part.length * parts));
+        let sent = 0;
+        const timer = setInterval(() => {
+          socket.write(part);
+          sent += 1;
+          if (sent === parts) clearInterval(timer);
+        }, SLOW_ANSWER_MS / parts);
+      });
+      const answer = await sendRequest(fixture.callerPort);
+      assert.deepEqual([answer.status, answer.body.length], [200, parts * part.length]);
+      assert.equal(upstreams.flatMap(({ received }) => received).length, 1);
+    });
+
+    it('is moved when bytes arrive too slowly for an answer', async () => {
+      let runs = 0;
+      await openSlow(['a', 'b'], (socket, request) => {
+        runs += 1;
+        if (runs > 1) {
+          answerWhole(socket, request);
+          return;
+        }
+        socket.write(formatAnswer(request, 200, 'whole', { 'Content-Length': '1000' }));
+        const timer = setInterval(() => socket.write('x'), 50);
+        socket.on('close', () => clearInterval(timer));
+      });
+      const answer = await sendRequest(fixture.callerPort);
+      assert.deepEqual([answer.status, answer.body], [200, 'whole']);
+    });
+  });
+
   describe('answer validation', () => {
     const cases: Record<string, Script> = {
       'echoes another request id': (socket, request) => {
