End a run of the entry instance at an event that it cannot read

What callers saw: one byte of an engine's event was spoilt (the name of a field, or of a JSON key); the event was skipped, and the answer ended as complete without that token.

Cause: the parser of event streams ignores lines that are no known field, and a chunk without text was taken for one that has none.

Fix: such a line, and a chunk that holds nothing known, end the run as failed; the request goes on after the last token before it. The engine stand-in gained the fault spoilEvent.

--- a/packages/server/src/upstreams/engineClient.ts
+++ b/packages/server/src/upstreams/engineClient.ts
@@ -45,6 +45,18 @@
       quality: number | undefined;
     };
 
+/** Fields of a chunk's `delta` that engines send; a spoilt name is none of them. */
+const DELTA_FIELDS = [
+  'role',
+  'content',
+  'refusal',
+  'reasoning',
+  'reasoning_content',
+  'tool_calls',
+  'function_call',
+  'audio',
+];
+
 const chunkSchema = z.looseObject({
   x_quality: z.number().optional(),
   usage: z.looseObject({ prompt_tokens: z.number(), completion_tokens: z.number() }).nullish(),
@@ -56,6 +68,8 @@
   ),
 });
 
+type ChunkChoice = z.infer<typeof chunkSchema>['choices'][number];
+
 const MIN_SERVER_ERROR_STATUS = 500;
 /** Bounds the memory for an event whose end has not come, in bytes. */
 const MAX_EVENT_BYTES = 256 * 1024;
@@ -147,7 +161,13 @@
 
 async function* parseStream(body: AsyncIterable<Buffer>): AsyncGenerator<EngineEvent> {
   const messages: EventSourceMessage[] = [];
-  const parser = createParser({ onEvent: (message) => messages.push(message) });
+  // A line that is no field would be skipped, and the tokens in it with it.
+  const parser = createParser({
+    onEvent: (message) => messages.push(message),
+    onError: ({ message }) => {
+      throw new UpstreamCallError('mismatch', `the answer is no event stream: ${message}`, true);
+    },
+  });
   const decoder = new TextDecoder();
   const done: Extract<EngineEvent, { type: 'done' }> = {
     type: 'done',
@@ -176,6 +196,18 @@
   throw new UpstreamCallError('crash', 'the answer ended before its end marker', true);
 }
 
+/** Whether a choice has a part of the answer, its end, or at least room for them. */
+function holdsAnything({ delta, finish_reason: finishReason }: ChunkChoice): boolean {
+  if (finishReason) return true;
+  if (!delta) return false;
+  const names = Object.keys(delta);
+  return names.length === 0 ? finishReason === null : names.some(isDeltaField);
+}
+
+function isDeltaField(name: string): boolean {
+  return DELTA_FIELDS.includes(name);
+}
+
 /** Reads one chunk into `done` and returns its text. */
 function readChunk(data: string, done: Extract<EngineEvent, { type: 'done' }>): string {
   let json: unknown;
@@ -201,6 +233,9 @@
   }
   if (quality !== undefined) done.quality = quality;
   const choice = choices[0];
+  if (choice && !holdsAnything(choice)) {
+    throw new UpstreamCallError('mismatch', 'a chunk of the answer holds nothing known', true);
+  }
   if (choice?.finish_reason) done.finishReason = choice.finish_reason;
   return choice?.delta?.content ?? '';
 }
--- a/packages/standins/src/engineOptions.ts
+++ b/packages/standins/src/engineOptions.ts
@@ -71,6 +71,12 @@
   silence: {},
   /** Resets the connection of a stream after `afterTokens` tokens. */
   cutStream: { afterTokens: z.number().int().nonnegative(), probability: probability.default(1) },
+  /** Replaces `text` by `replacement` in the event after `afterTokens` tokens of a stream. */
+  spoilEvent: {
+    afterTokens: z.number().int().nonnegative(),
+    text: z.string(),
+    replacement: z.string(),
+  },
   /** Swaps the answers of pairs of concurrent requests. */
   swapAnswers: { waitMs: z.number().nonnegative().default(2000) },
   /** Fails requests with `status`, before they run. */
--- a/packages/standins/src/engineResponder.ts
+++ b/packages/standins/src/engineResponder.ts
@@ -65,7 +65,7 @@
         raw.socket?.resetAndDestroy();
         return reply;
       }
-      raw.write(createTokenEvent(run, index));
+      raw.write(this.spoilEvent(createTokenEvent(run, index), sent));
       sent += 1;
     }
     if (run.stopCause) {
@@ -77,6 +77,13 @@
     return reply;
   }
 
+  private spoilEvent(event: string, sent: number): string {
+    const spoilt = this.faults.get('spoilEvent');
+    if (spoilt?.afterTokens !== sent) return event;
+    this.faults.take('spoilEvent');
+    return event.replace(spoilt.text, spoilt.replacement);
+  }
+
   /** Answers a request that was stopped while it was queued, or that asked for no stream. */
   answerStopped(run: EngineRun, reply: FastifyReply): FastifyReply {
     const type = run.stopCause ?? 'stopped';
--- a/tests/guarantees/wholeAnswers.test.ts
+++ b/tests/guarantees/wholeAnswers.test.ts
@@ -62,6 +62,25 @@
     );
   });
 
+  // An event that the instance could not read was skipped, and the answer ended as complete.
+  const spoiltTexts = { 'data:': 'dxta:', '"content"': '"contenx"', '"delta"': '"delxa"' };
+  Object.entries(spoiltTexts).forEach(([text, replacement]) => {
+    it(`is resumed without a gap when a byte of an event is spoilt (${replacement})`, async () => {
+      const afterTokens = TOKENS / 2;
+      await injectIntoEngines({ fault: 'spoilEvent', afterTokens, text, replacement, count: 1 });
+      const answers = await Promise.all(
+        [true, false, true, false].map((stream) =>
+          test.caller.chat(url, 'small', { stream, maxTokens: TOKENS }),
+        ),
+      );
+      await test.clearFaults(...ENGINES);
+      for (const answer of answers) {
+        assert.ok(answer.isComplete, JSON.stringify(answer));
+        assertCompleteOrFailed(answer, TOKENS);
+      }
+    });
+  });
+
   it('ends with an error event when every attempt is cut', async () => {
     await injectIntoEngines({ fault: 'cutStream', afterTokens: 5 });
     const answer = await test.caller.chat(url, 'small', { stream: true, maxTokens: TOKENS });
