--- a/tests/relay/rollouts.test.ts
+++ b/tests/relay/rollouts.test.ts
@@ -253,7 +253,8 @@
           await clock.advance(200);
         }
       };
-      return { runFor, stored, target, setOldCalls: (count: number) => (oldCalls = count) };
+      const setOldCalls = (count: number) => (oldCalls = count);
+      return { runFor, stored, target, setOldCalls, router, clock, apply };
     }
 
     it('takes back a version that is slow on a part of its requests, before the last step', async () => {
@@ -332,6 +333,24 @@
       assert.equal(stored.at(-1)?.state, 'rolled_back');
     });
 
+    // Some instances kept a sound version from its sessions for good, others did not (PINNED).
+    it('gives a version its requests again when a regression was retracted and the fleet goes on', async () => {
+      const { runFor, stored, target, router, clock, apply } = createController(3);
+      apply({ state: 'running', step: 1 });
+      target.answers = 12;
+      target.bad = 6;
+      await runFor(200);
+      target.answers = 100;
+      await runFor(600);
+      apply({ state: 'running', step: 3 });
+      await runFor(200);
+      const upstreams = ['v1', 'v2'].map(
+        (version) => new Upstream(createRecord(version, { version }), clock),
+      );
+      const chosen = router.filterUpstreams('app', 'session', upstreams);
+      assert.deepEqual([stored, chosen.map(({ id }) => id)], [[], ['v2']]);
+    });
+
     it('waits for the instances of lower rank before it takes a step itself', async () => {
       const { runFor, stored } = createController(2);
       await runFor(1000);
