Stand-ins: close a connection whose end is being sent instead of resetting it

Node.js 20 refuses to reset a socket whose end is being sent (EINVAL) and keeps its handle. An upstream of a test that crashes in the turn of the event loop in which it ends an answer does just that. A script of ten lines shows it: end('x'), then resetAndDestroy(), and the process stays.

Fix: resetSocket in the stand-ins, used by all of them and by the tests' scripted upstreams, closes such a connection. The product resets no connections.

--- a/packages/standins/src/engineResponder.ts
+++ b/packages/standins/src/engineResponder.ts
@@ -12,6 +12,7 @@
 } from './engineAnswer.js';
 import type { EngineRun } from './engineRun.js';
 import { resetConnection } from './httpStandin.js';
+import { resetSocket } from './resetSocket.js';
 import type { TokenGenerator } from './tokenGenerator.js';
 
 /** Runs admitted requests and sends their answers. */
@@ -62,7 +63,7 @@
     for await (const index of this.generator.generate(run, scheduler)) {
       if (isCut && sent >= cut.afterTokens) {
         run.finish('failed', 'stream cut');
-        raw.socket?.resetAndDestroy();
+        if (raw.socket) resetSocket(raw.socket);
         return reply;
       }
       raw.write(this.spoilEvent(createTokenEvent(run, index), sent));
--- a/packages/standins/src/httpStandin.ts
+++ b/packages/standins/src/httpStandin.ts
@@ -7,6 +7,7 @@
 import { fastify } from 'fastify';
 
 import { parseAddress } from './address.js';
+import { resetSocket } from './resetSocket.js';
 
 /** Options that every HTTP stand-in takes. */
 export interface HttpStandinOptions {
@@ -34,7 +35,7 @@
 /** Drops the connection of a request with a TCP reset and without an answer. */
 export function resetConnection(reply: FastifyReply): void {
   reply.hijack();
-  reply.raw.socket?.resetAndDestroy();
+  if (reply.raw.socket) resetSocket(reply.raw.socket);
 }
 
 /**
@@ -156,7 +157,7 @@
   }
 
   protected resetConnections(): void {
-    for (const socket of this.sockets) socket.resetAndDestroy();
+    for (const socket of this.sockets) resetSocket(socket);
   }
 
   private async listen(): Promise<void> {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -2,6 +2,7 @@
 export type { QualityInput } from './answerText.js';
 export { computeQuality, createAnswerText, createToken } from './answerText.js';
 export { writeWithoutEnd } from './endlessWriter.js';
+export { resetSocket } from './resetSocket.js';
 export type { EngineOptions, LoadedVersion } from './engineOptions.js';
 export { engineFaults } from './engineOptions.js';
 export type { EngineJournalEntry, RunOutcome } from './engineRun.js';
--- a/packages/standins/src/proxyStandin.ts
+++ b/packages/standins/src/proxyStandin.ts
@@ -10,6 +10,7 @@
 import { HttpStandin } from './httpStandin.js';
 import type { PipeDirection, PipeRules } from './proxyPipe.js';
 import { ProxyPipe } from './proxyPipe.js';
+import { resetSocket } from './resetSocket.js';
 
 /** Options of the proxy. */
 export interface ProxyOptions {
@@ -138,7 +139,7 @@
 
   private async listen(): Promise<void> {
     const server = createServer({ allowHalfOpen: true }, (client) => {
-      this.forward(client).catch(() => client.resetAndDestroy());
+      this.forward(client).catch(() => resetSocket(client));
     });
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -155,7 +156,7 @@
       if (server) server.close(() => resolve());
       else resolve();
     });
-    for (const socket of this.sockets) socket.resetAndDestroy();
+    for (const socket of this.sockets) resetSocket(socket);
     await stopped;
   }
 
@@ -199,8 +200,8 @@
     const target = createConnection({ host, port, allowHalfOpen: true });
     this.trackSocket(target, abort);
     const rules = this.createRules(entry, () => {
-      client.resetAndDestroy();
-      target.resetAndDestroy();
+      resetSocket(client);
+      resetSocket(target);
       abort.abort();
     });
     abort.signal.addEventListener('abort', () => {
@@ -227,7 +228,7 @@
     const isOpen = () => !client.destroyed || !target.destroyed;
     while (isOpen() && isHeld() && !signal.aborted) await systemClock.sleep(HOLD_CHECK_MS, signal);
     for (const socket of [client, target]) {
-      if (!socket.destroyed) socket.resetAndDestroy();
+      if (!socket.destroyed) resetSocket(socket);
     }
   }
 
--- a/tests/relay/support/scriptedUpstream.ts
+++ b/tests/relay/support/scriptedUpstream.ts
@@ -1,6 +1,8 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 
+import { resetSocket } from '@cactusstair/standins';
+
 /** One request as the upstream received it. */
 export interface ReceivedRequest {
   method: string;
@@ -47,7 +49,7 @@
   crash(): void {
     this.restartPort = this.port;
     this.server.close();
-    for (const socket of this.sockets) socket.resetAndDestroy();
+    for (const socket of this.sockets) resetSocket(socket);
   }
 
   /** Listens again at the address at which the upstream crashed. */
