--- a/packages/server/src/upstreams/engineClient.ts
+++ b/packages/server/src/upstreams/engineClient.ts
@@ -197,7 +197,7 @@
 }
 
 /** Whether a choice has a part of the answer, its end, or at least room for them. */
-function holdsAnything({ delta, finish_reason: finishReason }: ChunkChoice): boolean {
+function hasKnownPart({ delta, finish_reason: finishReason }: ChunkChoice): boolean {
   if (finishReason) return true;
   if (!delta) return false;
   const names = Object.keys(delta);
@@ -233,7 +233,7 @@
   }
   if (quality !== undefined) done.quality = quality;
   const choice = choices[0];
-  if (choice && !holdsAnything(choice)) {
+  if (choice && !hasKnownPart(choice)) {
     throw new UpstreamCallError('mismatch', 'a chunk of the answer holds nothing known', true);
   }
   if (choice?.finish_reason) done.finishReason = choice.finish_reason;
--- a/packages/standins/src/engineResponder.ts
+++ b/packages/standins/src/engineResponder.ts
@@ -12,7 +12,6 @@
 } from './engineAnswer.js';
 import type { EngineRun } from './engineRun.js';
 import { resetConnection } from './httpStandin.js';
-import { resetSocket } from './resetSocket.js';
 import type { TokenGenerator } from './tokenGenerator.js';
 
 /** Runs admitted requests and sends their answers. */
@@ -63,7 +62,7 @@
     for await (const index of this.generator.generate(run, scheduler)) {
       if (isCut && sent >= cut.afterTokens) {
         run.finish('failed', 'stream cut');
-        if (raw.socket) resetSocket(raw.socket);
+        resetConnection(reply);
         return reply;
       }
       raw.write(this.spoilEvent(createTokenEvent(run, index), sent));
--- a/tests/platform/memory.test.ts
+++ b/tests/platform/memory.test.ts
@@ -1,12 +1,11 @@
 import assert from 'node:assert/strict';
 import { readFileSync } from 'node:fs';
-import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { after, before, describe, it } from 'node:test';
 
 import { writeWithoutEnd } from '@cactusstair/standins';
 
-import { sendRequest } from '../relay/support/caller.js';
+import { sendRequest, sendWithoutReading } from '../relay/support/caller.js';
 import { API_KEY, HOST } from '../relay/support/relayFixture.js';
 import { formatUnframedHead, ScriptedUpstream } from '../relay/support/scriptedUpstream.js';
 import type { InstancePorts, InstanceProcess } from './support/instanceProcess.js';
@@ -108,19 +107,12 @@
     await Promise.all(Array.from({ length: CONCURRENT_REQUESTS }, sendOneByOne));
   }
 
-  /** Asks for a large answer and reads nothing of it. */
-  function sendWithoutReading(index: number): void {
-    const socket = connect(ports.callers, '127.0.0.1');
-    idleCallers.push(socket);
-    socket.on('error', () => {});
-    const head = [`POST /sound/item HTTP/1.1`, `Host: ${HOST}`, `Api-Key: ${API_KEY}`];
-    const id = [`X-Attempt-Id: idle-${index}`, 'X-Deadline-Ms: 20000', 'Content-Length: 0'];
-    socket.write(`${[...head, ...id].join('\r\n')}\r\n\r\n`);
-  }
-
   // Answers that their callers do not read kept the memory, so that no other was read.
   it(`stays below ${MAX_PEAK_MB} MB, and others are served, when callers read nothing`, async () => {
-    for (let index = 0; index < IDLE_CALLERS; index += 1) sendWithoutReading(index);
+    for (let index = 0; index < IDLE_CALLERS; index += 1) {
+      const request = { path: '/sound/item', id: `idle-${index}`, deadlineMs: 20_000 };
+      idleCallers.push(sendWithoutReading(ports.callers, request));
+    }
     const headers = { 'x-deadline-ms': '60000' };
     const answers = await Promise.all(
       Array.from({ length: OTHER_CALLERS }, () =>
--- a/tests/relay/slowCallers.test.ts
+++ b/tests/relay/slowCallers.test.ts
@@ -1,12 +1,11 @@
 import assert from 'node:assert/strict';
-import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 
 import { waitFor } from '@cactusstair/utils';
 
-import { sendRequest } from './support/caller.js';
-import { API_KEY, createRoute, HOST, RelayFixture } from './support/relayFixture.js';
+import { sendRequest, sendWithoutReading } from './support/caller.js';
+import { createRoute, RelayFixture } from './support/relayFixture.js';
 import type { ScriptedUpstream } from './support/scriptedUpstream.js';
 import { formatAnswer } from './support/scriptedUpstream.js';
 
@@ -28,22 +27,6 @@
     await fixture.close();
   });
 
-  function sendWithoutReading(path: string, id: string): void {
-    const socket = connect(fixture.callerPort, '127.0.0.1');
-    idle.push(socket);
-    socket.on('error', () => {});
-    // Without a listener for data, nothing is read once the socket's own buffer is full.
-    const lines = [
-      `POST ${path} HTTP/1.1`,
-      `Host: ${HOST}`,
-      `X-Attempt-Id: ${id}`,
-      `Api-Key: ${API_KEY}`,
-      `X-Deadline-Ms: ${DEADLINE_MS}`,
-      'Content-Length: 0',
-    ];
-    socket.write(`${lines.join('\r\n')}\r\n\r\n`);
-  }
-
   routes.forEach(({ kind }) => {
     // Their answers held the memory of all large answers, so that those of others ended with 504.
     it(`do not hold up the large answers of others (${kind})`, async () => {
@@ -62,7 +45,8 @@
       await fixture.waitReady();
       const path = `/${kind}/item`;
       for (let index = 0; index < IDLE_CALLERS; index += 1) {
-        sendWithoutReading(path, `idle-${index}`);
+        const request = { path, id: `idle-${index}`, deadlineMs: DEADLINE_MS };
+        idle.push(sendWithoutReading(fixture.callerPort, request));
       }
       await waitFor(
         () => upstreams.reduce((sum, { received }) => sum + received.length, 0) >= IDLE_CALLERS,
--- a/tests/relay/streamRelay.test.ts
+++ b/tests/relay/streamRelay.test.ts
@@ -32,6 +32,13 @@
   };
 }
 
+/** Sends a part of a stream and resets the connection. */
+function breakOffAfter(events: string): Script {
+  return (socket, request) => {
+    socket.write(formatStreamHead(request) + formatChunk(events), () => socket.resetAndDestroy());
+  };
+}
+
 describe('stream relay', () => {
   let fixture: RelayFixture;
 
@@ -62,13 +69,7 @@
     });
 
     it('do not let another upstream go on at a wrong place', async () => {
-      await openFixture(
-        runOnce((socket, request) => {
-          socket.write(formatStreamHead(request) + formatChunk(head + spoilt), () =>
-            socket.resetAndDestroy(),
-          );
-        }, streamRest(40)),
-      );
+      await openFixture(runOnce(breakOffAfter(head + spoilt), streamRest(40)));
       const answer = await sendRequest(fixture.callerPort);
       assert.deepEqual([answer.body, answer.isWhole], [head + spoilt, false]);
     });
@@ -76,13 +77,7 @@
     // The pieces after a spoilt first id were skipped and the stream ended as complete (ORDER).
     it('of the first event do not let another upstream go on after them', async () => {
       const first = formatEvents(1, 1).replace('id: 1', 'id: 9');
-      await openFixture(
-        runOnce((socket, request) => {
-          socket.write(formatStreamHead(request) + formatChunk(first), () =>
-            socket.resetAndDestroy(),
-          );
-        }, streamRest(20)),
-      );
+      await openFixture(runOnce(breakOffAfter(first), streamRest(20)));
       const answer = await sendRequest(fixture.callerPort);
       assert.deepEqual([answer.body, answer.isWhole], [first, false]);
     });
@@ -97,13 +92,7 @@
     Object.entries(joined).forEach(([name, text]) => {
       it(`do not let another upstream go on within an event that holds two (${name})`, async () => {
         const body = formatEvents(1, 10) + text;
-        await openFixture(
-          runOnce((socket, request) => {
-            socket.write(formatStreamHead(request) + formatChunk(body), () =>
-              socket.resetAndDestroy(),
-            );
-          }, streamRest(20)),
-        );
+        await openFixture(runOnce(breakOffAfter(body), streamRest(20)));
         const answer = await sendRequest(fixture.callerPort);
         assert.deepEqual([answer.body, answer.isWhole], [body, false]);
       });
@@ -113,11 +102,8 @@
       let runs = 0;
       await openFixture((socket, request) => {
         runs += 1;
-        if (runs === 1) {
-          socket.write(formatStreamHead(request) + formatChunk(head), () =>
-            socket.resetAndDestroy(),
-          );
-        } else if (runs === 2) {
+        if (runs === 1) breakOffAfter(head)(socket, request);
+        else if (runs === 2) {
           const rest = spoilt + formatEvents(13, 20);
           socket.end(formatStreamHead(request) + formatChunk(rest) + LAST_CHUNK);
         } else streamRest(20)(socket, request);
@@ -131,15 +117,9 @@
       it(`of the last event of a run that goes on do not make it a repeat (${line})`, async () => {
         const last = formatEvents(20, 20).replace('id: 20', line);
         await openFixture(
-          runOnce(
-            (socket, request) => {
-              const events = formatChunk(formatEvents(1, 19));
-              socket.write(formatStreamHead(request) + events, () => socket.resetAndDestroy());
-            },
-            (socket, request) => {
-              socket.end(formatStreamHead(request) + formatChunk(last) + LAST_CHUNK);
-            },
-          ),
+          runOnce(breakOffAfter(formatEvents(1, 19)), (socket, request) => {
+            socket.end(formatStreamHead(request) + formatChunk(last) + LAST_CHUNK);
+          }),
         );
         const answer = await sendRequest(fixture.callerPort);
         assert.deepEqual([answer.body, answer.isWhole], [formatEvents(1, 19), false]);
--- a/tests/relay/support/caller.ts
+++ b/tests/relay/support/caller.ts
@@ -1,4 +1,5 @@
 import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import { request } from 'node:http';
 
 import { API_KEY, HOST } from './relayFixture.js';
@@ -60,6 +61,30 @@
   });
 }
 
+/** Options of `sendWithoutReading`. */
+export interface IdleRequest {
+  path: string;
+  id: string;
+  deadlineMs: number;
+}
+
+/** Sends a request on a new connection and reads nothing of its answer. */
+export function sendWithoutReading(port: number, { path, id, deadlineMs }: IdleRequest): Socket {
+  const socket = connect(port, '127.0.0.1');
+  socket.on('error', () => {});
+  const lines = [
+    `POST ${path} HTTP/1.1`,
+    `Host: ${HOST}`,
+    `X-Attempt-Id: ${id}`,
+    `Api-Key: ${API_KEY}`,
+    `X-Deadline-Ms: ${deadlineMs}`,
+    'Content-Length: 0',
+  ];
+  // Without a listener for data, nothing is read once the socket's own buffer is full.
+  socket.write(`${lines.join('\r\n')}\r\n\r\n`);
+  return socket;
+}
+
 /** Sends raw bytes and returns what is received until the connection closes or is idle for 1 s. */
 export function sendBytes(port: number, bytes: string): Promise<string> {
   return new Promise((resolve, reject) => {
