Give a version its requests again when the fleet goes on with it

An instance that had seen a regression for a moment kept requests from the new version for the rest of the rollout, also when the evidence no longer showed it and the others went on.

The instance now remembers the step at which it blocked the version and releases it when the fleet has taken a further step and its own evidence shows no regression. Before such a step it stays blocked: a version without requests shows no failures.

--- a/packages/relay/src/rollouts/rolloutController.ts
+++ b/packages/relay/src/rollouts/rolloutController.ts
@@ -118,10 +118,11 @@
     const comparison = this.compareVersions(tracked, nowMs);
     const { pace } = comparison;
     if (comparison.regression !== undefined) {
-      tracked.isTargetBlocked = true;
+      tracked.blockedAtStep = order.step;
       const rolledBack = { ...progress, state: 'rolled_back' as const };
       return { progress: rolledBack, reason: comparison.regression, pace };
     }
+    releaseTarget(tracked);
     if (order.state === undefined) {
       return { progress: { ...progress, step: 1 }, reason: 'a new order', pace };
     }
@@ -183,6 +184,15 @@
   }
 }
 
+/**
+ * Lets the target version have requests again when the fleet has taken a further step. Without such
+ * a step the missing evidence only says that the blocked version answers nothing here.
+ */
+function releaseTarget(tracked: TrackedOrder): void {
+  const { blockedAtStep, order } = tracked;
+  if (blockedAtStep !== undefined && order.step > blockedAtStep) tracked.blockedAtStep = undefined;
+}
+
 function describeSlowVersion({ ratio, answers }: PaceVerdict): string {
   return `${answers} answers are slower by a factor of ${ratio.toFixed(2)} than the other versions under this load`;
 }
--- a/packages/relay/src/rollouts/rolloutRouter.ts
+++ b/packages/relay/src/rollouts/rolloutRouter.ts
@@ -31,8 +31,11 @@
   seenAtMs: number;
   /** When this instance first saw the current step, on the monotonic clock. */
   stepSeenAtMs: number;
-  /** Set when the evidence shows that the target version is bad; it then gets no more requests. */
-  isTargetBlocked: boolean;
+  /**
+   * The step at which the evidence showed that the target version is bad; it gets no requests then.
+   * Undefined while nothing speaks against it.
+   */
+  blockedAtStep: number | undefined;
 }
 
 interface SessionPin {
@@ -141,7 +144,7 @@
     }
     const shouldUseTarget =
       order.state === 'running' &&
-      !tracked.isTargetBlocked &&
+      tracked.blockedAtStep === undefined &&
       this.isAssignedToTarget(tracked, session);
     const wanted = usable.filter((upstream) => isTarget(upstream) === shouldUseTarget);
     if (wanted.length > 0 || shouldUseTarget === false) {
@@ -205,7 +208,7 @@
       revision: item.revision,
       seenAtMs: isSame ? known.seenAtMs : nowMs - elapsedMs,
       stepSeenAtMs: isSame && known.order.step === order.step ? known.stepSeenAtMs : nowMs,
-      isTargetBlocked: isSame && known.isTargetBlocked,
+      blockedAtStep: isSame ? known.blockedAtStep : undefined,
     });
   }
 
--- a/tests/relay/rollouts.test.ts
+++ b/tests/relay/rollouts.test.ts
@@ -351,6 +351,25 @@
       assert.deepEqual([stored, chosen.map(({ id }) => id)], [[], ['v2']]);
     });
 
+    // A bad version would get requests again whenever it has answered none for a while.
+    it('keeps requests from a bad version while the fleet takes no further step', async () => {
+      const { runFor, target, router, clock, apply } = createController(3);
+      apply({ state: 'running', step: 2 });
+      target.answers = 12;
+      target.bad = 6;
+      await runFor(200);
+      target.answers = 100;
+      await runFor(6000);
+      const upstreams = ['v1', 'v2'].map(
+        (version) => new Upstream(createRecord(version, { version }), clock),
+      );
+      const chosen = router.filterUpstreams('app', 'session', upstreams);
+      assert.deepEqual(
+        chosen.map(({ id }) => id),
+        ['v1'],
+      );
+    });
+
     it('waits for the instances of lower rank before it takes a step itself', async () => {
       const { runFor, stored } = createController(2);
       await runFor(1000);
