Give up one large answer at a time, and only for stalls that are the caller's

The stall monitor now measures the time in which its checks were on time, and stalls of callers are measured by it. AnswerDeliveries gives up one answer at a check, the longest stalled first, and none once nobody waits for the memory.

--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -14,17 +14,16 @@
 import { findPeers } from './peers/peerFinder.js';
 import type { PeerRecord, RelayBounds, SocketAddress } from './relayOptions.js';
 import type { RelayStore } from './relayStore.js';
+import { createAnswerParts } from './requests/answerDeliveries.js';
 import type { Exchange } from './requests/exchange.js';
 import type { RelayContext } from './requests/relayContext.js';
 import type { Dialect } from './requests/relayRequest.js';
 import { RequestHandler } from './requests/requestHandler.js';
 import { RetryBudgets } from './requests/retryBudgets.js';
-import { StallMonitor } from './requests/stallMonitor.js';
 import type { TrackedOrder } from './rollouts/rolloutRouter.js';
 import { formatVersionKey, RolloutRouter } from './rollouts/rolloutRouter.js';
 import { RolloutController } from './rollouts/rolloutController.js';
 import { StoreViews } from './storeViews.js';
-import { AnswerMemory } from './upstreams/answerMemory.js';
 import { EngineEstimators } from './upstreams/engineEstimators.js';
 import { CrashDetector } from './upstreams/crashDetector.js';
 import type { Upstream } from './upstreams/upstream.js';
@@ -294,8 +293,7 @@
       engines: this.engines,
       rollouts: this.rollouts,
       crashes: this.crashes,
-      stallMonitor: new StallMonitor(this.clock),
-      answerMemory: new AnswerMemory(),
+      ...createAnswerParts(this.clock),
       crashDetector: new CrashDetector((upstream) => this.recordCrash(upstream)),
       onLoadGrowth: (upstream) => this.peers.notifyLoadGrowth(upstream),
       getConfig: () => this.config,
--- a/packages/relay/src/requests/answerDelivery.ts
+++ b/packages/relay/src/requests/answerDelivery.ts
@@ -1,7 +1,7 @@
 import type { AnswerBody } from '../upstreams/answerBody.js';
+import type { AnswerDeliveries } from './answerDeliveries.js';
 import type { Exchange } from './exchange.js';
 import type { RelayContext } from './relayContext.js';
-import type { MonitoredCall } from './stallMonitor.js';
 
 /** A whole answer of an upstream, to be sent unchanged. */
 export interface BufferedAnswer {
@@ -15,50 +15,43 @@
 
 /** Bytes of a large answer that are handed to the connection at a time. */
 const SLICE_BYTES = 16 * 1024;
-/** A caller that takes no slice for this long loses its answer if others wait for the memory. */
-const CALLER_STALL_TIMEOUT_MS = 500;
-
-/**
- * Sends a large answer no faster than its caller reads it. A caller that reads nothing keeps the
- * answer only as long as no other answer has to wait for its memory.
- */
-export class AnswerDelivery implements MonitoredCall {
+/** Sends a large answer no faster than its caller reads it. */
+export class AnswerDelivery {
   private progressAtMs: number;
 
   constructor(
-    private readonly context: RelayContext,
+    private readonly deliveries: AnswerDeliveries,
     private readonly exchange: Exchange,
     /** Id of the upstream that answered. */
-    private readonly owner: string,
+    readonly owner: string,
     private readonly body: AnswerBody,
   ) {
-    this.progressAtMs = context.clock.monotonicMs();
+    this.progressAtMs = deliveries.onTimeMs;
+  }
+
+  /** Time for which the caller has taken nothing, in milliseconds. */
+  get stalledMs(): number {
+    return this.deliveries.onTimeMs - this.progressAtMs;
   }
 
   async run(): Promise<void> {
-    const { context, exchange, body } = this;
+    const { deliveries, exchange, body } = this;
     const { outgoing } = exchange;
-    context.stallMonitor.add(this);
+    deliveries.add(this);
     try {
       for (let slice = body.take(SLICE_BYTES); slice; slice = body.take(SLICE_BYTES)) {
         if (!outgoing.write(slice)) await exchange.waitForDrain();
         if (outgoing.destroyed) return;
-        this.progressAtMs = context.clock.monotonicMs();
+        this.progressAtMs = deliveries.onTimeMs;
       }
       outgoing.end();
     } finally {
-      context.stallMonitor.remove(this);
+      deliveries.remove(this);
     }
   }
 
-  describeStall(nowMs: number): string | undefined {
-    const stalledMs = nowMs - this.progressAtMs;
-    if (stalledMs < CALLER_STALL_TIMEOUT_MS) return undefined;
-    if (!this.context.answerMemory.isAwaitedFrom(this.owner)) return undefined;
-    return `the caller read nothing for ${Math.round(stalledMs)} ms`;
-  }
-
-  onStall(reason: string): void {
+  /** Gives the answer up and its memory back. */
+  abandon(reason: string): void {
     this.body.release();
     this.exchange.abandonAnswer(reason);
   }
@@ -78,7 +71,7 @@
     return;
   }
   if (body.isLarge) {
-    await new AnswerDelivery(context, exchange, owner, body).run();
+    await new AnswerDelivery(context.deliveries, exchange, owner, body).run();
     return;
   }
   const parts = body.takeAll();
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -10,6 +10,7 @@
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
 import type { UpstreamNotices } from '../upstreams/upstreamNotices.js';
 import type { ZoneReachability } from '../upstreams/zoneReachability.js';
+import type { AnswerDeliveries } from './answerDeliveries.js';
 import type { Dialect } from './relayRequest.js';
 import type { StallMonitor } from './stallMonitor.js';
 
@@ -28,6 +29,8 @@
   stallMonitor: StallMonitor;
   /** Memory for the answers that are buffered. */
   answerMemory: AnswerMemory;
+  /** The large answers that are being sent. */
+  deliveries: AnswerDeliveries;
   crashDetector: CrashDetector;
   /** Called when a request has been added to the load of an upstream. */
   onLoadGrowth: (upstream: Upstream) => void;
--- a/packages/relay/src/requests/stallMonitor.ts
+++ b/packages/relay/src/requests/stallMonitor.ts
@@ -13,6 +13,8 @@
  * has not been read yet, so the check is skipped.
  */
 const PAUSE_GAP_MS = 300;
+/** A later check shows that this process is slow itself, so the time before it proves no stall. */
+const MAX_ON_TIME_GAP_MS = 150;
 
 /** Checks all calls of this instance for progress with one timer. */
 export class StallMonitor {
@@ -22,8 +24,18 @@
 
   private checkedAtMs = 0;
 
+  private punctualMs = 0;
+
   constructor(private readonly clock: Clock) {}
 
+  /**
+   * Time for which checks were on time, in milliseconds. It stands still while this process is too
+   * slow to serve its connections.
+   */
+  get onTimeMs(): number {
+    return this.punctualMs;
+  }
+
   add(call: MonitoredCall): void {
     this.calls.add(call);
     if (this.timer) return;
@@ -43,6 +55,7 @@
     const nowMs = this.clock.monotonicMs();
     const gapMs = nowMs - this.checkedAtMs;
     this.checkedAtMs = nowMs;
+    if (gapMs <= MAX_ON_TIME_GAP_MS) this.punctualMs += gapMs;
     if (gapMs > PAUSE_GAP_MS) return;
     for (const call of [...this.calls]) {
       const reason = call.describeStall(nowMs);
