Follow the evacuations of zones

Cause: an operator's request to evacuate a zone was not read, so requests went on to its upstreams.

Change: where the settings have a bound on evacuations, they are followed as a fourth view, read and confirmed by peers like the rollout orders. A state older than 2 s is read again, so that a read that times out and its repeat still fit into the bound of 5 s. UpstreamDirectory.listUsable leaves out the upstreams of evacuated zones, for first attempts, retries, resumed streams and escalations; running answers complete. Until the first read no zone counts as usable and the instance is not ready.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -73,6 +73,8 @@
 export { Upstream } from './upstreams/upstream.js';
 export { UpstreamNotices } from './upstreams/upstreamNotices.js';
 export { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
+export type { ZoneEvacuation, ZoneEvacuationsOptions } from './upstreams/zoneEvacuations.js';
+export { ZoneEvacuations } from './upstreams/zoneEvacuations.js';
 export type { Selection, SelectionRequest } from './upstreams/upstreamSelector.js';
 export { selectUpstream } from './upstreams/upstreamSelector.js';
 export { ZoneReachability } from './upstreams/zoneReachability.js';
--- a/packages/relay/src/observe/requestMetrics.ts
+++ b/packages/relay/src/observe/requestMetrics.ts
@@ -19,6 +19,8 @@
   configVersion: number;
   configAgeSeconds: number;
   upstreams: number;
+  /** Zones whose upstreams get no new requests. */
+  evacuatedZones: readonly string[];
   peers: number;
   droppedLogLines: number;
   /** Errors that no part of the program expected. */
@@ -76,6 +78,8 @@
       readings.configAgeSeconds,
     );
     create('upstreams', 'Upstreams in the list.', []).set(readings.upstreams);
+    const evacuated = create('evacuated_zone', 'Zone without new requests.', ['zone']);
+    for (const zone of readings.evacuatedZones) evacuated.set({ zone }, 1);
     create('living_instances', 'Instances heard from, this one included.', []).set(readings.peers);
     create('log_lines_dropped_total', 'Lines that a slow reader did not take.', []).set(
       readings.droppedLogLines,
--- a/packages/relay/src/peers/peerMessage.ts
+++ b/packages/relay/src/peers/peerMessage.ts
@@ -12,7 +12,7 @@
 /**
  * Name of a state that each instance follows in the store and that peers confirm for each other.
  */
-export type ViewName = 'config' | 'upstreams' | 'rollouts';
+export type ViewName = 'config' | 'upstreams' | 'rollouts' | 'evacuations';
 
 /** A view's state, and the age of the read that confirmed it when the message was sent. */
 export type ViewState = [state: string, ageMs: number];
--- a/packages/relay/src/peers/sharedViews.ts
+++ b/packages/relay/src/peers/sharedViews.ts
@@ -19,11 +19,16 @@
 // its confirmations stop. With a bound of 2 s on configurations and leaving upstreams the ages stay
 // below the bound; they grow with it.
 const BASE_BOUND_MS = 2000;
+// At the bound of 5 s on evacuations, a read that times out (1.2 s) and the next one still fit.
+const EVACUATION_BASE_BOUND_MS = 5000;
 const MAX_AGES_MS: Record<ViewName, { first: number; others: number }> = {
   config: { first: 900, others: 1900 },
   upstreams: { first: 900, others: 1700 },
   rollouts: { first: 2500, others: 5000 },
+  evacuations: { first: 1000, others: 2000 },
 };
+/** With a smaller factor the reads would be a load on the store. */
+const MIN_EVACUATION_FACTOR = 0.3;
 /** With a larger factor the ages would come close to the bound on revoked keys. */
 const MAX_AGE_FACTOR = 1.5;
 /** Time for the answer of the store and for applying it on a small machine. */
@@ -39,7 +44,7 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly views: Record<ViewName, SharedView>,
+    private readonly views: Partial<Record<ViewName, SharedView>>,
   ) {}
 
   /**
@@ -49,6 +54,11 @@
    */
   static getMaxAgeMs(name: ViewName, rank: number, boundMs: number): number {
     const { first, others } = MAX_AGES_MS[name];
+    if (name === 'evacuations') {
+      const ratio = boundMs / EVACUATION_BASE_BOUND_MS;
+      const factor = Math.min(MAX_AGE_FACTOR, Math.max(MIN_EVACUATION_FACTOR, ratio));
+      return (rank === 0 ? first : others) * factor;
+    }
     const factor = Math.min(MAX_AGE_FACTOR, Math.max(1, boundMs / BASE_BOUND_MS));
     if (rank === 0) return first * factor;
     return Math.max(others, Math.min(others * factor, boundMs - READ_TIME_MS));
--- a/packages/relay/src/peers/viewServer.ts
+++ b/packages/relay/src/peers/viewServer.ts
@@ -25,7 +25,7 @@
 export class ViewServer {
   private readonly server: Server;
 
-  constructor(private readonly views: Readonly<Record<ViewName, Exporter>>) {
+  constructor(private readonly views: Readonly<Partial<Record<ViewName, Exporter>>>) {
     this.server = createServer((incoming, outgoing) => {
       incoming.resume();
       const answer = this.answer(incoming.url ?? '');
@@ -55,7 +55,7 @@
     const match = /^\/views\/([a-z]+)\?since=(\d{1,15})$/.exec(path);
     const name = match?.[1];
     if (name === undefined || !Object.hasOwn(this.views, name)) return { result: 'unknown' };
-    const exported = this.views[name as ViewName].exportSince(Number(match?.[2]));
+    const exported = this.views[name as ViewName]?.exportSince(Number(match?.[2]));
     if (!exported || !Number.isFinite(exported.ageMs)) return { result: 'gone' };
     const text = JSON.stringify(exported);
     return text.length > MAX_VIEW_BYTES ? { result: 'too_long' } : { result: 'found', text };
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -1,4 +1,4 @@
-import { CrashAttribution, UpstreamLimits } from '@cactusstair/routing';
+import { CrashAttribution } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 import { LifecycleManager, systemClock } from '@cactusstair/utils';
 
@@ -21,17 +21,15 @@
 import { RetryBudgets } from './requests/retryBudgets.js';
 import { StallMonitor } from './requests/stallMonitor.js';
 import type { TrackedOrder } from './rollouts/rolloutRouter.js';
-import { formatVersionKey, RolloutRouter } from './rollouts/rolloutRouter.js';
+import { RolloutRouter } from './rollouts/rolloutRouter.js';
 import { RolloutController } from './rollouts/rolloutController.js';
 import { StoreViews } from './storeViews.js';
 import { AnswerMemory } from './upstreams/answerMemory.js';
 import { EngineEstimators } from './upstreams/engineEstimators.js';
 import { CrashDetector } from './upstreams/crashDetector.js';
 import type { Upstream } from './upstreams/upstream.js';
-import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
-import type { UpstreamEvent } from './upstreams/upstreamDirectory.js';
-import type { UpstreamRecord } from './upstreams/upstreamRecord.js';
-import { UpstreamNotices } from './upstreams/upstreamNotices.js';
+import { UpstreamAccess } from './upstreams/upstreamAccess.js';
+import type { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 import { ZoneReachability } from './upstreams/zoneReachability.js';
 
 /** Options of `RelayNode`. */
@@ -71,9 +69,7 @@
 
   private readonly directory: UpstreamDirectory;
 
-  private readonly limits: UpstreamLimits;
-
-  private readonly notices: UpstreamNotices;
+  private readonly access: UpstreamAccess;
 
   private readonly engines = new EngineEstimators();
 
@@ -117,23 +113,15 @@
       clock: this.clock,
       onCause: ({ traits, crashCount }) => log.write('crash_cause', { traits, crashCount }),
     });
-    this.directory = new UpstreamDirectory({
+    this.access = new UpstreamAccess({
       clock: this.clock,
+      bounds,
+      log,
       isStoreDisturbed: () => this.views.isStoreDisturbed(),
       getStoreRestoredAgeMs: () => this.views.upstreams.getRestoredAgeMs(),
-      isLeaving: (record) => this.notices.isLeaving(record),
-      onEvent: (event, record) => this.handleUpstreamEvent(event, record),
-    });
-    this.limits = new UpstreamLimits({
-      clock: this.clock,
       getGroup: () => this.peers.describeGroup(),
-      findUpstream: (id) => this.describeLimited(id),
-    });
-    this.notices = new UpstreamNotices({
-      clock: this.clock,
-      limits: this.limits,
-      onEvent: (event, fields) => log.write(`upstream_${event}`, fields),
     });
+    this.directory = this.access.directory;
     this.rollouts = new RolloutRouter({
       clock: this.clock,
       sessionTtlMs: bounds.sessionTtlMs,
@@ -146,7 +134,7 @@
       engines: this.engines,
       rollouts: this.rollouts,
       crashes: this.crashes,
-      limits: this.limits,
+      limits: this.access.limits,
       listViews: () => this.views.shared.listStates(),
       onPeerView: (name, state, since) => this.views.shared.applyPeerState(name, state, since),
       onEvent: (event, name) => log.write(event, { peer: name }),
@@ -157,6 +145,8 @@
       peers: this.peers,
       directory: this.directory,
       rollouts: this.rollouts,
+      evacuations: this.access.evacuations,
+      evacuateMs: bounds.evacuateMs,
       // Covers both a changed configuration and a draining upstream, so the smaller bound applies.
       boundMs: Math.min(bounds.configApplyMs, bounds.drainMs),
       getConfigVersion: () => this.config?.config.version,
@@ -189,8 +179,7 @@
       this.isListening &&
       this.stopping === undefined &&
       this.config !== undefined &&
-      this.views.upstreams.isLoaded &&
-      this.views.rollouts.isLoaded &&
+      this.views.isLoaded &&
       (!this.config.needsKeys || this.views.config.getAgeMs() < this.maxKeyAgeMs)
     );
   }
@@ -289,7 +278,7 @@
       zone: this.options.zone,
       dialect: this.options.dialect,
       directory: this.directory,
-      notices: this.notices,
+      notices: this.access.notices,
       reachability: new ZoneReachability(this.clock),
       engines: this.engines,
       rollouts: this.rollouts,
@@ -335,20 +324,6 @@
     });
   }
 
-  private handleUpstreamEvent(event: UpstreamEvent, record: UpstreamRecord): void {
-    const { id, service, version, zone } = record;
-    this.options.log.write(`upstream_${event}`, { upstream: id, service, version, zone });
-    if (event === 'restarted') this.notices.forget(record);
-    this.limits.refresh();
-  }
-
-  /** Describes an upstream whose limit the instances divide; undefined if it gets no requests. */
-  private describeLimited(id: string): { pool: string; zone: string } | undefined {
-    const record = this.directory.find(id)?.record;
-    if (!record || record.isDraining || this.notices.isLeaving(record)) return undefined;
-    return { pool: formatVersionKey(record.service, record.version), zone: record.zone };
-  }
-
   private recordCrash(upstream: Upstream): void {
     const { id, record } = upstream;
     upstream.recordDown();
@@ -375,6 +350,7 @@
       configVersion: this.config?.config.version ?? 0,
       configAgeSeconds: this.views.config.getAgeMs() / 1000,
       upstreams: this.directory.listAll().length,
+      evacuatedZones: this.access.evacuations.listZones(),
       peers: this.peers.listLiveInstances().length,
       droppedLogLines: this.options.log.dropped,
       faults: this.faults,
--- a/packages/relay/src/relayOptions.ts
+++ b/packages/relay/src/relayOptions.ts
@@ -32,4 +32,9 @@
   canaryShare: number;
   /** Time after which a session without requests expires. */
   sessionTtlMs: number;
+  /**
+   * Time within which the evacuation of a zone must be in force. Absent where zones are not
+   * evacuated; the store has no such orders then.
+   */
+  evacuateMs?: number;
 }
--- a/packages/relay/src/storeViews.ts
+++ b/packages/relay/src/storeViews.ts
@@ -15,6 +15,7 @@
 import type { RolloutOrder } from './rollouts/rolloutOrder.js';
 import type { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 import type { UpstreamRecord } from './upstreams/upstreamRecord.js';
+import type { ZoneEvacuation, ZoneEvacuations } from './upstreams/zoneEvacuations.js';
 
 /** Options of `StoreViews`. */
 export interface StoreViewsOptions {
@@ -23,8 +24,11 @@
   peers: Pick<PeerExchange, 'findProvider' | 'getRank' | 'isWatcher'>;
   directory: UpstreamDirectory;
   rollouts: RolloutRouter;
+  evacuations: ZoneEvacuations;
   /** Time within which a change in the store must be in force, in milliseconds. */
   boundMs: number;
+  /** The same for evacuations; undefined where they are not followed. */
+  evacuateMs: number | undefined;
   getConfigVersion: () => number | undefined;
   /** Called with each configuration that was read; the same version may be passed repeatedly. */
   onConfig: (config: RelayConfig) => void;
@@ -40,12 +44,15 @@
 const UPSTREAM_COALESCE_MS = 250;
 // During a store outage only the configuration is polled often; its success triggers the others.
 const OTHER_RETRY_MS = 2000;
+// With the pauses of the other views, two failed reads would use up the bound on evacuations.
+const EVACUATION_RETRY_MS = 1000;
 /** Entries may still be missing for this long after the store became available again. */
 const RECENT_OUTAGE_MS = 3000;
 
 /**
- * Follows the configuration, the list of upstreams and the rollout orders. Reads them from the
- * store or from another instance that reads the store, and serves them to other instances.
+ * Follows the configuration, the list of upstreams, the rollout orders and, where the deployment has
+ * them, the evacuations of zones. Reads them from the store or from another instance that reads the
+ * store, and serves them to other instances.
  */
 export class StoreViews {
   readonly config: SourceFollower<RelayConfig>;
@@ -54,6 +61,9 @@
 
   readonly rollouts: SourceFollower<RolloutOrder>;
 
+  /** Undefined where evacuations are not followed. */
+  readonly evacuations: SourceFollower<ZoneEvacuation> | undefined;
+
   /** Compares these states with those of the peers. */
   readonly shared: SharedViews;
 
@@ -72,6 +82,7 @@
         if (!isAvailable) return;
         this.upstreams.retryNow();
         this.rollouts.retryNow();
+        this.evacuations?.retryNow();
       },
     });
     this.upstreams = new SourceFollower({
@@ -90,7 +101,7 @@
         log.write('rollout_order', { name: change.name, ...change.value });
       },
     });
-    const followers = { config: this.config, upstreams: this.upstreams, rollouts: this.rollouts };
+    this.evacuations = this.createEvacuationFollower();
     this.shared = new SharedViews(clock, {
       config: {
         follower: this.config,
@@ -98,8 +109,23 @@
       },
       upstreams: { follower: this.upstreams, formatState: () => directory.formatState() },
       rollouts: { follower: this.rollouts, formatState: () => rollouts.formatState() },
+      ...(this.evacuations
+        ? {
+            evacuations: {
+              follower: this.evacuations,
+              formatState: () => options.evacuations.formatState(),
+            },
+          }
+        : {}),
     });
-    this.server = new ViewServer(followers);
+    this.server = new ViewServer(this.listFollowers());
+  }
+
+  /** Whether all states that requests depend on, besides the configuration, were read. */
+  get isLoaded(): boolean {
+    return (
+      this.upstreams.isLoaded && this.rollouts.isLoaded && (this.evacuations?.isLoaded ?? true)
+    );
   }
 
   /** Whether entries may be missing because of a current or recent store outage. */
@@ -108,8 +134,7 @@
   }
 
   startTasks(lifecycle: LifecycleManager): void {
-    const followers = { config: this.config, upstreams: this.upstreams, rollouts: this.rollouts };
-    for (const [name, follower] of Object.entries(followers)) {
+    for (const [name, follower] of Object.entries(this.listFollowers())) {
       lifecycle.startLastingTask(`follow ${name}`, (signal) => follower.run(signal));
       lifecycle.startLastingTask(`confirm ${name}`, (signal) => follower.keepFresh(signal));
     }
@@ -124,8 +149,28 @@
     return this.server.close();
   }
 
-  private createOptions<T>(name: ViewName, source: ChangeSource<T>) {
-    const { boundMs, clock, peers } = this.options;
+  private listFollowers() {
+    const { config, evacuations, rollouts, upstreams } = this;
+    return { config, upstreams, rollouts, ...(evacuations ? { evacuations } : {}) };
+  }
+
+  private createEvacuationFollower(): SourceFollower<ZoneEvacuation> | undefined {
+    const { evacuateMs, evacuations, store } = this.options;
+    if (evacuateMs === undefined) return undefined;
+    return new SourceFollower({
+      ...this.createOptions('evacuations', store.evacuations, evacuateMs),
+      maxRetryMs: EVACUATION_RETRY_MS,
+      onSnapshot: (items) => evacuations.applySnapshot(items),
+      onChange: (change) => evacuations.applyChange(change),
+    });
+  }
+
+  private createOptions<T>(
+    name: ViewName,
+    source: ChangeSource<T>,
+    boundMs = this.options.boundMs,
+  ) {
+    const { clock, peers } = this.options;
     return {
       clock,
       waitMs: POLL_WAIT_MS,
--- a/packages/relay/src/upstreams/upstreamDirectory.ts
+++ b/packages/relay/src/upstreams/upstreamDirectory.ts
@@ -17,6 +17,8 @@
   getStoreRestoredAgeMs: () => number;
   /** Whether an upstream says in its answers that it leaves, whatever the list says. */
   isLeaving?: (upstream: UpstreamRecord) => boolean;
+  /** Whether the upstreams of a zone may get no new requests. */
+  isZoneEvacuated?: (zone: string) => boolean;
   onEvent?: (event: UpstreamEvent, upstream: UpstreamRecord) => void;
 }
 
@@ -56,11 +58,13 @@
   listUsable(service: string): Upstream[] {
     const found: Upstream[] = [];
     for (const upstream of this.byService.get(service) ?? []) {
-      if (upstream.record.isDraining || this.options.isLeaving?.(upstream.record)) continue;
+      const { record } = upstream;
+      if (record.isDraining || this.options.isLeaving?.(record)) continue;
       if (upstream.missingSinceMs !== undefined && this.isRestoreGraceOver()) {
         this.remove(upstream);
         continue;
       }
+      if (this.options.isZoneEvacuated?.(record.zone)) continue;
       found.push(upstream);
     }
     return found;
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -3,6 +3,7 @@
 
 import {
   decodeConfig,
+  decodeEvacuation,
   decodeRollout,
   decodeUpstream,
   parsePlatformSettings,
@@ -81,6 +82,12 @@
     });
   });
 
+  describe('decodeEvacuation', () => {
+    it('takes the zone from the name of the object', () => {
+      assert.deepEqual(decodeEvacuation('zone-2'), { zone: 'zone-2' });
+    });
+  });
+
   describe('decodeConfig', () => {
     const config = {
       version: 7,
@@ -134,6 +141,13 @@
       assert.equal(parsed.bounds.stopGraceMs, 8000);
     });
 
+    it('reads the bound on evacuations only where the settings have one', () => {
+      const parse = (bounds: object) =>
+        parsePlatformSettings(JSON.stringify({ ...settings, bounds }))._unsafeUnwrap().bounds;
+      assert.ok(!('evacuateMs' in parse({})));
+      assert.equal(parse({ evacuate_ms: 5000 }).evacuateMs, 5000);
+    });
+
     it('names the missing field or the syntax error', () => {
       const without = { ...settings, platform: {} };
       const missing = parsePlatformSettings(JSON.stringify(without));
--- a/tests/relay/support/memorySource.ts
+++ b/tests/relay/support/memorySource.ts
@@ -24,6 +24,14 @@
     this.record({ name, revision: this.revision, value, isDeleted: false });
   }
 
+  /** Stores an object without answering the waiting polls, like a store whose watches hang. */
+  putSilently(name: string, value: T | undefined): void {
+    const { waiting } = this;
+    this.waiting = [];
+    this.put(name, value);
+    this.waiting = waiting;
+  }
+
   get(name: string): T | undefined {
     return this.items.get(name)?.value;
   }
--- a/tests/relay/support/relayFixture.ts
+++ b/tests/relay/support/relayFixture.ts
@@ -9,6 +9,7 @@
   Route,
   UpstreamRecord,
   WriteOutcome,
+  ZoneEvacuation,
 } from '@cactusstair/relay';
 import { findFreePorts } from '@cactusstair/place';
 import type { Clock } from '@cactusstair/utils';
@@ -88,6 +89,8 @@
 
   readonly rollouts = new MemorySource<RolloutOrder>();
 
+  readonly evacuations = new MemorySource<ZoneEvacuation>();
+
   readonly peers = new MemorySource<PeerRecord>();
 
   readonly progress: RolloutProgress[] = [];
@@ -103,11 +106,25 @@
 
   /** Makes all calls fail, including waiting polls. */
   stop(): void {
-    for (const source of [this.config, this.upstreams, this.rollouts, this.peers]) {
+    for (const source of this.listSources()) {
       source.isDown = true;
       source.wake();
     }
   }
+
+  /** Makes calls succeed again after `stop`. */
+  resume(): void {
+    for (const source of this.listSources()) source.isDown = false;
+  }
+
+  private listSources(): MemorySource<unknown>[] {
+    return [this.config, this.upstreams, this.rollouts, this.evacuations, this.peers];
+  }
+}
+
+/** Bounds that differ from `testBounds`, and a function that fills the store before the start. */
+export interface FixtureOptions extends Partial<RelayBounds> {
+  prepare?: (store: MemoryStore) => void;
 }
 
 /** A running relay with an in-memory store and scripted upstreams of the service `app`. */
@@ -123,11 +140,16 @@
     readonly readinessPort: number,
   ) {}
 
-  static async open(routes: Route[], clock?: Clock): Promise<RelayFixture> {
+  static async open(
+    routes: Route[],
+    clock?: Clock,
+    { prepare, ...bounds }: FixtureOptions = {},
+  ): Promise<RelayFixture> {
     const [callerPort, readinessPort] = (await findFreePorts(2)) as [number, number];
     const host = '127.0.0.1';
     const store = new MemoryStore();
     store.config.put('main', createConfig(1, routes));
+    prepare?.(store);
     const lines: string[] = [];
     const sink = { write: (text: string) => lines.push(text) > 0, once: () => undefined };
     const node = new RelayNode({
@@ -139,7 +161,7 @@
       readinessPath: '/readiness',
       peers: { host, port: 0 },
       seedHosts: [],
-      bounds: testBounds,
+      bounds: { ...testBounds, ...bounds },
       store,
       dialect: platformDialect,
       log: new EventLog({ fields: {}, sink }),
