Bound what cold upstreams receive from all instances together

Cause: nothing bounded what all instances send to a cold upstream, and `record.warmupLeftMs > 0` did not subtract the time since the entry was read, so an upstream was cold until its next entry.

Change: services have a warm-up time and rate, the bounds of the settings an overage and a slack. The time left of an entry counts down from when the entry was read. An upstream is also cold for the warm-up time from its first appearance after the first list, a new start time, its return after it was down, and the end of its zone's evacuation. ColdLimits (beside UpstreamLimits, with the same RateAllowance) divides the requests of a second in quotas: ceil((bound - rank) / instances), ranked for each upstream by rendezvous hashing over all instances heard of, which only grow. A quota covers the rate and what may have been saved up, and no quota grows when a further instance is known. An instance has no share until the store has named the others and three seconds have passed in which they hear of it; it lists them again while names are missing. Warm upstreams are used first. Entries without a plausible time, services without a rate and upstreams without slots are handled and logged once.

A connection that timed out once does not make an upstream cold; a refused one, a crash or the second time-out in a row does.

--- a/packages/relay/src/config/configIndex.ts
+++ b/packages/relay/src/config/configIndex.ts
@@ -24,6 +24,13 @@
     return this.config.workspaces !== undefined;
   }
 
+  /** Whether a service has upstreams that are cold after a start. */
+  get hasWarmups(): boolean {
+    return this.config.services.some(
+      ({ warmupRequestsPerSecond = 0 }) => warmupRequestsPerSecond > 0,
+    );
+  }
+
   /**
    * Finds the route whose prefix is the longest match for `path`.
    *
--- a/packages/relay/src/config/relayConfig.ts
+++ b/packages/relay/src/config/relayConfig.ts
@@ -52,6 +52,10 @@
   maxConnections: number;
   /** Absent for plain services. */
   engine?: EngineProfile;
+  /** Time for which an upstream is cold after a start, in milliseconds. */
+  warmupMs?: number;
+  /** Requests a second that an upstream takes while it is cold. Absent: it is never cold. */
+  warmupRequestsPerSecond?: number;
 }
 
 /** A workspace with the API keys of its callers. */
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -71,6 +71,8 @@
 export { AnswerBody } from './upstreams/answerBody.js';
 export { AnswerMemory } from './upstreams/answerMemory.js';
 export { Upstream } from './upstreams/upstream.js';
+export type { ColdReason, ColdUpstreamsOptions } from './upstreams/coldUpstreams.js';
+export { ColdUpstreams } from './upstreams/coldUpstreams.js';
 export { UpstreamNotices } from './upstreams/upstreamNotices.js';
 export { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 export type { ZoneEvacuation, ZoneEvacuationsOptions } from './upstreams/zoneEvacuations.js';
@@ -79,5 +81,7 @@
 export { selectUpstream } from './upstreams/upstreamSelector.js';
 export { ZoneReachability } from './upstreams/zoneReachability.js';
 export { EngineEstimators } from './upstreams/engineEstimators.js';
+export { findPeers } from './peers/peerFinder.js';
+export { InstanceRoster } from './peers/instanceRoster.js';
 export { LoadExchange } from './peers/loadExchange.js';
 export type { LoadNotice } from './peers/peerMessage.js';
--- a/packages/relay/src/observe/requestMetrics.ts
+++ b/packages/relay/src/observe/requestMetrics.ts
@@ -19,6 +19,8 @@
   configVersion: number;
   configAgeSeconds: number;
   upstreams: number;
+  /** Upstreams that warm up and get few requests. */
+  coldUpstreams: number;
   /** Zones whose upstreams get no new requests. */
   evacuatedZones: readonly string[];
   peers: number;
@@ -78,6 +80,7 @@
       readings.configAgeSeconds,
     );
     create('upstreams', 'Upstreams in the list.', []).set(readings.upstreams);
+    create('cold_upstreams', 'Upstreams that warm up.', []).set(readings.coldUpstreams);
     const evacuated = create('evacuated_zone', 'Zone without new requests.', ['zone']);
     for (const zone of readings.evacuatedZones) evacuated.set({ zone }, 1);
     create('living_instances', 'Instances heard from, this one included.', []).set(readings.peers);
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -17,6 +17,7 @@
 import { addLoads, createFleetReport, subtractLoads } from './fleetReport.js';
 import type { PeerRole } from './fleetSums.js';
 import { FleetSums, STALE_AFTER_MS } from './fleetSums.js';
+import { InstanceRoster } from './instanceRoster.js';
 import { LoadExchange } from './loadExchange.js';
 import type { Echo, LoadNotice, PeerMessage, ViewName, ViewState } from './peerMessage.js';
 import { parseDatagram } from './peerMessage.js';
@@ -79,6 +80,9 @@
 export class PeerExchange {
   private readonly socket: Socket = createSocket('udp4');
 
+  /** All instances heard of so far. */
+  readonly roster: InstanceRoster;
+
   private readonly table: PeerTable;
 
   private readonly sums: FleetSums;
@@ -103,6 +107,7 @@
     this.incarnation = options.clock.wallMs();
     this.startedAtMs = options.clock.monotonicMs();
     this.table = new PeerTable(options.clock, options.self);
+    this.roster = new InstanceRoster(options.clock, options.self.name, this.table);
     this.sums = new FleetSums(this.table, options.self.zone, () => this.role);
     this.loads = new LoadExchange({
       clock: options.clock,
@@ -143,6 +148,7 @@
 
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      this.roster.recordCount(this.countInstances());
       this.send();
       this.loads.refresh(STALE_AFTER_MS);
       this.options.engines.importPeerSums(this.sums.sumEngines());
--- a/packages/relay/src/peers/peerFinder.ts
+++ b/packages/relay/src/peers/peerFinder.ts
@@ -11,23 +11,42 @@
   announce: (record: PeerRecord) => Promise<WriteOutcome>;
   source: Pick<ChangeSource<PeerRecord>, 'list'>;
   onPeer: (record: PeerRecord) => void;
+  /** Called after each list of the instances. */
+  onListed?: () => void;
+  /** Whether to list the instances again, because there are some whose names are not known. */
+  shouldListAgain?: () => boolean;
 }
 
 const RETRY_MS = 1000;
+const MIN_RELIST_MS = 5000;
+const MAX_RELIST_MS = 60_000;
 
 /**
  * Registers this instance, then lists the others. Because each instance registers before it lists,
- * of two that start together at least one finds the other.
+ * of two that start together at least one finds the other. Lists them again, at growing intervals,
+ * while `shouldListAgain` says so.
  */
 export async function findPeers(options: PeerFinderOptions, signal: AbortSignal): Promise<void> {
-  const { announce, clock, onPeer, self, source } = options;
+  const { announce, clock, self, shouldListAgain } = options;
   while (!signal.aborted) {
     const outcome = await announce(self);
-    const listed = outcome === 'written' ? await source.list() : undefined;
-    if (listed?.isOk()) {
-      for (const { value } of listed.value.items) if (value) onPeer(value);
-      return;
-    }
+    if (outcome === 'written' && (await listPeers(options))) break;
     await clock.sleep(RETRY_MS * (0.5 + Math.random()), signal);
   }
+  let pauseMs = MIN_RELIST_MS;
+  while (shouldListAgain && !signal.aborted) {
+    await clock.sleep(pauseMs * (0.5 + Math.random()), signal);
+    if (!signal.aborted && shouldListAgain()) {
+      await listPeers(options);
+      pauseMs = Math.min(pauseMs * 2, MAX_RELIST_MS);
+    }
+  }
+}
+
+async function listPeers({ onListed, onPeer, source }: PeerFinderOptions): Promise<boolean> {
+  const listed = await source.list();
+  if (listed.isErr()) return false;
+  for (const { value } of listed.value.items) if (value) onPeer(value);
+  onListed?.();
+  return true;
 }
--- a/packages/relay/src/peers/peerTable.ts
+++ b/packages/relay/src/peers/peerTable.ts
@@ -155,6 +155,13 @@
     return [...new Set([...acknowledged, ...recent])].sort();
   }
 
+  /** Returns the names of all other instances heard of so far, also of those that are silent. */
+  listKnownNames(): string[] {
+    const names = new Set([...this.entries.keys(), ...this.acknowledgedAtMs.keys()]);
+    names.delete(this.self.name);
+    return [...names];
+  }
+
   /** Returns the rank of this instance among the peers named in `living`, starting at 0. */
   getRank(living: readonly string[]): number {
     return living.filter((name) => {
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -120,6 +120,9 @@
       isStoreDisturbed: () => this.views.isStoreDisturbed(),
       getStoreRestoredAgeMs: () => this.views.upstreams.getRestoredAgeMs(),
       getGroup: () => this.peers.describeGroup(),
+      getInstances: () => this.peers.roster.describe(),
+      isListRead: () => this.views.upstreams.isLoaded,
+      findService: (name) => this.config?.findService(name),
     });
     this.directory = this.access.directory;
     this.rollouts = new RolloutRouter({
@@ -211,10 +214,13 @@
           announce: (record) => options.store.announce(record),
           source: options.store.peers,
           onPeer: (record) => this.peers.addPeer(record),
+          onListed: () => this.peers.roster.recordListed(),
+          shouldListAgain: () => this.isInstanceUnknown(),
         },
         signal,
       ),
     );
+    lifecycle.startLastingTask('follow cold upstreams', (signal) => this.access.run(signal));
     lifecycle.startLastingTask('drive rollouts', (signal) =>
       this.createRolloutController().run(signal),
     );
@@ -314,6 +320,12 @@
     return own + this.peers.countPeerCalls(old.map(({ id }) => id));
   }
 
+  /** Whether shares of cold upstreams depend on an instance whose name is not known. */
+  private isInstanceUnknown(): boolean {
+    const { count, others } = this.peers.roster.describe();
+    return this.config?.hasWarmups === true && count > others.length + 1;
+  }
+
   private applyConfig(config: RelayConfig): void {
     if (this.config && config.version <= this.config.config.version) return;
     this.config = new ConfigIndex(config);
@@ -326,7 +338,7 @@
 
   private recordCrash(upstream: Upstream): void {
     const { id, record } = upstream;
-    upstream.recordDown();
+    upstream.recordDown(true);
     const suspects = this.crashes.recordCrash(id);
     if (suspects.length === 0) return;
     this.options.log.write('upstream_crashed', {
@@ -350,6 +362,7 @@
       configVersion: this.config?.config.version ?? 0,
       configAgeSeconds: this.views.config.getAgeMs() / 1000,
       upstreams: this.directory.listAll().length,
+      coldUpstreams: this.access.cold.count,
       evacuatedZones: this.access.evacuations.listZones(),
       peers: this.peers.listLiveInstances().length,
       droppedLogLines: this.options.log.dropped,
--- a/packages/relay/src/relayOptions.ts
+++ b/packages/relay/src/relayOptions.ts
@@ -37,4 +37,10 @@
    * evacuated; the store has no such orders then.
    */
   evacuateMs?: number;
+  /**
+   * A cold upstream receives no more in any second than its service's rate times `coldOverage` plus
+   * `coldSlack`. Absent where the deployment states no such bound; the rate alone counts then.
+   */
+  coldOverage?: number;
+  coldSlack?: number;
 }
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -179,7 +179,7 @@
   recordPace(paceMs: number, isLong = false): void {
     const { context, job, upstream } = this;
     // An upstream that has just started is slow, whichever version it has.
-    if (upstream.record.warmupLeftMs > 0) return;
+    if (upstream.warmupLeftMs > 0 || context.notices.isCold(this.record)) return;
     context.rollouts.recordPace(job.service, upstream.record.version, paceMs);
     if (isLong && this.model !== undefined) {
       context.rollouts.recordLoadedPace(this.record, this.model, upstream.running, paceMs);
@@ -189,6 +189,7 @@
   private recordSent(): void {
     const { context, job, upstream } = this;
     context.reachability.recordReached(upstream.record.zone);
+    context.notices.recordReached(this.record);
     this.suspectRun = context.crashes.startRun(upstream.id, job.traits, () =>
       this.cancel('the request crashes the upstreams that run it'),
     );
--- a/packages/relay/src/requests/upstreamChoice.ts
+++ b/packages/relay/src/requests/upstreamChoice.ts
@@ -69,11 +69,19 @@
   };
 }
 
+/** Returns the upstreams that are neither cold nor expected to fail. */
+function filterWarm(context: RelayContext, upstreams: readonly Upstream[]): readonly Upstream[] {
+  return upstreams.filter(
+    ({ isDown, record }) =>
+      !isDown &&
+      !context.reachability.isUnreachable(record.zone) &&
+      !context.notices.isCold(record),
+  );
+}
+
 /**
- * Chooses an upstream that has room and accepts a request now; undefined if there is none.
- *
- * Upstreams that limit the rate of their requests take few of any size. Small requests leave them
- * to the large ones, unless nothing else has room.
+ * Chooses an upstream that has room and accepts a request now; undefined if there is none. Cold ones
+ * are chosen only if no warm one has room.
  */
 export function chooseUpstream(
   context: RelayContext,
@@ -84,6 +92,25 @@
   const accepting = listCandidates(context, job, excluded).filter(
     ({ record }) => context.notices.getWaitMs(record) <= 0,
   );
+  if (accepting.some(({ record }) => context.notices.isCold(record))) {
+    const selection = chooseAccepting(context, job, sizeIndex, filterWarm(context, accepting));
+    if (selection) return selection;
+  }
+  return chooseAccepting(context, job, sizeIndex, accepting);
+}
+
+/**
+ * Chooses among the upstreams that accept a request now.
+ *
+ * Upstreams that limit the rate of their requests take few of any size. Small requests leave them
+ * to the large ones, unless nothing else has room.
+ */
+function chooseAccepting(
+  context: RelayContext,
+  job: RelayJob,
+  sizeIndex: number | undefined,
+  accepting: readonly Upstream[],
+): Selection | undefined {
   const request = createSelectionRequest(context, job, sizeIndex);
   const { work } = context.engines.get(job.service);
   if (job.engine && !work.isLarge(estimateWorkMs(job, sizeIndex))) {
--- a/packages/relay/src/upstreams/upstream.ts
+++ b/packages/relay/src/upstreams/upstream.ts
@@ -50,6 +50,15 @@
   /** When its entry vanished in or shortly after a store outage; undefined while it is listed. */
   missingSinceMs: number | undefined;
 
+  /**
+   * Monotonic time from which it may be back after it was down; undefined if it was not, or once a
+   * connection to it was opened.
+   */
+  returnsAtMs: number | undefined;
+
+  /** Monotonic time at which it is warm by its entry; counted from when the entry was read. */
+  private warmAtMs = 0;
+
   private downUntilMs = 0;
 
   private downMs = MIN_DOWN_MS;
@@ -68,8 +77,11 @@
   constructor(
     public record: UpstreamRecord,
     private readonly clock: Clock,
+    /** Revision of its entry in the list. */
+    private revision = 0,
   ) {
     this.lastProgressMs = clock.monotonicMs();
+    this.warmAtMs = this.lastProgressMs + (record.warmupLeftMs ?? 0);
     this.rateAtMs = this.lastProgressMs;
   }
 
@@ -95,6 +107,11 @@
     return sum;
   }
 
+  /** Time for which it is still cold by its entry, in milliseconds. */
+  get warmupLeftMs(): number {
+    return Math.max(0, this.warmAtMs - this.clock.monotonicMs());
+  }
+
   get isDown(): boolean {
     return this.clock.monotonicMs() < this.downUntilMs;
   }
@@ -118,6 +135,14 @@
     this.waitRatioLog += (Math.log(ratio) - this.waitRatioLog) / this.waitSamples;
   }
 
+  /** Replaces the record by that of an entry. One that was read before says nothing new. */
+  update(record: UpstreamRecord, revision: number): void {
+    this.record = record;
+    if (revision <= this.revision && revision > 0) return;
+    this.revision = revision;
+    this.warmAtMs = this.clock.monotonicMs() + (record.warmupLeftMs ?? 0);
+  }
+
   recordProgress(): void {
     this.lastProgressMs = this.clock.monotonicMs();
   }
@@ -133,13 +158,22 @@
     this.recordOutcome(1);
   }
 
-  /** Marks the upstream as down after a failed connection. */
-  recordDown(): void {
+  /**
+   * Marks the upstream as down after a failed connection.
+   *
+   * @param isCertain whether nothing listens at its address. A connection that timed out may have
+   * lost a packet, so the second one in a row counts as certain.
+   */
+  recordDown(isCertain = false): void {
     const nowMs = this.clock.monotonicMs();
     // Calls that fail at the same time count as one failure.
-    if (nowMs < this.downUntilMs) return;
-    this.downUntilMs = nowMs + this.downMs;
-    this.downMs = Math.min(this.downMs * 2, MAX_DOWN_MS);
+    const isFurther = nowMs >= this.downUntilMs;
+    const isRepeated = isFurther && this.downMs > MIN_DOWN_MS;
+    if (isFurther) {
+      this.downUntilMs = nowMs + this.downMs;
+      this.downMs = Math.min(this.downMs * 2, MAX_DOWN_MS);
+    }
+    if (isCertain || isRepeated) this.returnsAtMs = this.downUntilMs;
   }
 
   /** Whether a prompt part and all parts before it were sent to this upstream for a model. */
--- a/packages/relay/src/upstreams/upstreamAccess.ts
+++ b/packages/relay/src/upstreams/upstreamAccess.ts
@@ -1,10 +1,12 @@
-import type { InstanceGroup } from '@cactusstair/routing';
-import { UpstreamLimits } from '@cactusstair/routing';
+import type { InstanceGroup, KnownInstances } from '@cactusstair/routing';
+import { ColdLimits, UpstreamLimits } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 
+import type { Service } from '../config/relayConfig.js';
 import type { EventLog } from '../observe/eventLog.js';
 import type { RelayBounds } from '../relayOptions.js';
 import { formatVersionKey } from '../rollouts/rolloutRouter.js';
+import { ColdUpstreams } from './coldUpstreams.js';
 import type { UpstreamDirectoryOptions, UpstreamEvent } from './upstreamDirectory.js';
 import { UpstreamDirectory } from './upstreamDirectory.js';
 import { UpstreamNotices } from './upstreamNotices.js';
@@ -21,8 +23,15 @@
   log: EventLog;
   /** Returns the instances among which the limits of upstreams are divided. */
   getGroup: () => InstanceGroup;
+  /** Returns the instances among which the bounds of cold upstreams are divided. */
+  getInstances: () => KnownInstances;
+  /** Whether the list of upstreams has been read. One that is listed later has just appeared. */
+  isListRead: () => boolean;
+  findService: (name: string) => Service | undefined;
 }
 
+const REFRESH_INTERVAL_MS = 250;
+
 /** Which upstreams may get requests of this instance, and when. */
 export class UpstreamAccess {
   readonly evacuations: ZoneEvacuations;
@@ -33,6 +42,8 @@
 
   readonly notices: UpstreamNotices;
 
+  readonly cold: ColdUpstreams;
+
   constructor(private readonly options: UpstreamAccessOptions) {
     const { bounds, clock, log } = options;
     this.evacuations = new ZoneEvacuations({
@@ -52,23 +63,61 @@
       getGroup: options.getGroup,
       findUpstream: (id) => this.describeLimited(id),
     });
+    this.cold = new ColdUpstreams({
+      clock,
+      bounds,
+      limits: new ColdLimits({ clock, getInstances: options.getInstances }),
+      findUpstream: (id) => this.directory.find(id),
+      listUpstreams: () => this.directory.listAll(),
+      findService: options.findService,
+      onCold: ({ id, record }, leftMs, reason) =>
+        log.write('upstream_cold', {
+          upstream: id,
+          service: record.service,
+          zone: record.zone,
+          durationMs: Math.round(leftMs),
+          reason,
+        }),
+      onUnknown: ({ id }) => log.write('upstream_warmup_unknown', { upstream: id }),
+    });
     this.notices = new UpstreamNotices({
       clock,
       limits: this.limits,
+      cold: this.cold,
       onEvent: (event, fields) => log.write(`upstream_${event}`, fields),
     });
   }
 
+  /** Follows the upstreams that warm up until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.cold.refresh();
+      await this.options.clock.sleep(REFRESH_INTERVAL_MS, signal);
+    }
+  }
+
   private handleUpstreamEvent(event: UpstreamEvent, record: UpstreamRecord): void {
     const { id, service, version, zone } = record;
     this.options.log.write(`upstream_${event}`, { upstream: id, service, version, zone });
     if (event === 'restarted') this.notices.forget(record);
+    this.updateCold(event, id);
     this.limits.refresh();
   }
 
+  private updateCold(event: UpstreamEvent, id: string): void {
+    const upstream = this.directory.find(id);
+    if (event === 'gone') this.cold.forget(id);
+    else if (upstream && event === 'restarted') this.cold.start(upstream, 'restarted');
+    else if (upstream && event === 'seen' && this.options.isListRead()) {
+      this.cold.start(upstream, 'appeared');
+    }
+  }
+
   private recordEvacuation(state: 'started' | 'ended', zone: string): void {
     const upstreams = this.directory.listAll().filter(({ record }) => record.zone === zone);
     this.options.log.write('evacuation', { zone, state, upstreams: upstreams.length });
+    if (state === 'started') return;
+    for (const upstream of upstreams) this.cold.start(upstream, 'evacuation_ended');
   }
 
   /** Describes an upstream whose limit the instances divide; undefined if it gets no requests. */
--- a/packages/relay/src/upstreams/upstreamDirectory.ts
+++ b/packages/relay/src/upstreams/upstreamDirectory.ts
@@ -6,7 +6,8 @@
 import type { UpstreamRecord } from './upstreamRecord.js';
 
 /** A change of the list; an upstream that has restarted has a new run under the same id. */
-export type UpstreamEvent = 'seen' | 'draining' | 'restarted' | 'gone' | 'missing';
+export type UpstreamEvent =
+  'seen' | 'draining' | 'restarted' | 'gone' | 'missing' | 'without_slots';
 
 /** Options of `UpstreamDirectory`. */
 export interface UpstreamDirectoryOptions {
@@ -41,7 +42,7 @@
     for (const item of items) {
       if (!item.value) continue;
       listed.add(item.name);
-      this.put(item.value);
+      this.put(item.value, item.revision);
     }
     for (const upstream of [...this.byId.values()]) {
       if (!listed.has(upstream.id)) this.handleMissing(upstream);
@@ -50,7 +51,7 @@
 
   applyChange(change: SourceChange<UpstreamRecord>): void {
     const known = this.byId.get(change.name);
-    if (!change.isDeleted && change.value) this.put(change.value);
+    if (!change.isDeleted && change.value) this.put(change.value, change.revision);
     else if (known) this.handleMissing(known);
   }
 
@@ -59,7 +60,7 @@
     const found: Upstream[] = [];
     for (const upstream of this.byService.get(service) ?? []) {
       const { record } = upstream;
-      if (record.isDraining || this.options.isLeaving?.(record)) continue;
+      if (record.isDraining || record.slots < 1 || this.options.isLeaving?.(record)) continue;
       if (upstream.missingSinceMs !== undefined && this.isRestoreGraceOver()) {
         this.remove(upstream);
         continue;
@@ -94,15 +95,16 @@
     return this.byId.get(id);
   }
 
-  private put(record: UpstreamRecord): void {
+  private put(record: UpstreamRecord, revision: number): void {
     this.state = undefined;
     const known = this.byId.get(record.id);
     if (!known) {
-      const upstream = new Upstream(record, this.options.clock);
+      const upstream = new Upstream(record, this.options.clock, revision);
       this.byId.set(record.id, upstream);
       const siblings = this.byService.get(record.service) ?? new Set<Upstream>();
       this.byService.set(record.service, siblings.add(upstream));
       this.options.onEvent?.('seen', record);
+      if (record.slots < 1) this.options.onEvent?.('without_slots', record);
       return;
     }
     if (record.isDraining && !known.record.isDraining) this.options.onEvent?.('draining', record);
@@ -113,7 +115,10 @@
       const siblings = this.byService.get(record.service) ?? new Set<Upstream>();
       this.byService.set(record.service, siblings.add(known));
     }
-    known.record = record;
+    if (record.slots < 1 && known.record.slots >= 1) {
+      this.options.onEvent?.('without_slots', record);
+    }
+    known.update(record, revision);
     known.missingSinceMs = undefined;
     if (hasRestarted) this.options.onEvent?.('restarted', record);
   }
--- a/packages/relay/src/upstreams/upstreamNotices.ts
+++ b/packages/relay/src/upstreams/upstreamNotices.ts
@@ -1,12 +1,14 @@
 import type { UpstreamLimits, UpstreamNotice } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 
+import type { ColdUpstreams } from './coldUpstreams.js';
 import type { UpstreamRecord } from './upstreamRecord.js';
 
 /** Options of `UpstreamNotices`. */
 export interface UpstreamNoticesOptions {
   clock: Clock;
   limits: UpstreamLimits;
+  cold: ColdUpstreams;
   /** Called when an upstream says something new about itself. */
   onEvent?: (event: 'leaving' | 'limit' | 'paused', fields: Record<string, unknown>) => void;
 }
@@ -56,7 +58,13 @@
 
   /** Returns the time until an upstream accepts a request of this instance, in milliseconds. */
   getWaitMs({ id }: UpstreamRecord): number {
-    return Math.max(this.getPauseLeftMs(id), this.options.limits.getWaitMs(id));
+    const { cold, limits } = this.options;
+    return Math.max(this.getPauseLeftMs(id), limits.getWaitMs(id), cold.getWaitMs(id));
+  }
+
+  /** Whether an upstream warms up and takes few requests until then. */
+  isCold({ id }: UpstreamRecord): boolean {
+    return this.options.cold.isCold(id);
   }
 
   /** Whether an upstream takes more requests than this instance sends to it. */
@@ -67,6 +75,12 @@
   /** Counts a request that is sent to an upstream. */
   recordSent({ id }: UpstreamRecord): void {
     this.options.limits.tryTake(id);
+    this.options.cold.recordSent(id);
+  }
+
+  /** Records that a connection to an upstream was opened. */
+  recordReached({ id }: UpstreamRecord): void {
+    this.options.cold.recordReached(id);
   }
 
   /** Forgets what an earlier run of an upstream said. */
--- a/packages/relay/src/upstreams/upstreamRecord.ts
+++ b/packages/relay/src/upstreams/upstreamRecord.ts
@@ -8,11 +8,15 @@
   zone: string;
   /** Version of the software or weights that the upstream serves. */
   version: string;
+  /** Requests that it runs at the same time; one with 0 gets none. */
   slots: number;
   /** Whether the upstream has announced its shutdown. */
   isDraining: boolean;
-  /** Remaining warm-up time after its start, in milliseconds; the upstream is slower until then. */
-  warmupLeftMs: number;
+  /**
+   * Time for which it is cold, in milliseconds from when its entry was written; undefined when the
+   * entry does not say so in a plausible way.
+   */
+  warmupLeftMs: number | undefined;
   /** Wall-clock time at which this run started; 0 when unknown. */
   startedAtMs: number;
 }
--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -99,7 +99,7 @@
     (zone === request.zone ? 0 : OTHER_ZONE_COST_MS) +
     (upstream.isDown || request.isZoneUnreachable(zone) ? DOWN_COST_MS : 0) +
     upstream.failureRate * FAILURE_COST_MS +
-    (upstream.record.warmupLeftMs > 0 ? WARMUP_COST_MS : 0) +
+    (upstream.warmupLeftMs > 0 ? WARMUP_COST_MS : 0) +
     Math.random() * JITTER_MS
   );
 }
--- a/packages/routing/src/limits/rateAllowance.ts
+++ b/packages/routing/src/limits/rateAllowance.ts
@@ -1,13 +1,15 @@
 import type { Clock } from '@cactusstair/utils';
 
 const MS_PER_SECOND = 1000;
-/** Requests that can be saved up: those of this time, but at least one. */
+/** By default the requests of this time can be saved up, but at least one. */
 const MAX_SAVED_MS = 1500;
 
 /** A token bucket that starts empty, so that a new rate allows no burst. */
 export class RateAllowance {
   private requestsPerSecond = 0;
 
+  private maxTokens = 1;
+
   private tokens = 0;
 
   private updatedAtMs: number;
@@ -16,9 +18,23 @@
     this.updatedAtMs = clock.monotonicMs();
   }
 
-  setRate(requestsPerSecond: number): void {
+  /**
+   * @param maxSaved requests that can be saved up; by default those of 1,500 ms, but at least one
+   */
+  setRate(
+    requestsPerSecond: number,
+    maxSaved = Math.max(1, (requestsPerSecond * MAX_SAVED_MS) / MS_PER_SECOND),
+  ): void {
     this.update();
     this.requestsPerSecond = requestsPerSecond;
+    this.maxTokens = maxSaved;
+    this.tokens = Math.min(this.tokens, maxSaved);
+  }
+
+  /** Grants all requests that can be saved up. */
+  fill(): void {
+    this.update();
+    this.tokens = this.maxTokens;
   }
 
   /** Takes the right to send one request; false if there is none now. */
@@ -43,10 +59,6 @@
     return this.tokens >= this.maxTokens;
   }
 
-  private get maxTokens(): number {
-    return Math.max(1, (this.requestsPerSecond * MAX_SAVED_MS) / MS_PER_SECOND);
-  }
-
   private update(): void {
     const nowMs = this.clock.monotonicMs();
     const gained = ((nowMs - this.updatedAtMs) / MS_PER_SECOND) * this.requestsPerSecond;
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -64,6 +64,25 @@
     });
   });
 
+  describe('decodeUpstream of an entry with odd numbers', () => {
+    const entry = { service: 'app', address: '10.0.0.9:8080', state: 'ready' };
+    const decode = (fields: object) => decodeUpstream('i-1', { ...entry, ...fields });
+
+    it('takes an implausible warm-up time as absent', () => {
+      assert.equal(decode({ warmup_left_ms: 2500 })?.warmupLeftMs, 2500);
+      assert.equal(decode({ warmup_left_ms: 0 })?.warmupLeftMs, 0);
+      [undefined, null, -1, 1e12, 'soon', true].forEach((value) => {
+        assert.equal(decode({ warmup_left_ms: value })?.warmupLeftMs, undefined);
+      });
+    });
+
+    it('keeps an upstream without slots apart from one that does not state them', () => {
+      assert.equal(decode({ slots: 0 })?.slots, 0);
+      assert.equal(decode({ slots: -3 })?.slots, 0);
+      assert.equal(decode({})?.slots, 1);
+    });
+  });
+
   describe('decodeRollout', () => {
     const spec = { service: 'app', target: 'v2', duration_s: 12 };
 
@@ -115,6 +134,20 @@
       assert.equal(decodeConfig({ ...config, tenants: undefined })?.workspaces, undefined);
     });
 
+    it('reads a warm-up only where the service has a rate for it', () => {
+      const decode = (fields: object) =>
+        decodeConfig({ ...config, services: [{ name: 'app', ...fields }] })?.services[0];
+      const plain = decode({});
+      const warmup = { warmupMs: 12_000, warmupRequestsPerSecond: 3 };
+      assert.deepEqual(decode({ warmup_s: 12, warmup_per_s: 3 }), { ...plain, ...warmup });
+      assert.deepEqual(decode({ warmup_s: 12 }), plain);
+      [0, -2, 'many', null].forEach((rate) => {
+        assert.deepEqual(decode({ warmup_s: 12, warmup_per_s: rate }), plain);
+      });
+      assert.equal(decode({ warmup_s: -5, warmup_per_s: 3 })?.warmupMs, 0);
+      assert.equal(decode({ warmup_s: 1e9, warmup_per_s: 3 })?.warmupMs, 3_600_000);
+    });
+
     it('rejects a configuration without a numeric version', () => {
       assert.equal(decodeConfig({ ...config, version: '7' }), undefined);
     });
