--- a/packages/relay/src/requests/upstreamChoice.ts
+++ b/packages/relay/src/requests/upstreamChoice.ts
@@ -69,11 +69,15 @@
   };
 }
 
-/** Returns the upstreams that are neither cold nor expected to fail. */
+/**
+ * Returns the upstreams that are neither cold nor expected to fail or to refuse a request. Plain
+ * services refuse what exceeds their slots, and the request would need a further attempt.
+ */
 function filterWarm(context: RelayContext, upstreams: readonly Upstream[]): readonly Upstream[] {
   return upstreams.filter(
-    ({ isDown, record }) =>
+    ({ isDown, record, running }) =>
       !isDown &&
+      running < record.slots &&
       !context.reachability.isUnreachable(record.zone) &&
       !context.notices.isCold(record),
   );
--- a/tests/relay/coldUpstreams.test.ts
+++ b/tests/relay/coldUpstreams.test.ts
@@ -4,7 +4,7 @@
 import type { ColdReason, Service, UpstreamRecord } from '@cactusstair/relay';
 import { ColdUpstreams, UpstreamDirectory } from '@cactusstair/relay';
 import { ColdLimits } from '@cactusstair/routing';
-import { ManualClock } from '@cactusstair/utils';
+import { ManualClock, waitFor } from '@cactusstair/utils';
 
 import { sendRequest } from './support/caller.js';
 import { createRecord } from './support/records.js';
@@ -267,6 +267,31 @@
     assert.equal(appeared.received.length, 0);
   });
 
+  // Warm upstreams that are full refuse requests; those of a cold one's share need not be lost.
+  it('get their share while all slots of the warm ones are in use', async () => {
+    const { cold, warm } = await open({ warm: { slots: 1 }, cold: { warmupLeftMs: 60_000 } });
+    await fixture.waitForLine('"event":"upstream_cold"');
+    await waitFor(() => fixture.store.peers.calls > 0, { what: 'a list', timeoutMs: 5000 });
+    const { script } = warm!;
+    let finish = () => {};
+    warm!.script = (socket, request) => {
+      finish = () => script(socket, request);
+    };
+    let answered = 0;
+    const untilMs = performance.now() + 8000;
+    while (cold!.received.length === 0 && performance.now() < untilMs) {
+      const held = sendRequest(fixture.callerPort);
+      const other = sendRequest(fixture.callerPort);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 100);
+      });
+      finish();
+      answered += (await held).status === 200 && (await other).status === 200 ? 1 : 0;
+    }
+    assert.equal(cold!.received.length, 1);
+    assert.ok(answered > 0);
+  });
+
   it('get no more than the bound when all are cold, and the rest is refused as not run', async () => {
     await open({ a: { warmupLeftMs: 60_000 }, b: { warmupLeftMs: 60_000 } });
     await waitIntroduced();
