--- a/packages/relay/src/relayOptions.ts
+++ b/packages/relay/src/relayOptions.ts
@@ -32,4 +32,15 @@
   canaryShare: number;
   /** Time after which a session without requests expires. */
   sessionTtlMs: number;
+  /**
+   * Time within which the evacuation of a zone must be in force. Absent where zones are not
+   * evacuated; the store has no such orders then.
+   */
+  evacuateMs?: number;
+  /**
+   * A cold upstream receives no more in any second than its service's rate times `coldOverage` plus
+   * `coldSlack`. Absent where the deployment states no such bound; the rate alone counts then.
+   */
+  coldOverage?: number;
+  coldSlack?: number;
 }
--- a/packages/relay/src/requests/upstreamChoice.ts
+++ b/packages/relay/src/requests/upstreamChoice.ts
@@ -70,10 +70,22 @@
 }
 
 /**
- * Chooses an upstream that has room and accepts a request now; undefined if there is none.
- *
- * Upstreams that limit the rate of their requests take few of any size. Small requests leave them
- * to the large ones, unless nothing else has room.
+ * Returns the upstreams that are neither cold nor expected to fail or to refuse a request. Plain
+ * services refuse what exceeds their slots, and the request would need a further attempt.
+ */
+function filterWarm(context: RelayContext, upstreams: readonly Upstream[]): readonly Upstream[] {
+  return upstreams.filter(
+    ({ isDown, record, running }) =>
+      !isDown &&
+      running < record.slots &&
+      !context.reachability.isUnreachable(record.zone) &&
+      !context.notices.isCold(record),
+  );
+}
+
+/**
+ * Chooses an upstream that has room and accepts a request now; undefined if there is none. Cold ones
+ * are chosen only if no warm one has room.
  */
 export function chooseUpstream(
   context: RelayContext,
@@ -84,6 +96,25 @@
   const accepting = listCandidates(context, job, excluded).filter(
     ({ record }) => context.notices.getWaitMs(record) <= 0,
   );
+  if (accepting.some(({ record }) => context.notices.isCold(record))) {
+    const selection = chooseAccepting(context, job, sizeIndex, filterWarm(context, accepting));
+    if (selection) return selection;
+  }
+  return chooseAccepting(context, job, sizeIndex, accepting);
+}
+
+/**
+ * Chooses among the upstreams that accept a request now.
+ *
+ * Upstreams that limit the rate of their requests take few of any size. Small requests leave them
+ * to the large ones, unless nothing else has room.
+ */
+function chooseAccepting(
+  context: RelayContext,
+  job: RelayJob,
+  sizeIndex: number | undefined,
+  accepting: readonly Upstream[],
+): Selection | undefined {
   const request = createSelectionRequest(context, job, sizeIndex);
   const { work } = context.engines.get(job.service);
   if (job.engine && !work.isLarge(estimateWorkMs(job, sizeIndex))) {
--- a/packages/relay/src/upstreams/upstreamDirectory.ts
+++ b/packages/relay/src/upstreams/upstreamDirectory.ts
@@ -6,7 +6,8 @@
 import type { UpstreamRecord } from './upstreamRecord.js';
 
 /** A change of the list; an upstream that has restarted has a new run under the same id. */
-export type UpstreamEvent = 'seen' | 'draining' | 'restarted' | 'gone' | 'missing';
+export type UpstreamEvent =
+  'seen' | 'draining' | 'restarted' | 'gone' | 'missing' | 'without_slots';
 
 /** Options of `UpstreamDirectory`. */
 export interface UpstreamDirectoryOptions {
@@ -17,6 +18,8 @@
   getStoreRestoredAgeMs: () => number;
   /** Whether an upstream says in its answers that it leaves, whatever the list says. */
   isLeaving?: (upstream: UpstreamRecord) => boolean;
+  /** Whether the upstreams of a zone may get no new requests. */
+  isZoneEvacuated?: (zone: string) => boolean;
   onEvent?: (event: UpstreamEvent, upstream: UpstreamRecord) => void;
 }
 
@@ -39,7 +42,7 @@
     for (const item of items) {
       if (!item.value) continue;
       listed.add(item.name);
-      this.put(item.value);
+      this.put(item.value, item.revision);
     }
     for (const upstream of [...this.byId.values()]) {
       if (!listed.has(upstream.id)) this.handleMissing(upstream);
@@ -48,7 +51,7 @@
 
   applyChange(change: SourceChange<UpstreamRecord>): void {
     const known = this.byId.get(change.name);
-    if (!change.isDeleted && change.value) this.put(change.value);
+    if (!change.isDeleted && change.value) this.put(change.value, change.revision);
     else if (known) this.handleMissing(known);
   }
 
@@ -56,11 +59,13 @@
   listUsable(service: string): Upstream[] {
     const found: Upstream[] = [];
     for (const upstream of this.byService.get(service) ?? []) {
-      if (upstream.record.isDraining || this.options.isLeaving?.(upstream.record)) continue;
+      const { record } = upstream;
+      if (record.isDraining || record.slots < 1 || this.options.isLeaving?.(record)) continue;
       if (upstream.missingSinceMs !== undefined && this.isRestoreGraceOver()) {
         this.remove(upstream);
         continue;
       }
+      if (this.options.isZoneEvacuated?.(record.zone)) continue;
       found.push(upstream);
     }
     return found;
@@ -90,15 +95,16 @@
     return this.byId.get(id);
   }
 
-  private put(record: UpstreamRecord): void {
+  private put(record: UpstreamRecord, revision: number): void {
     this.state = undefined;
     const known = this.byId.get(record.id);
     if (!known) {
-      const upstream = new Upstream(record, this.options.clock);
+      const upstream = new Upstream(record, this.options.clock, revision);
       this.byId.set(record.id, upstream);
       const siblings = this.byService.get(record.service) ?? new Set<Upstream>();
       this.byService.set(record.service, siblings.add(upstream));
       this.options.onEvent?.('seen', record);
+      if (record.slots < 1) this.options.onEvent?.('without_slots', record);
       return;
     }
     if (record.isDraining && !known.record.isDraining) this.options.onEvent?.('draining', record);
@@ -109,7 +115,10 @@
       const siblings = this.byService.get(record.service) ?? new Set<Upstream>();
       this.byService.set(record.service, siblings.add(known));
     }
-    known.record = record;
+    if (record.slots < 1 && known.record.slots >= 1) {
+      this.options.onEvent?.('without_slots', record);
+    }
+    known.update(record, revision);
     known.missingSinceMs = undefined;
     if (hasRestarted) this.options.onEvent?.('restarted', record);
   }
