Let requests wait for an upstream in one ordered queue per service

Cause: a request without a free place polled every 40 ms and was refused after 200 ms (streams: 0.12 of their goal), so whichever polled at the right moment went first. A rejection of a full upstream excluded it and ended the request.

Change: packages/routing/src/admission orders the waiting requests (resumed streams, least slack that can be met, priority, value for work, with a share by workspace), measures the rate, refuses by arithmetic and reserves times of return. The relay offers each place that comes free to the first in order. A rejection as full marks the upstream and the request waits again. Key, route and quarantine are checked again before a request that waited starts. Plain services have a room check: slots plus a bounded number of waiting requests.

Two tests of upstreamNotices expected a refusal although the pause ended before the deadline; they now send requests with less time than the pause, and one more test shows the wait.

--- a/packages/relay/src/observe/requestMetrics.ts
+++ b/packages/relay/src/observe/requestMetrics.ts
@@ -4,6 +4,16 @@
 // latency goals of the platform, from 0.15 to 3 s.
 const BUCKET_BOUNDS_S = [0.05, 0.1, 0.15, 0.3, 0.5, 1, 1.5, 2, 3, 5, 10, 25];
 
+/** Waits in the queue of a service, from moments to the longest deadlines. */
+const WAIT_BOUNDS_S = [0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20];
+
+interface WaitSeries {
+  buckets: number[];
+  count: number;
+  sumSeconds: number;
+  refused: Map<string, number>;
+}
+
 interface Series {
   workspace: string;
   route: string;
@@ -23,6 +33,8 @@
   droppedLogLines: number;
   /** Errors that no part of the program expected. */
   faults: number;
+  /** Requests that wait for an upstream, by service. */
+  waiting: Readonly<Record<string, number>>;
 }
 
 /**
@@ -32,6 +44,9 @@
 export class RequestMetrics {
   private readonly series = new Map<string, Series>();
 
+  /** Waits and refusals by service. */
+  private readonly waits = new Map<string, WaitSeries>();
+
   /** Counts a request that has ended. */
   record(exchange: Exchange): void {
     const workspace = exchange.workspace?.name ?? '';
@@ -48,6 +63,23 @@
     });
   }
 
+  /** Counts a request that was started after a wait in the queue of its service. */
+  recordWait(service: string, waitMs: number): void {
+    const series = this.getWaitSeries(service);
+    const seconds = waitMs / 1000;
+    series.count += 1;
+    series.sumSeconds += seconds;
+    WAIT_BOUNDS_S.forEach((bound, index) => {
+      if (seconds <= bound) series.buckets[index]! += 1;
+    });
+  }
+
+  /** Counts a request that the queue of its service has refused. */
+  recordRefusal(service: string, reason: string): void {
+    const { refused } = this.getWaitSeries(service);
+    refused.set(reason, (refused.get(reason) ?? 0) + 1);
+  }
+
   /** Formats all metrics as text. */
   async format(readings: MetricReadings): Promise<string> {
     const { Gauge, Registry } = await import('prom-client');
@@ -70,6 +102,24 @@
       count.set({ workspace, route }, series.count);
       sum.set({ workspace, route }, series.sumSeconds);
     }
+    const waiting = create('waiting_requests', 'Requests that wait.', ['service']);
+    for (const [service, value] of Object.entries(readings.waiting)) {
+      waiting.set({ service }, value);
+    }
+    const waitName = 'queue_wait_seconds';
+    const waitBucket = create(`${waitName}_bucket`, 'Waits up to this time.', ['service', 'le']);
+    const waitCount = create(`${waitName}_count`, 'Requests that waited and ran.', ['service']);
+    const waitSum = create(`${waitName}_sum`, 'Sum of their waits.', ['service']);
+    const refused = create('queue_refused_total', 'Refused requests.', ['service', 'reason']);
+    for (const [service, series] of this.waits) {
+      WAIT_BOUNDS_S.forEach((bound, index) => {
+        waitBucket.set({ service, le: bound }, series.buckets[index]!);
+      });
+      waitBucket.set({ service, le: '+Inf' }, series.count);
+      waitCount.set({ service }, series.count);
+      waitSum.set({ service }, series.sumSeconds);
+      for (const [reason, value] of series.refused) refused.set({ service, reason }, value);
+    }
     create('open_requests', 'Requests that are not answered.', []).set(readings.openRequests);
     create('config_version', 'Version in force.', []).set(readings.configVersion);
     create('config_age_seconds', 'Age of the last confirmed read.', []).set(
@@ -84,6 +134,16 @@
     return registry.metrics();
   }
 
+  private getWaitSeries(service: string): WaitSeries {
+    let series = this.waits.get(service);
+    if (!series) {
+      const buckets = WAIT_BOUNDS_S.map(() => 0);
+      series = { buckets, count: 0, sumSeconds: 0, refused: new Map() };
+      this.waits.set(service, series);
+    }
+    return series;
+  }
+
   private getSeries(workspace: string, route: string): Series {
     const key = `${workspace} ${route}`;
     const known = this.series.get(key);
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -39,6 +39,8 @@
    * `since`.
    */
   onPeerView: (name: ViewName, state: string, since: ClockReading) => void;
+  /** Called when the loads of other instances have been applied to the upstreams. */
+  onLoads?: () => void;
   onEvent?: (event: 'peer_seen', name: string) => void;
 }
 
@@ -145,6 +147,7 @@
     while (!signal.aborted) {
       this.send();
       this.loads.refresh(STALE_AFTER_MS);
+      this.options.onLoads?.();
       this.options.engines.importPeerSums(this.sums.sumEngines());
       this.options.limits.refresh();
       await this.options.clock.sleep(SEND_INTERVAL_MS, signal);
@@ -379,6 +382,7 @@
     if (!message || message.name === this.options.self.name) return;
     if ('load' in message) {
       this.loads.record(message.name, message.load, STALE_AFTER_MS);
+      this.options.onLoads?.();
       return;
     }
     const isNew = this.table.find(message.name) === undefined;
@@ -386,6 +390,7 @@
     if (isNew) this.options.onEvent?.('peer_seen', message.name);
     if (message.zone === this.options.self.zone) {
       this.loads.record(message.name, message.loads, STALE_AFTER_MS);
+      this.options.onLoads?.();
     }
     this.options.crashes.importReports(message.crashes);
     this.options.limits.importReports(message.limits ?? []);
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -14,15 +14,15 @@
 import { findPeers } from './peers/peerFinder.js';
 import type { PeerRecord, RelayBounds, SocketAddress } from './relayOptions.js';
 import type { RelayStore } from './relayStore.js';
+import { createServiceQueues } from './requests/createServiceQueues.js';
 import type { Exchange } from './requests/exchange.js';
 import type { RelayContext } from './requests/relayContext.js';
 import type { Dialect } from './requests/relayRequest.js';
 import { RequestHandler } from './requests/requestHandler.js';
 import { RetryBudgets } from './requests/retryBudgets.js';
 import { StallMonitor } from './requests/stallMonitor.js';
-import type { TrackedOrder } from './rollouts/rolloutRouter.js';
 import { formatVersionKey, RolloutRouter } from './rollouts/rolloutRouter.js';
-import { RolloutController } from './rollouts/rolloutController.js';
+import { createRolloutController } from './rollouts/createRolloutController.js';
 import { StoreViews } from './storeViews.js';
 import { AnswerMemory } from './upstreams/answerMemory.js';
 import { EngineEstimators } from './upstreams/engineEstimators.js';
@@ -77,6 +77,8 @@
 
   private readonly engines = new EngineEstimators();
 
+  private readonly context: RelayContext;
+
   private readonly rollouts: RolloutRouter;
 
   private readonly crashes: CrashAttribution;
@@ -149,6 +151,7 @@
       limits: this.limits,
       listViews: () => this.views.shared.listStates(),
       onPeerView: (name, state, since) => this.views.shared.applyPeerState(name, state, since),
+      onLoads: () => this.context.queues.offerReportedPlaces(),
       onEvent: (event, name) => log.write(event, { peer: name }),
     });
     this.views = new StoreViews({
@@ -163,8 +166,9 @@
       onConfig: (config) => this.applyConfig(config),
       log,
     });
+    this.context = this.createContext();
     this.handler = new RequestHandler({
-      context: this.createContext(),
+      context: this.context,
       getConfigAgeMs: () => this.views.config.getAgeMs(),
       confirmConfig: () => this.views.config.confirm(),
       maxKeyAgeMs: this.maxKeyAgeMs,
@@ -227,7 +231,14 @@
       ),
     );
     lifecycle.startLastingTask('drive rollouts', (signal) =>
-      this.createRolloutController().run(signal),
+      createRolloutController({
+        clock: this.clock,
+        router: this.rollouts,
+        peers: this.peers,
+        directory: this.directory,
+        store: options.store,
+        log: options.log,
+      }).run(signal),
     );
     this.isListening = true;
     options.log.write('started', { zone: options.zone });
@@ -280,17 +291,27 @@
     await this.readinessServer.close();
     await this.views.close();
     await this.lifecycle.close();
+    this.context.queues.close();
     this.peers.close();
   }
 
   private createContext(): RelayContext {
-    return {
+    const basis = {
       clock: this.clock,
-      zone: this.options.zone,
-      dialect: this.options.dialect,
       directory: this.directory,
       notices: this.notices,
       reachability: new ZoneReachability(this.clock),
+      getConfig: () => this.config,
+    };
+    return {
+      ...basis,
+      queues: createServiceQueues({
+        ...basis,
+        countInstances: () => this.peers.countInstances(),
+      }),
+      zone: this.options.zone,
+      dialect: this.options.dialect,
+      metrics: this.metrics,
       engines: this.engines,
       rollouts: this.rollouts,
       crashes: this.crashes,
@@ -298,33 +319,11 @@
       answerMemory: new AnswerMemory(),
       crashDetector: new CrashDetector((upstream) => this.recordCrash(upstream)),
       onLoadGrowth: (upstream) => this.peers.notifyLoadGrowth(upstream),
-      getConfig: () => this.config,
+      areKeysConfirmed: () => this.views.config.getAgeMs() <= this.maxKeyAgeMs,
       getBudget: (service) => this.budgets.get(service),
     };
   }
 
-  private createRolloutController(): RolloutController {
-    return new RolloutController({
-      clock: this.clock,
-      router: this.rollouts,
-      listEvidence: () => this.peers.listEvidence(),
-      countOldVersionCalls: (service, targetVersion) =>
-        this.countOldVersionCalls(service, targetVersion),
-      getRank: () => this.peers.getRank(),
-      storeProgress: (tracked: TrackedOrder, progress) =>
-        this.options.store.putProgress(tracked.name, tracked.revision, progress),
-      onEvent: (event, fields) => this.options.log.write(event, fields),
-    });
-  }
-
-  private countOldVersionCalls(service: string, targetVersion: string): number {
-    const old = this.directory
-      .listAll()
-      .filter(({ record }) => record.service === service && record.version !== targetVersion);
-    const own = old.reduce((sum, upstream) => sum + upstream.calls.size, 0);
-    return own + this.peers.countPeerCalls(old.map(({ id }) => id));
-  }
-
   private applyConfig(config: RelayConfig): void {
     if (this.config && config.version <= this.config.config.version) return;
     this.config = new ConfigIndex(config);
@@ -340,6 +339,7 @@
     this.options.log.write(`upstream_${event}`, { upstream: id, service, version, zone });
     if (event === 'restarted') this.notices.forget(record);
     this.limits.refresh();
+    this.context.queues.handleListChange(service);
   }
 
   /** Describes an upstream whose limit the instances divide; undefined if it gets no requests. */
@@ -378,6 +378,7 @@
       peers: this.peers.listLiveInstances().length,
       droppedLogLines: this.options.log.dropped,
       faults: this.faults,
+      waiting: this.context.queues.countWaiting(),
     });
   }
 }
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -14,13 +14,13 @@
 import type { Exchange } from './exchange.js';
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
+import { formatKind } from './relayJob.js';
 import type { AnswerHead } from './relayRequest.js';
 import { estimateOutputTokens } from './sizePolicy.js';
 import {
   chooseUpstream,
   estimateJobNominalMs,
   estimateWorkMs,
-  getAcceptWaitMs,
   getModel,
 } from './upstreamChoice.js';
 
@@ -29,7 +29,6 @@
 const CONNECT_TIMEOUT_MS = 150;
 /** Subtracted from the upstream's deadline to leave time for the answer to travel back. */
 const ANSWER_MARGIN_MS = 5;
-const ROOM_CHECK_INTERVAL_MS = 40;
 /** An upstream that crashes on a request may have begun to write its first event. */
 const MIN_PROGRESS_EVENTS = 2;
 /** Added to waits that are compared, so that a difference of milliseconds is not a large ratio. */
@@ -163,9 +162,24 @@
     if (this.eventCount === MIN_PROGRESS_EVENTS) this.recordProgress();
     if (this.eventCount > 1) return;
     this.running.backlogMs = 0;
+    this.recordFirstAnswer();
     if (this.model !== undefined && this.job.engine) this.recordWait(this.model);
   }
 
+  /** Records a complete answer, to learn how long requests of its kind take. */
+  recordComplete(): void {
+    const { context, job, sizeIndex } = this;
+    const { runs } = context.queues.get(job.service);
+    runs.record(formatKind(job, sizeIndex), context.clock.monotonicMs() - this.startedMs);
+    if (this.eventCount === 0) this.recordFirstAnswer();
+  }
+
+  private recordFirstAnswer(): void {
+    const { context, job, sizeIndex } = this;
+    const { firstAnswers } = context.queues.get(job.service);
+    firstAnswers.record(formatKind(job, sizeIndex), context.clock.monotonicMs() - this.startedMs);
+  }
+
   /** Records that the request runs without crashing its upstream. */
   recordProgress(): void {
     this.suspectRun?.recordProgress();
@@ -207,9 +221,10 @@
     prefill.record({ model, nominalMs, backlogMs, waitMs });
   }
 
-  /** Removes the attempt from the upstream's load and closes its connection. */
+  /** Removes the attempt from the upstream's load, offers its place and closes its connection. */
   close(): void {
-    this.upstream.calls.delete(this.running);
+    const isFirst = this.upstream.calls.delete(this.running);
+    if (isFirst) this.context.queues.get(this.job.service).offerOwnPlace();
     this.suspectRun?.end();
     this.job.exchange.offCancel(this.cancelListener);
     this.job.exchange.attempt = undefined;
@@ -217,7 +232,7 @@
   }
 }
 
-function getPriority({ workspace, route }: Exchange): number {
+export function getPriority({ workspace, route }: Exchange): number {
   return workspace?.priority ?? route!.priority;
 }
 
@@ -252,29 +267,6 @@
   return new Attempt(context, job, selection, options, model);
 }
 
-/**
- * Opens an attempt; when no upstream accepts the request at first, checks again for a short time.
- *
- * @param maxWaitMs longest wait, in milliseconds
- * @returns undefined when no upstream accepts the request within that time or the request has ended.
- */
-export async function awaitAttempt(
-  context: RelayContext,
-  job: RelayJob,
-  options: AttemptOptions,
-  maxWaitMs: number,
-): Promise<Attempt | undefined> {
-  const { clock } = context;
-  const untilMs = clock.monotonicMs() + maxWaitMs;
-  for (;;) {
-    const attempt = openAttempt(context, job, options);
-    if (attempt || job.exchange.isOver) return attempt;
-    const acceptWaitMs = getAcceptWaitMs(context, job, options.excluded);
-    if (clock.monotonicMs() + acceptWaitMs >= untilMs) return undefined;
-    await clock.sleep(ROOM_CHECK_INTERVAL_MS);
-  }
-}
-
 /**
  * Decodes and checks the head of an attempt's answer, and records what the upstream says in it about
  * itself.
--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -6,9 +6,10 @@
 import { sendAnswer } from './answerDelivery.js';
 import type { Attempt } from './attempt.js';
 import { MISDIRECTED_STATUS } from './attempt.js';
+import { reserveReturn } from './awaitAttempt.js';
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
-import { getAcceptWaitMs, hasUpstreamWithRoom } from './upstreamChoice.js';
+import { hasUpstreamWithRoom } from './upstreamChoice.js';
 
 /** An upstream's error answer, kept to be sent if no other attempt succeeds. */
 export interface FailedAnswer extends BufferedAnswer {
@@ -35,11 +36,21 @@
  */
 const MAX_TRIES = 8;
 
+/** Too Many Requests and Service Unavailable, with the proof that the request was not run. */
+const FULL_STATUSES: readonly number[] = [429, 503];
+
+function isFullRejection(failure: AttemptFailure): boolean {
+  return failure.type === 'not_run' && FULL_STATUSES.includes(failure.status);
+}
+
 /** Records the attempts of one request and decides whether another one may follow. */
 export class AttemptTracker {
   /** Ids of the upstreams that were tried. */
   readonly excluded = new Set<string>();
 
+  /** Ids of the upstreams that were full when the request reached them. */
+  private readonly rejecting = new Set<string>();
+
   private readonly budget: RetryBudget;
 
   private runs = 0;
@@ -73,6 +84,7 @@
       });
       this.reason = `an upstream refused the request with status ${failure.status}`;
       if (failure.status === MISDIRECTED_STATUS) attempt.upstream.recordDown();
+      else if (isFullRejection(failure)) this.recordFull(attempt);
       else attempt.upstream.recordFailure();
       return true;
     },
@@ -177,7 +189,7 @@
 
   /** Records a failed attempt and returns whether another one may follow. */
   record(attempt: Attempt, failure: AttemptFailure): boolean {
-    this.excluded.add(attempt.upstream.id);
+    if (!isFullRejection(failure)) this.excluded.add(attempt.upstream.id);
     if ('reason' in failure) {
       this.reason = failure.reason;
       const { reason } = failure;
@@ -199,17 +211,12 @@
    *
    * @param unknown code to send when an upstream may have run the request
    * @param refused code to send when none did
-   * @param retryAfterMs shortest time after which a refused caller may return
    */
-  async sendFailure(
-    unknown: ResultCodeName,
-    refused: ResultCodeName,
-    retryAfterMs: number,
-  ): Promise<void> {
+  async sendFailure(unknown: ResultCodeName, refused: ResultCodeName): Promise<void> {
     const { exchange } = this.job;
     if (this.lastAnswer) await sendAnswer(this.context, exchange, this.lastAnswer);
     else if (exchange.mayHaveRun) exchange.sendFailure(unknown, this.reason);
-    else exchange.sendFailure(refused, this.reason, this.computeRetryAfterMs(retryAfterMs));
+    else exchange.sendFailure(refused, this.reason, this.reserveReturnMs());
   }
 
   /** Reason of the last failure. */
@@ -217,10 +224,22 @@
     return this.reason;
   }
 
-  /** Returns when an upstream will accept the request again, but no sooner than `minMs`. */
-  private computeRetryAfterMs(minMs: number): number {
-    const waitMs = getAcceptWaitMs(this.context, this.job, this.excluded);
-    return Number.isFinite(waitMs) ? Math.max(minMs, waitMs) : minMs;
+  private reserveReturnMs(): number | undefined {
+    const { context, job } = this;
+    return job.exchange.isOver ? undefined : reserveReturn(context, job, this.excluded);
+  }
+
+  /**
+   * Records a rejection of an upstream that is full. The request waits for a place again, also at
+   * this upstream; one that rejects it a second time is left out.
+   */
+  private recordFull({ upstream }: Attempt): void {
+    if (this.rejecting.has(upstream.id)) {
+      this.excluded.add(upstream.id);
+      upstream.recordFailure();
+    }
+    this.rejecting.add(upstream.id);
+    upstream.recordFull();
   }
 
   private get canRunAgain(): boolean {
--- a/packages/relay/src/requests/bufferedRelay.ts
+++ b/packages/relay/src/requests/bufferedRelay.ts
@@ -2,9 +2,10 @@
 import { sendAnswer } from './answerDelivery.js';
 import { AnswerProgress } from './answerProgress.js';
 import type { Attempt } from './attempt.js';
-import { awaitAttempt, readAnswerHead } from './attempt.js';
+import { readAnswerHead } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
 import { AttemptTracker } from './attemptTracker.js';
+import { awaitAttempt } from './awaitAttempt.js';
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
 
@@ -14,10 +15,6 @@
 // An idempotent request whose upstream is silent for this many latency goals moves to another one.
 const SILENCE_TIMEOUT_GOALS = 2;
 const MIN_SILENCE_TIMEOUT_MS = 400;
-/** A request that no upstream accepts by then is refused. */
-const ROOM_TIMEOUT_MS = 200;
-/** Value of Retry-After in refusals: a few service times of a fully loaded upstream. */
-const RETRY_AFTER_MS = 400;
 
 async function readAnswer(
   context: RelayContext,
@@ -93,9 +90,8 @@
   const { exchange } = job;
   const { excluded } = tracker;
   const options = { excluded, sizeIndex: undefined, lastEventId: job.request.lastEventId };
-  let canWaitForRoom = true;
   while (tracker.tryStartAttempt()) {
-    const attempt = await awaitAttempt(context, job, options, canWaitForRoom ? ROOM_TIMEOUT_MS : 0);
+    const attempt = await awaitAttempt(context, job, options, exchange.timeLeftMs);
     if (!attempt) break;
     const result = await runAttempt(context, attempt, tracker);
     if (exchange.isOver) return;
@@ -104,12 +100,11 @@
     }
     if (result.type === 'answer') {
       attempt.upstream.recordSuccess();
+      attempt.recordComplete();
       await sendAnswer(context, exchange, result);
       return;
     }
     if (!tracker.record(attempt, result)) break;
-    // A run was given up for another one, whose room may have been taken meanwhile.
-    canWaitForRoom = result.type === 'cancelled';
   }
-  await tracker.sendFailure('outcome_unknown', 'no_upstream', RETRY_AFTER_MS);
+  await tracker.sendFailure('outcome_unknown', 'no_upstream');
 }
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@cactusstair/utils';
 
 import type { ConfigIndex } from '../config/configIndex.js';
+import type { RequestMetrics } from '../observe/requestMetrics.js';
 import type { RolloutRouter } from '../rollouts/rolloutRouter.js';
 import type { AnswerMemory } from '../upstreams/answerMemory.js';
 import type { CrashDetector } from '../upstreams/crashDetector.js';
@@ -11,6 +12,7 @@
 import type { UpstreamNotices } from '../upstreams/upstreamNotices.js';
 import type { ZoneReachability } from '../upstreams/zoneReachability.js';
 import type { Dialect } from './relayRequest.js';
+import type { ServiceQueues } from './serviceQueues.js';
 import type { StallMonitor } from './stallMonitor.js';
 
 /** Dependencies that all requests of an instance share. */
@@ -23,6 +25,9 @@
   notices: UpstreamNotices;
   reachability: ZoneReachability;
   engines: EngineEstimators;
+  /** Queues of the requests that wait for an upstream. */
+  queues: ServiceQueues;
+  metrics: RequestMetrics;
   rollouts: RolloutRouter;
   crashes: CrashAttribution;
   stallMonitor: StallMonitor;
@@ -33,6 +38,8 @@
   onLoadGrowth: (upstream: Upstream) => void;
   /** Returns the configuration in force; undefined before the first was read. */
   getConfig: () => ConfigIndex | undefined;
+  /** Whether the API keys were read recently enough to accept them. */
+  areKeysConfirmed: () => boolean;
   /** Returns this instance's share of the retry budget of a service. */
   getBudget: (service: string) => RetryBudget;
 }
--- a/packages/relay/src/requests/relayJob.ts
+++ b/packages/relay/src/requests/relayJob.ts
@@ -13,3 +13,8 @@
   /** Whether the request runs once although others with its traits crashed upstreams. */
   isTrial: boolean;
 }
+
+/** Requests of one kind are taken to need about the same time. */
+export function formatKind({ exchange }: RelayJob, sizeIndex: number | undefined): string {
+  return `${exchange.route?.name ?? ''}/${sizeIndex ?? ''}`;
+}
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage } from 'node:http';
 
 import type { Attempt } from './attempt.js';
-import { awaitAttempt, readAnswerHead } from './attempt.js';
+import { readAnswerHead } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
 import { AttemptTracker } from './attemptTracker.js';
+import { awaitAttempt } from './awaitAttempt.js';
 import { EventOrder } from './eventOrder.js';
 import { EventSplitter } from './eventSplitter.js';
 import type { StreamEvent } from './eventSplitter.js';
@@ -21,9 +22,6 @@
   | { type: 'escalated'; sizeIndex: number }
   | AttemptFailure;
 
-// A request to a fully loaded service is refused after this share of its latency goal, about 1/8.
-const ROOM_TIMEOUT_GOALS = 0.12;
-const RETRY_AFTER_MS = 600;
 const OUT_OF_ORDER_REASON = 'the events do not follow those before';
 const FOREIGN_TEXT_REASON = 'the stream holds text that belongs to no event';
 
@@ -71,6 +69,7 @@
       if (result.type === 'complete') {
         attempt.recordProgress();
         attempt.upstream.recordSuccess();
+        attempt.recordComplete();
         exchange.endStream();
         return;
       }
@@ -80,16 +79,16 @@
       } else if (!tracker.record(attempt, result) || !this.order.canResume) break;
     }
     if (this.hasStarted) exchange.breakStream(tracker.lastReason);
-    else await tracker.sendFailure('answer_incomplete', 'overloaded', RETRY_AFTER_MS);
+    else await tracker.sendFailure('answer_incomplete', 'overloaded');
   }
 
-  /** Opens an attempt; waits longer for one that goes on with a stream. */
+  /** Opens an attempt; one that goes on with a stream waits no longer than its events may pause. */
   private awaitAttempt(): Promise<Attempt | undefined> {
     const { context, job, sizeIndex } = this;
     const lastEventId = this.order.lastEventId ?? job.request.lastEventId;
     const { excluded } = this.tracker;
-    const { latencyGoalMs, maxEventGapMs } = job.exchange.route!;
-    const maxWaitMs = this.hasStarted ? maxEventGapMs : ROOM_TIMEOUT_GOALS * latencyGoalMs;
+    const { maxEventGapMs } = job.exchange.route!;
+    const maxWaitMs = this.hasStarted ? maxEventGapMs : job.exchange.timeLeftMs;
     return awaitAttempt(context, job, { excluded, sizeIndex, lastEventId }, maxWaitMs);
   }
 
--- a/packages/relay/src/requests/upstreamChoice.ts
+++ b/packages/relay/src/requests/upstreamChoice.ts
@@ -1,10 +1,11 @@
 import { estimateNominalMs } from '@cactusstair/routing';
 
 import type { Upstream } from '../upstreams/upstream.js';
-import { selectUpstream } from '../upstreams/upstreamSelector.js';
+import { countUpstreamPlaces, hasRoom, selectUpstream } from '../upstreams/upstreamSelector.js';
 import type { Selection, SelectionRequest } from '../upstreams/upstreamSelector.js';
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
+import type { ServicePlaces } from './serviceQueues.js';
 import { estimateOutputTokens, estimateTimeFactor } from './sizePolicy.js';
 
 /** Returns the model to ask for: the one at `sizeIndex` of the route's sizes, or the caller's. */
@@ -42,6 +43,21 @@
     .filter(({ record }) => context.notices.getWaitMs(record) <= 0);
 }
 
+/**
+ * Returns the upstreams that can be reached as far as is known, or all if none can. One that is down
+ * has free places because it has lost its requests; requests that wait for a place would all be sent
+ * to it.
+ */
+function listReachable(
+  context: Pick<RelayContext, 'reachability'>,
+  upstreams: Upstream[],
+): Upstream[] {
+  const reachable = upstreams.filter(
+    ({ isDown, record }) => !isDown && !context.reachability.isUnreachable(record.zone),
+  );
+  return reachable.length > 0 ? reachable : upstreams;
+}
+
 /** Work of a request at an engine, in milliseconds of the time of an assumed engine. */
 export function estimateWorkMs(job: RelayJob, sizeIndex: number | undefined): number {
   return estimateJobNominalMs(job, sizeIndex, job.request.promptTokens);
@@ -81,8 +97,11 @@
   sizeIndex: number | undefined,
   excluded: ReadonlySet<string>,
 ): Selection | undefined {
-  const accepting = listCandidates(context, job, excluded).filter(
-    ({ record }) => context.notices.getWaitMs(record) <= 0,
+  const accepting = listReachable(
+    context,
+    listCandidates(context, job, excluded).filter(
+      ({ record }) => context.notices.getWaitMs(record) <= 0,
+    ),
   );
   const request = createSelectionRequest(context, job, sizeIndex);
   const { work } = context.engines.get(job.service);
@@ -127,3 +146,26 @@
   );
   return Math.min(Infinity, ...waits);
 }
+
+/** Counts the places of a service's upstreams, as far as their loads are known. */
+export function countServicePlaces(
+  context: Pick<RelayContext, 'directory' | 'getConfig' | 'notices' | 'reachability'>,
+  service: string,
+): ServicePlaces {
+  const engine = context.getConfig()?.findService(service)?.engine;
+  const request = { ...(engine ? { engine } : {}), heldTokens: 0 };
+  const places: ServicePlaces = { total: 0, free: 0, nextAcceptMs: Infinity };
+  const accepting: Upstream[] = [];
+  for (const upstream of context.directory.listUsable(service)) {
+    const waitMs = Math.max(context.notices.getWaitMs(upstream.record), upstream.fullLeftMs);
+    if (waitMs <= 0) accepting.push(upstream);
+    else places.nextAcceptMs = Math.min(places.nextAcceptMs, waitMs);
+  }
+  for (const upstream of listReachable(context, accepting)) {
+    places.total += upstream.record.slots;
+    if (!hasRoom(upstream, request)) continue;
+    const held = countUpstreamPlaces(upstream, engine !== undefined);
+    places.free += Math.max(1, held - upstream.running);
+  }
+  return places;
+}
--- a/packages/relay/src/upstreams/upstream.ts
+++ b/packages/relay/src/upstreams/upstream.ts
@@ -34,6 +34,10 @@
 /** Bounds on the factor by which one observed wait differs from the expected one. */
 const MIN_WAIT_RATIO = 0.25;
 const MAX_WAIT_RATIO = 10;
+// A rejection as full holds back further requests for the minimum; each further one without an
+// answer in between doubles the time.
+const MIN_FULL_MS = 20;
+const MAX_FULL_MS = 1000;
 // Prompt parts remembered per engine; an engine's memory holds a few hundred of the longest.
 const MAX_CACHED_PARTS = 2000;
 
@@ -54,6 +58,10 @@
 
   private downMs = MIN_DOWN_MS;
 
+  private fullUntilMs = 0;
+
+  private fullMs = MIN_FULL_MS;
+
   private rate = 0;
 
   private rateAtMs: number;
@@ -99,6 +107,11 @@
     return this.clock.monotonicMs() < this.downUntilMs;
   }
 
+  /** Time for which it is taken to be full, whatever its known load, because it said so. */
+  get fullLeftMs(): number {
+    return Math.max(0, this.fullUntilMs - this.clock.monotonicMs());
+  }
+
   /** Share of recent calls for whose failure the upstream is responsible, in [0, 1]. */
   get failureRate(): number {
     const ageMs = this.clock.monotonicMs() - this.rateAtMs;
@@ -126,6 +139,7 @@
     this.recordOutcome(0);
     this.downMs = MIN_DOWN_MS;
     this.downUntilMs = 0;
+    this.fullMs = MIN_FULL_MS;
   }
 
   /** Records an error answer or a missing answer. */
@@ -133,6 +147,14 @@
     this.recordOutcome(1);
   }
 
+  /** Records that the upstream has rejected a request because it is full. */
+  recordFull(): void {
+    // Rejections at the same time count as one.
+    if (this.fullLeftMs > 0) return;
+    this.fullUntilMs = this.clock.monotonicMs() + this.fullMs;
+    this.fullMs = Math.min(this.fullMs * 2, MAX_FULL_MS);
+  }
+
   /** Marks the upstream as down after a failed connection. */
   recordDown(): void {
     const nowMs = this.clock.monotonicMs();
@@ -164,6 +186,8 @@
     this.waitSamples = 0;
     this.waitRatioLog = 0;
     this.downUntilMs = 0;
+    this.fullUntilMs = 0;
+    this.fullMs = MIN_FULL_MS;
   }
 
   private recordOutcome(failed: 0 | 1): void {
--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -60,6 +60,13 @@
 /** Share of an engine's memory to fill; the rest is kept free for growing requests. */
 const USABLE_MEMORY_SHARE = 0.92;
 
+/**
+ * Requests that may wait at a plain upstream, in multiples of its slots. Loads of peers are up to a
+ * second old and runs of plain services are short, so a lower number leaves slots unused.
+ */
+const PLAIN_QUEUE_RUNS = 2;
+const MIN_PLAIN_QUEUE = 8;
+
 /** Sums the tokens of the leading prompt parts that were already sent to an upstream. */
 function countCachedTokens(upstream: Upstream, model: string, parts: readonly PromptPart[]) {
   let tokens = 0;
@@ -84,11 +91,21 @@
   return preferred;
 }
 
-/** Whether an engine has a free slot and memory for the request. */
-export function hasRoom(upstream: Upstream, request: SelectionRequest): boolean {
+/** Returns the number of requests that an upstream may hold. */
+export function countUpstreamPlaces({ record }: Upstream, isEngine: boolean): number {
+  if (isEngine) return record.slots;
+  return record.slots + Math.max(MIN_PLAIN_QUEUE, PLAIN_QUEUE_RUNS * record.slots);
+}
+
+/** Whether an upstream has a free place and, if it is an engine, memory for the request. */
+export function hasRoom(
+  upstream: Upstream,
+  request: Pick<SelectionRequest, 'engine' | 'heldTokens'>,
+): boolean {
   const { engine } = request;
+  if (upstream.fullLeftMs > 0) return false;
+  if (upstream.running >= countUpstreamPlaces(upstream, engine !== undefined)) return false;
   if (!engine) return true;
-  if (upstream.running >= upstream.record.slots) return false;
   const memory = engine.memoryTokens * USABLE_MEMORY_SHARE;
   return memory <= 0 || upstream.heldTokens + request.heldTokens <= memory;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,6 +7,23 @@
   RequestClass,
 } from './admissionQueue.js';
 export { AdmissionQueue } from './admissionQueue.js';
+export { PlaceCredit } from './admission/placeCredit.js';
+export type { QueueOrder } from './admission/queueOrder.js';
+export { computeQueueOrder } from './admission/queueOrder.js';
+export type { ReturningRequest, ReturnScheduleOptions } from './admission/returnSchedule.js';
+export { ReturnSchedule } from './admission/returnSchedule.js';
+export type { RunTime } from './admission/runTimes.js';
+export { RunTimes } from './admission/runTimes.js';
+export type {
+  QueuePosition,
+  Refusal,
+  RefusalReason,
+  ServiceQueueOptions,
+} from './admission/serviceQueue.js';
+export { ServiceQueue } from './admission/serviceQueue.js';
+export type { WaitingRequest } from './admission/waitingRequest.js';
+export { DEFAULT_PRIORITY, MAX_PRIORITY, toPriority } from './admission/waitingRequest.js';
+export { WorkspaceUsage } from './admission/workspaceUsage.js';
 export type { ConcurrencyLimitOptions, LatencySample } from './concurrencyLimit.js';
 export { ConcurrencyLimit } from './concurrencyLimit.js';
 export type {
--- a/tests/relay/upstreamNotices.test.ts
+++ b/tests/relay/upstreamNotices.test.ts
@@ -95,6 +95,8 @@
 
   describe('an upstream that asks for a pause when it turns a request away', () => {
     const PAUSE_S = 1.5;
+    /** A request with so little time cannot wait for the end of the pause. */
+    const SHORT = { headers: { 'x-deadline-ms': '1000' } };
 
     function addFull(id: string) {
       return fixture.addUpstream(id, (socket, request) =>
@@ -124,21 +126,36 @@
       await open();
       const full = await addFull('full');
       await fixture.waitReady();
-      assert.equal((await sendRequest(fixture.callerPort)).status, 503);
-      const answer = await sendRequest(fixture.callerPort);
+      assert.equal((await sendRequest(fixture.callerPort, SHORT)).status, 503);
+      const startedMs = performance.now();
+      const answer = await sendRequest(fixture.callerPort, SHORT);
       assert.equal(answer.status, 503);
+      assert.ok(performance.now() - startedMs < 500, 'refused at once');
       assert.ok(Number(answer.headers['retry-after']) > PAUSE_S / 2);
       assert.equal(full.received.length, 1);
     });
 
+    it('gets the requests that have waited for the end of the pause, and no others', async () => {
+      await open();
+      const upstream = await addFull('full');
+      await fixture.waitReady();
+      await sendRequest(fixture.callerPort, SHORT);
+      const pausedMs = performance.now();
+      upstream.script = (socket, request) => socket.end(formatAnswer(request, 200, 'ok'));
+      const answer = await sendRequest(fixture.callerPort);
+      assert.equal(answer.status, 200);
+      assert.ok(performance.now() - pausedMs > PAUSE_S * 1000 * 0.9);
+      assert.equal(upstream.received.length, 2);
+    });
+
     it('gets requests again after the pause', async () => {
       await open();
       const upstream = await addFull('full');
       await fixture.waitReady();
-      await sendRequest(fixture.callerPort);
+      await sendRequest(fixture.callerPort, SHORT);
       const pausedMs = performance.now();
       upstream.script = (socket, request) => socket.end(formatAnswer(request, 200, 'ok'));
-      while ((await sendRequest(fixture.callerPort)).status !== 200);
+      while ((await sendRequest(fixture.callerPort, SHORT)).status !== 200);
       assert.ok(performance.now() - pausedMs > PAUSE_S * 1000 * 0.9);
       assert.equal(upstream.received.length, 2);
     });
