--- a/packages/relay/src/requests/awaitAttempt.ts
+++ b/packages/relay/src/requests/awaitAttempt.ts
@@ -77,7 +77,8 @@
         resolve(attempt);
       };
       job.exchange.onCancel(cancelListener);
-      state.add(this, request);
+      const isNew = !job.exchange.steps.some(({ step }) => step === 'sent');
+      state.add(this, request, isNew);
       const position = state.queue.findPosition(this);
       if (position) job.exchange.addStep('queued', describePosition(position));
     });
--- a/packages/relay/src/requests/serviceQueues.ts
+++ b/packages/relay/src/requests/serviceQueues.ts
@@ -69,12 +69,17 @@
     });
   }
 
-  /** Adds a request and offers it a place, if it is its turn. */
-  add(waiter: Waiter, request: WaitingRequest): void {
+  /**
+   * Adds a request and offers it a place, if it is its turn.
+   *
+   * @param isNew false for one that returns to the queue, which is refused no sooner than others
+   * that wait
+   */
+  add(waiter: Waiter, request: WaitingRequest, isNew: boolean): void {
     this.queue.add(waiter, request);
     this.ownPlaces += 1;
     this.offer();
-    this.refuse(waiter);
+    this.refuse(isNew ? waiter : undefined);
     this.scheduleTimer();
   }
 
--- a/packages/routing/src/admission/queueOrder.ts
+++ b/packages/routing/src/admission/queueOrder.ts
@@ -15,10 +15,10 @@
 }
 
 /**
- * A workspace is held back once it has more than this many times the work of the average one that
- * waits. The requests of a few seconds differ more by chance than by a factor below 2.
+ * A workspace is held back once it has more than this many times the work of the average other one
+ * that waits. With few requests each, workspaces differ by a smaller factor by chance alone.
  */
-const SHARE_TOLERANCE = 2;
+const SHARE_TOLERANCE = 3;
 /** Slack up to this time counts as the least; each further level is twice as long. */
 const LEAST_SLACK_MS = 50;
 
@@ -55,10 +55,17 @@
   }
   const over = new Set<T>();
   if (byWorkspace.size < 2) return over;
-  let totalMs = waiting.reduce((sum, { workMs }) => sum + workMs, 0);
-  for (const workspace of byWorkspace.keys()) totalMs += usage.getMs(workspace, nowMs);
-  const shareMs = (totalMs / byWorkspace.size) * SHARE_TOLERANCE;
+  let totalMs = 0;
+  const ownMs = new Map<string, number>();
   for (const [workspace, requests] of byWorkspace) {
+    const waitingMs = requests.reduce((sum, { workMs }) => sum + workMs, 0);
+    const sumMs = usage.getMs(workspace, nowMs) + waitingMs;
+    ownMs.set(workspace, sumMs);
+    totalMs += sumMs;
+  }
+  for (const [workspace, requests] of byWorkspace) {
+    const othersMs = totalMs - ownMs.get(workspace)!;
+    const shareMs = (othersMs / (byWorkspace.size - 1)) * SHARE_TOLERANCE;
     let aheadMs = usage.getMs(workspace, nowMs);
     requests.sort((a, b) => a.goalStartMs - b.goalStartMs || compareWorth(a, b));
     for (const request of requests) {
@@ -79,19 +86,27 @@
   nowMs: number,
   aheadMs: number,
 ): Set<T> {
-  const chosen = new Set<T>();
+  const byWorth: T[] = [];
   let workMs = aheadMs;
   for (const request of [...requests].sort((a, b) => a.goalStartMs - b.goalStartMs)) {
-    chosen.add(request);
+    insertByWorth(byWorth, request);
     const startMs = rate === undefined ? nowMs : nowMs + workMs / rate;
     workMs += request.workMs;
-    if (startMs <= request.goalStartMs) continue;
-    let least = request;
-    for (const other of chosen) if (compareWorth(other, least) > 0) least = other;
-    chosen.delete(least);
-    workMs -= least.workMs;
+    if (startMs > request.goalStartMs) workMs -= byWorth.pop()!.workMs;
+  }
+  return new Set(byWorth);
+}
+
+/** Inserts a request into a list that is ordered by worth, the least last. */
+function insertByWorth<T extends WaitingRequest>(byWorth: T[], request: T): void {
+  let low = 0;
+  let high = byWorth.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (compareWorth(byWorth[middle]!, request) <= 0) low = middle + 1;
+    else high = middle;
   }
-  return chosen;
+  byWorth.splice(low, 0, request);
 }
 
 /**
--- a/packages/routing/src/admission/serviceQueue.ts
+++ b/packages/routing/src/admission/serviceQueue.ts
@@ -60,6 +60,8 @@
  */
 const EARLY_REFUSAL_FACTOR = 1.5;
 const MIN_RATE = 1e-3;
+/** The order changes with time as well, but not within so little. */
+const MAX_ORDER_AGE_MS = 1;
 /** Time after which refused callers return when no rate is known. */
 const UNKNOWN_RETURN_MS = 500;
 
@@ -84,6 +86,11 @@
   /** Work that is due to the other requests while requests in time are served. */
   private othersCreditMs = 0;
 
+  /** The last order; undefined since a request has come or gone. */
+  private lastOrder: QueueOrder<Entry<T>> | undefined;
+
+  private orderedAtMs = 0;
+
   /** Whether any of them was among the requests that were ordered last. */
   private areOthersWaiting = false;
 
@@ -107,12 +114,14 @@
   /** Adds a request. Call `takeRefusals` afterwards: it or another one may have to be refused. */
   add(item: T, request: WaitingRequest): void {
     this.advance();
+    this.lastOrder = undefined;
     this.entries.set(item, { ...normalizeWaiting(request, this.nowMs), item });
   }
 
   /** Removes a request whose caller has left; false if it does not wait. */
   remove(item: T): boolean {
     this.advance();
+    this.lastOrder = undefined;
     return this.entries.delete(item);
   }
 
@@ -150,6 +159,7 @@
       if (reason !== undefined) refusals.push({ ...position, reason });
     }
     for (const { item } of refusals) this.entries.delete(item);
+    if (refusals.length > 0) this.lastOrder = undefined;
     return refusals;
   }
 
@@ -180,9 +190,13 @@
   }
 
   private computeOrder(): QueueOrder<Entry<T>> {
+    const { nowMs } = this;
+    if (this.lastOrder && nowMs - this.orderedAtMs < MAX_ORDER_AGE_MS) return this.lastOrder;
     const waiting = [...this.entries.values()];
-    const order = computeQueueOrder(waiting, this.usage, this.findRate(), this.nowMs);
+    const order = computeQueueOrder(waiting, this.usage, this.findRate(), nowMs);
     this.areOthersWaiting = order.others.length > 0;
+    this.lastOrder = order;
+    this.orderedAtMs = nowMs;
     return order;
   }
 
@@ -210,6 +224,7 @@
 
   private recordServed(entry: Entry<T>, isOther: boolean): void {
     this.advance();
+    this.lastOrder = undefined;
     this.entries.delete(entry.item);
     this.usage.record(entry.workspace, entry.workMs, this.nowMs);
     this.rate.add(entry.workMs);
@@ -227,28 +242,46 @@
   private listPositions(): (QueuePosition & { item: T })[] {
     const { inTime, others } = this.computeOrder();
     const rate = this.findRate();
-    const othersRate =
-      rate === undefined ? undefined : this.othersRate.getRate(rate * EXPECTED_OTHERS_SHARE);
-    return [
-      ...this.listWaits(inTime, 0, rate, rate),
-      ...this.listWaits(others, inTime.length, rate, inTime.length > 0 ? othersRate : rate),
-    ];
+    let aheadMs = 0;
+    const positions = inTime.map((entry, index) => {
+      const waitMs = rate === undefined ? 0 : aheadMs / rate;
+      aheadMs += entry.workMs;
+      return this.describe(entry, index, rate, waitMs);
+    });
+    const inTimeMs = aheadMs;
+    aheadMs = 0;
+    for (const entry of others) {
+      const waitMs = rate === undefined ? 0 : this.estimateOtherMs(entry, inTimeMs, aheadMs, rate);
+      aheadMs += entry.workMs;
+      positions.push(this.describe(entry, positions.length, rate, waitMs));
+    }
+    return positions;
   }
 
-  private listWaits(
-    entries: readonly Entry<T>[],
-    firstPosition: number,
+  /**
+   * Estimates the wait of a request that is not among those in time: until these are served or its
+   * share is due, and no less than the rate says at which the others were served lately.
+   */
+  private estimateOtherMs(
+    { workMs }: WaitingRequest,
+    inTimeMs: number,
+    aheadMs: number,
+    rate: number,
+  ): number {
+    if (inTimeMs === 0) return aheadMs / rate;
+    const dueMs = (aheadMs + workMs) / (rate * MIN_OTHERS_SHARE);
+    const othersRate = this.othersRate.getRate(rate * EXPECTED_OTHERS_SHARE);
+    const measuredMs = aheadMs / Math.max(MIN_RATE, Math.min(othersRate, rate));
+    return Math.max(Math.min((inTimeMs + aheadMs) / rate, dueMs), measuredMs);
+  }
+
+  private describe(
+    { item, latestStartMs }: Entry<T>,
+    position: number,
     rate: number | undefined,
-    servedRate: number | undefined,
-  ): (QueuePosition & { item: T })[] {
-    let aheadMs = 0;
-    return entries.map(({ item, workMs, latestStartMs }, index) => {
-      const waitMs =
-        servedRate === undefined ? 0 : aheadMs / Math.max(MIN_RATE, Math.min(servedRate, rate!));
-      aheadMs += workMs;
-      const position = firstPosition + index;
-      return { item, position, rate, waitMs, timeLeftMs: latestStartMs - this.nowMs };
-    });
+    waitMs: number,
+  ): QueuePosition & { item: T } {
+    return { item, position, rate, waitMs, timeLeftMs: latestStartMs - this.nowMs };
   }
 
   private findRefusalReason(
