--- a/packages/relay/src/upstreams/upstreamAccess.ts
+++ b/packages/relay/src/upstreams/upstreamAccess.ts
@@ -28,6 +28,8 @@
   /** Whether the list of upstreams has been read. One that is listed later has just appeared. */
   isListRead: () => boolean;
   findService: (name: string) => Service | undefined;
+  /** Called when other upstreams of a service may get requests than before. */
+  onListChange: (service: string) => void;
 }
 
 const REFRESH_INTERVAL_MS = 250;
@@ -102,6 +104,7 @@
     if (event === 'restarted') this.notices.forget(record);
     this.updateCold(event, id);
     this.limits.refresh();
+    this.options.onListChange(service);
   }
 
   private updateCold(event: UpstreamEvent, id: string): void {
@@ -116,8 +119,11 @@
   private recordEvacuation(state: 'started' | 'ended', zone: string): void {
     const upstreams = this.directory.listAll().filter(({ record }) => record.zone === zone);
     this.options.log.write('evacuation', { zone, state, upstreams: upstreams.length });
-    if (state === 'started') return;
-    for (const upstream of upstreams) this.cold.start(upstream, 'evacuation_ended');
+    if (state === 'ended') {
+      for (const upstream of upstreams) this.cold.start(upstream, 'evacuation_ended');
+    }
+    const services = new Set(upstreams.map(({ record }) => record.service));
+    for (const service of services) this.options.onListChange(service);
   }
 
   /** Describes an upstream whose limit the instances divide; undefined if it gets no requests. */
