Judge the silence of streams by what is learned of their engines

Change: the time between events by model and share of slots in use, waits relative to the expected ones, and lengths relative to the callers' hints are learned as ageing sums that instances share within engines. A silent stream is given up later than the high quantile of the pause expected and than the allowed pause, before its caller leaves, and only if a replacement completes in time and is reserved. An unreachable zone and a refused connection since the last byte are evidence of their own. EngineProfile has eventTokens.

--- a/packages/relay/src/config/relayConfig.ts
+++ b/packages/relay/src/config/relayConfig.ts
@@ -43,6 +43,8 @@
   memoryTokens: number;
   /** Price per 1,000 generated tokens, by model name; a prompt token costs a quarter of that. */
   priceByModel: Readonly<Record<string, number>>;
+  /** Generated tokens in one event of a stream; absent when the configuration does not say. */
+  eventTokens?: number;
 }
 
 /** A service of the configuration. */
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -75,7 +75,7 @@
 
   private readonly notices: UpstreamNotices;
 
-  private readonly engines = new EngineEstimators();
+  private readonly engines: EngineEstimators;
 
   private readonly rollouts: RolloutRouter;
 
@@ -105,6 +105,7 @@
   constructor(private readonly options: RelayNodeOptions) {
     const { bounds, log, store } = options;
     this.clock = options.clock ?? systemClock;
+    this.engines = new EngineEstimators(this.clock);
     this.self = {
       ...options.peers,
       name: options.name,
@@ -296,7 +297,7 @@
       crashes: this.crashes,
       stallMonitor: new StallMonitor(this.clock),
       answerMemory: new AnswerMemory(),
-      crashDetector: new CrashDetector((upstream) => this.recordCrash(upstream)),
+      crashDetector: new CrashDetector(this.clock, (upstream) => this.recordCrash(upstream)),
       onLoadGrowth: (upstream) => this.peers.notifyLoadGrowth(upstream),
       getConfig: () => this.config,
       getBudget: (service) => this.budgets.get(service),
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { computeUrgency } from '@cactusstair/routing';
-import type { SuspectRun } from '@cactusstair/routing';
+import type { RunTimeEstimator, SuspectRun } from '@cactusstair/routing';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
@@ -15,6 +15,7 @@
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
 import type { AnswerHead } from './relayRequest.js';
+import { MIN_EXPECTED_WAIT_MS } from './runEstimate.js';
 import { estimateOutputTokens } from './sizePolicy.js';
 import {
   chooseUpstream,
@@ -32,8 +33,6 @@
 const ROOM_CHECK_INTERVAL_MS = 40;
 /** An upstream that crashes on a request may have begun to write its first event. */
 const MIN_PROGRESS_EVENTS = 2;
-/** Added to waits that are compared, so that a difference of milliseconds is not a large ratio. */
-const MIN_EXPECTED_WAIT_MS = 50;
 
 /** Misdirected Request: another upstream than the expected one listens at the address. */
 export const MISDIRECTED_STATUS = 421;
@@ -163,9 +162,21 @@
     if (this.eventCount === MIN_PROGRESS_EVENTS) this.recordProgress();
     if (this.eventCount > 1) return;
     this.running.backlogMs = 0;
+    this.recordWaitRatio();
     if (this.model !== undefined && this.job.engine) this.recordWait(this.model);
   }
 
+  /** Records a pause between two events. */
+  recordGap(gapMs: number): void {
+    this.runTimes.recordGap(this.model ?? '', this.fullness, gapMs);
+  }
+
+  /** Records that the run was given up before its first event, which takes longer than that. */
+  recordUnansweredWait(): void {
+    const { median } = this.runTimes.getWaitRatio();
+    if (this.eventCount === 0 && this.computeWaitRatio() > median) this.recordWaitRatio();
+  }
+
   /** Records that the request runs without crashing its upstream. */
   recordProgress(): void {
     this.suspectRun?.recordProgress();
@@ -181,11 +192,35 @@
     // An upstream that has just started is slow, whichever version it has.
     if (upstream.record.warmupLeftMs > 0) return;
     context.rollouts.recordPace(job.service, upstream.record.version, paceMs);
+    this.runTimes.recordPace(this.model ?? '', this.fullness, paceMs);
     if (isLong && this.model !== undefined) {
       context.rollouts.recordLoadedPace(this.record, this.model, upstream.running, paceMs);
     }
   }
 
+  private get runTimes(): RunTimeEstimator {
+    return this.context.engines.get(this.job.service).runTimes;
+  }
+
+  /** Share of the upstream's slots in use. */
+  get fullness(): number {
+    return this.upstream.running / this.record.slots;
+  }
+
+  /** Expected wait for the first event when the request was sent. */
+  get expectedWaitMs(): number {
+    return this.selection.firstEventMs + MIN_EXPECTED_WAIT_MS;
+  }
+
+  private computeWaitRatio(): number {
+    const waitMs = this.context.clock.monotonicMs() - this.startedMs;
+    return (waitMs + MIN_EXPECTED_WAIT_MS) / this.expectedWaitMs;
+  }
+
+  private recordWaitRatio(): void {
+    this.runTimes.recordWait(this.computeWaitRatio());
+  }
+
   private recordSent(): void {
     const { context, job, upstream } = this;
     context.reachability.recordReached(upstream.record.zone);
--- a/packages/relay/src/requests/streamProgress.ts
+++ b/packages/relay/src/requests/streamProgress.ts
@@ -1,29 +1,29 @@
-import type { Attempt } from './attempt.js';
+import { computeSilenceLimits } from '@cactusstair/routing';
+import type { SilentStream } from '@cactusstair/routing';
+
+import type { Upstream } from '../upstreams/upstream.js';
 import type { MonitoredCall } from './stallMonitor.js';
 
-// An upstream that has sent nothing on any connection for this long is considered dead.
-const SILENT_UPSTREAM_TIMEOUT_MS = 700;
-/** The same when its zone is known to be unreachable. */
-const UNREACHABLE_ZONE_TIMEOUT_MS = 250;
-/** Prompt processing at an upstream may take this many times its estimate. */
-const PREFILL_TIMEOUT_FACTOR = 2;
-const MAX_PREFILL_TIMEOUT_MS = 3000;
-// In latency goals; after this wait for a first event, another upstream is faster in most cases.
-const FIRST_EVENT_TIMEOUT_GOALS = 1.6;
-/** In maximum event gaps; a longer pause moves a stream even if its upstream serves others. */
-const EVENT_TIMEOUT_GAPS = 1.6;
+/** Shorter silences are not examined. */
+const MIN_SILENCE_MS = 250;
+
+/** The attempt that is tracked. */
+export interface TrackedAttempt {
+  readonly upstream: Pick<Upstream, 'lastProgressMs'>;
+  cancel(reason: string): void;
+}
 
 /** Options of `StreamProgress`. */
 export interface StreamProgressOptions {
-  /** Time within which the first event is due, in milliseconds. */
-  latencyGoalMs: number;
-  /** Longest pause between two events of a healthy stream, in milliseconds. */
-  maxEventGapMs: number;
+  /** Returns what is known of the stream and its upstream, once it is silent. */
+  describeStream: () => Omit<SilentStream, 'hasEvents'>;
   /**
    * Reserves everything that another attempt needs. Returns false if the stream has to stay where
    * it is, because cancelling it would only lose it.
    */
   tryReserveMove: () => boolean;
+  /** Called with each pause between two events in which the caller did not hold up the stream. */
+  onGap: (gapMs: number) => void;
   getNowMs: () => number;
 }
 
@@ -39,15 +39,17 @@
   private isWaitingForCaller = false;
 
   constructor(
-    private readonly attempt: Attempt,
+    private readonly attempt: TrackedAttempt,
     private readonly options: StreamProgressOptions,
   ) {
     this.progressAtMs = options.getNowMs();
   }
 
   recordEvent(): void {
+    const nowMs = this.options.getNowMs();
+    if (this.hasEvents) this.options.onGap(nowMs - this.progressAtMs);
     this.hasEvents = true;
-    this.progressAtMs = this.options.getNowMs();
+    this.progressAtMs = nowMs;
   }
 
   /** Stops the clock while the caller does not read, as nothing is read from the upstream then. */
@@ -63,23 +65,14 @@
   describeStall(nowMs: number): string | undefined {
     if (this.isWaitingForCaller) return undefined;
     const silentMs = nowMs - this.progressAtMs;
-    const { context, upstream } = this.attempt;
-    const upstreamSilentMs = Math.min(silentMs, nowMs - upstream.lastProgressMs);
-    // An engine sends nothing while it processes prompts, whichever instance sent them.
-    const prefillTimeoutMs = Math.min(
-      MAX_PREFILL_TIMEOUT_MS,
-      PREFILL_TIMEOUT_FACTOR * upstream.backlogMs,
-    );
-    const timeoutMs = context.reachability.isUnreachable(upstream.record.zone)
-      ? UNREACHABLE_ZONE_TIMEOUT_MS
-      : SILENT_UPSTREAM_TIMEOUT_MS + prefillTimeoutMs;
-    if (upstreamSilentMs > timeoutMs) {
-      return `the upstream sent nothing for ${Math.round(timeoutMs)} ms`;
+    if (silentMs <= MIN_SILENCE_MS) return undefined;
+    const upstreamSilentMs = Math.min(silentMs, nowMs - this.attempt.upstream.lastProgressMs);
+    const { hasEvents } = this;
+    const limits = computeSilenceLimits({ ...this.options.describeStream(), hasEvents });
+    if (upstreamSilentMs > limits.upstreamMs) {
+      return `the upstream sent nothing for ${Math.round(upstreamSilentMs)} ms`;
     }
-    const limitMs = this.hasEvents
-      ? EVENT_TIMEOUT_GAPS * this.options.maxEventGapMs
-      : FIRST_EVENT_TIMEOUT_GOALS * this.options.latencyGoalMs + prefillTimeoutMs;
-    return silentMs > limitMs ? `no event for ${Math.round(silentMs)} ms` : undefined;
+    return silentMs > limits.streamMs ? `no event for ${Math.round(silentMs)} ms` : undefined;
   }
 
   onStall(reason: string): void {
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -1,5 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
+import type { RunEstimate, SilentStream } from '@cactusstair/routing';
+
 import type { Attempt } from './attempt.js';
 import { awaitAttempt, readAnswerHead } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
@@ -9,6 +11,7 @@
 import type { StreamEvent } from './eventSplitter.js';
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
+import { computeLengthRatio, estimateGap, estimateRun } from './runEstimate.js';
 import { computeAcceptConfidence, estimatePressure } from './sizePolicy.js';
 import { estimateFirstEventMs, listAcceptingUpstreams } from './upstreamChoice.js';
 import { StreamPace } from './streamPace.js';
@@ -24,6 +27,8 @@
 // A request to a fully loaded service is refused after this share of its latency goal, about 1/8.
 const ROOM_TIMEOUT_GOALS = 0.12;
 const RETRY_AFTER_MS = 600;
+/** A run is given up only if its replacement completes in time with this chance. */
+const MIN_REPLACEMENT_CHANCE = 0.8;
 const OUT_OF_ORDER_REASON = 'the events do not follow those before';
 const FOREIGN_TEXT_REASON = 'the stream holds text that belongs to no event';
 
@@ -35,6 +40,9 @@
 
   private hasStarted = false;
 
+  /** Events that were sent to the caller, over all attempts. */
+  private eventCount = 0;
+
   private sizeIndex: number | undefined;
 
   constructor(
@@ -67,6 +75,7 @@
       if (!attempt) break;
       const result = await this.runAttempt(attempt);
       attempt.close();
+      this.recordRunTimes(attempt, result);
       if (exchange.isOver) return;
       if (result.type === 'complete') {
         attempt.recordProgress();
@@ -83,6 +92,21 @@
     else await tracker.sendFailure('answer_incomplete', 'overloaded', RETRY_AFTER_MS);
   }
 
+  /**
+   * Records the length of a complete answer, and what is known of one that was not completed: its
+   * wait and its length are at least those that were seen.
+   */
+  private recordRunTimes(attempt: Attempt, result: StreamResult): void {
+    const { context, job } = this;
+    if (result.type === 'cancelled') attempt.recordUnansweredWait();
+    const ratio = computeLengthRatio(job, this.eventCount);
+    if (ratio === undefined || job.request.lastEventId !== undefined) return;
+    const { runTimes } = context.engines.get(job.service);
+    const route = job.exchange.route!.name;
+    const isLonger = job.exchange.isOver && ratio > runTimes.getLengthRatio(route).median;
+    if (result.type === 'complete' || isLonger) runTimes.recordLength(route, ratio);
+  }
+
   /** Opens an attempt; waits longer for one that goes on with a stream. */
   private awaitAttempt(): Promise<Attempt | undefined> {
     const { context, job, sizeIndex } = this;
@@ -212,6 +236,7 @@
     const { exchange } = this.job;
     if (exchange.isOver) return;
     attempt.recordEvent();
+    this.eventCount += 1;
     if (!progress.hasEvents) this.recordOutcome(attempt, false);
     progress.recordEvent();
     this.startStream(answer);
@@ -242,15 +267,47 @@
   }
 
   private createProgress(attempt: Attempt): StreamProgress {
-    const { latencyGoalMs, maxEventGapMs } = this.job.exchange.route!;
     return new StreamProgress(attempt, {
-      latencyGoalMs,
-      maxEventGapMs,
+      describeStream: () => this.describeStream(attempt),
       tryReserveMove: () =>
-        this.order.canResume && this.tracker.tryReserveMove(attempt, this.sizeIndex),
+        this.order.canResume &&
+        this.canReplacementComplete(attempt) &&
+        this.tracker.tryReserveMove(attempt, this.sizeIndex),
+      onGap: (gapMs) => attempt.recordGap(gapMs),
       getNowMs: () => this.context.clock.monotonicMs(),
     });
   }
+
+  /** Describes a silent attempt and what would replace it. */
+  private describeStream(attempt: Attempt): Omit<SilentStream, 'hasEvents'> {
+    const { context, job, sizeIndex } = this;
+    const { upstream } = attempt;
+    const { latencyGoalMs, maxEventGapMs } = job.exchange.route!;
+    return {
+      latencyGoalMs,
+      maxEventGapMs,
+      gap: estimateGap(context, job, sizeIndex, attempt.fullness),
+      waitRatio: context.engines.get(job.service).runTimes.getWaitRatio(),
+      firstEventMs: attempt.expectedWaitMs,
+      promptQueueMs: upstream.backlogMs,
+      isUnreachable:
+        context.crashDetector.hasCrashed(upstream) ||
+        context.reachability.isUnreachable(upstream.record.zone),
+      replacementMs: this.estimateReplacement(attempt)?.firstEventMs ?? Infinity,
+    };
+  }
+
+  private estimateReplacement(attempt: Attempt): RunEstimate | undefined {
+    const excluded = new Set([...this.tracker.excluded, attempt.upstream.id]);
+    const { eventCount: sentEvents } = this;
+    return estimateRun(this.context, this.job, this.sizeIndex, { excluded, sentEvents });
+  }
+
+  /** Whether another upstream would complete the answer in time. */
+  private canReplacementComplete(attempt: Attempt): boolean {
+    const deadlineChance = this.estimateReplacement(attempt)?.deadlineChance ?? 0;
+    return deadlineChance >= MIN_REPLACEMENT_CHANCE;
+  }
 }
 
 /** Whether the end of an answer is marked, other than by the end of its connection. */
--- a/packages/relay/src/upstreams/crashDetector.ts
+++ b/packages/relay/src/upstreams/crashDetector.ts
@@ -1,5 +1,7 @@
 import { connect } from 'node:net';
 
+import type { Clock } from '@cactusstair/utils';
+
 import type { Upstream } from './upstream.js';
 
 /** Time after which a check ends without a result, in milliseconds. */
@@ -26,15 +28,20 @@
 export class CrashDetector {
   private readonly checking = new Set<string>();
 
+  private readonly refusedAtMs = new WeakMap<Upstream, number>();
+
   /** @param onCrash called for each upstream that was found to have crashed */
-  constructor(private readonly onCrash: (upstream: Upstream) => void) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly onCrash: (upstream: Upstream) => void,
+  ) {}
 
   /** Checks an upstream that ended a connection before its answer was complete. */
   async check(upstream: Upstream): Promise<void> {
     if (this.checking.has(upstream.id)) return;
     this.checking.add(upstream.id);
     try {
-      if (await isRefusing(upstream)) this.onCrash(upstream);
+      if (await isRefusing(upstream)) this.recordRefused(upstream);
     } finally {
       this.checking.delete(upstream.id);
     }
@@ -42,6 +49,13 @@
 
   /** Records that an upstream has refused a connection. */
   recordRefused(upstream: Upstream): void {
+    this.refusedAtMs.set(upstream, this.clock.monotonicMs());
     this.onCrash(upstream);
   }
+
+  /** Whether an upstream has refused a connection and has sent nothing since. */
+  hasCrashed(upstream: Upstream): boolean {
+    const refusedAtMs = this.refusedAtMs.get(upstream);
+    return refusedAtMs !== undefined && refusedAtMs >= upstream.lastProgressMs;
+  }
 }
--- a/packages/relay/src/upstreams/engineEstimators.ts
+++ b/packages/relay/src/upstreams/engineEstimators.ts
@@ -1,16 +1,22 @@
-import type { PrefillSums } from '@cactusstair/routing';
-import { createDictionary } from '@cactusstair/utils';
 import {
   addPrefillSums,
   createPrefillSums,
   PrefillEstimator,
   QueueBias,
+  RunTimeEstimator,
   WorkAverage,
 } from '@cactusstair/routing';
+import type { LogSums, PrefillSums } from '@cactusstair/routing';
+import type { Clock } from '@cactusstair/utils';
+import { createDictionary, systemClock } from '@cactusstair/utils';
 
 /** Sums of prefill samples by service and model, as instances exchange them. */
 export type EngineSums = Record<string, Record<string, PrefillSums>>;
 
+// The sums of run times travel as further services whose lists have the length of prefill sums.
+// Builds that do not know them validate, add up and pass on these entries like those of a service.
+const RUN_TIMES_SUFFIX = '#runs';
+
 export function createEngineSums(): EngineSums {
   return createDictionary();
 }
@@ -30,12 +36,15 @@
   prefill: PrefillEstimator;
   queueBias: QueueBias;
   work: WorkAverage;
+  runTimes: RunTimeEstimator;
 }
 
 /** What is learned about the engines of all services. */
 export class EngineEstimators {
   private readonly byService = new Map<string, ServiceEstimators>();
 
+  constructor(private readonly clock: Clock = systemClock) {}
+
   get(service: string): ServiceEstimators {
     let estimators = this.byService.get(service);
     if (!estimators) {
@@ -43,6 +52,7 @@
         prefill: new PrefillEstimator(),
         queueBias: new QueueBias(),
         work: new WorkAverage(),
+        runTimes: new RunTimeEstimator(() => this.clock.monotonicMs()),
       };
       this.byService.set(service, estimators);
     }
@@ -52,22 +62,40 @@
   /** Returns the sums of this instance, rounded for sending. */
   exportSums(): EngineSums {
     const all = createEngineSums();
-    for (const [service, { prefill }] of this.byService) {
-      all[service] = Object.fromEntries(
-        Object.entries(prefill.exportSums()).map(([model, sums]) => [model, roundSums(sums)]),
-      );
+    for (const [service, { prefill, runTimes }] of this.byService) {
+      all[service] = mapValues(prefill.exportSums(), roundSums);
+      all[service + RUN_TIMES_SUFFIX] = mapValues(runTimes.exportSums(), toWireSums);
     }
     return all;
   }
 
   /** Replaces the sums of all other instances. */
   importPeerSums(all: EngineSums): void {
-    for (const [service, sums] of Object.entries(all)) {
-      this.get(service).prefill.importPeerSums(sums);
+    for (const [key, sums] of Object.entries(all)) {
+      if (key.endsWith(RUN_TIMES_SUFFIX)) {
+        this.get(key.slice(0, -RUN_TIMES_SUFFIX.length)).runTimes.importPeerSums(sums);
+      } else {
+        this.get(key).prefill.importPeerSums(sums);
+      }
     }
   }
 }
 
+function mapValues<T>(
+  values: Record<string, T>,
+  map: (value: T) => PrefillSums,
+): Record<string, PrefillSums> {
+  const mapped = createDictionary<PrefillSums>();
+  for (const [key, value] of Object.entries(values)) mapped[key] = map(value);
+  return mapped;
+}
+
+/** Rounds log sums for sending and fills them up to the length of prefill sums. */
+function toWireSums(sums: LogSums): PrefillSums {
+  const [weight, sum, squares] = sums.map((value) => Math.round(value * 100) / 100);
+  return [weight!, sum!, squares!, 0, 0];
+}
+
 function roundSums(sums: PrefillSums): PrefillSums {
   const [weight, ...others] = sums.map((sum) => Math.round(sum * 100) / 100);
   const [nominal, wait, nominalSquared, nominalWait] = others.map(Math.round);
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -108,6 +108,14 @@
       assert.equal(decodeConfig({ ...config, tenants: undefined })?.workspaces, undefined);
     });
 
+    it('reads how many tokens an event holds, and takes no senseless number for one', () => {
+      const decode = (stride: unknown) =>
+        decodeConfig({ ...config, services: [{ name: 'app', engine: { slots: 4, stride } }] })
+          ?.services[0]?.engine?.eventTokens;
+      assert.equal(decode(9), 9);
+      for (const other of [undefined, null, '9', 0, -3]) assert.equal(decode(other), undefined);
+    });
+
     it('rejects a configuration without a numeric version', () => {
       assert.equal(decodeConfig({ ...config, version: '7' }), undefined);
     });
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -189,6 +189,18 @@
     });
   });
 
+  // Without it each instance would learn the speed of a model from its own few requests only.
+  it('shares how fast the engines send events', async () => {
+    const [first, second] = await openPair();
+    const own = first.engines.get('service').runTimes;
+    for (let count = 0; count < 50; count += 1) own.recordPace('large', 0.5, 400);
+    const learned = second.engines.get('service').runTimes;
+    await waitFor(() => learned.getPace('large', 0.5, 50).median > 200, {
+      what: 'the estimate of the peer to follow',
+      timeoutMs: 3000,
+    });
+  });
+
   it('does not report a confirmation as newer than the read behind it', async () => {
     const [first, second] = await openPair();
     const ageMs = 5000;
