Choose model sizes by expected value, at the start and at the confidence read

Cause: the smallest size was always asked first, and only the largest replaced it, by thresholds on the confidence that see neither the deadline nor the price.

Change: estimateRun gives the times to the first event and to completion and the chances of both; routing/cascade/sizeChoice computes the expected value of each size from these, a documented prior of how often its answer is good enough, the price from the configuration and the cost of the slot. An answer that can be complete in time is not dropped for one that cannot.

--- a/packages/relay/src/requests/exchange.ts
+++ b/packages/relay/src/requests/exchange.ts
@@ -18,6 +18,15 @@
   [field: string]: unknown;
 }
 
+/** The model size chosen for a request, and when its answer was expected to be complete. */
+export interface SizeExpectation {
+  model: string;
+  /** Time from the arrival of the request; undefined when no upstream had room. */
+  completionMs?: number;
+  /** Quantile of 0.9. */
+  highCompletionMs?: number;
+}
+
 /** A caller's request with its deadline, its answer and the steps of its processing. */
 export class Exchange {
   request: RelayRequest | undefined;
@@ -36,6 +45,9 @@
 
   end: ExchangeEnd | undefined;
 
+  /** Undefined when the system did not choose the size. */
+  expectation: SizeExpectation | undefined;
+
   /** Whether an upstream may have run the request in an earlier attempt. */
   mayHaveRun = false;
 
--- a/packages/relay/src/requests/runEstimate.ts
+++ b/packages/relay/src/requests/runEstimate.ts
@@ -1,6 +1,7 @@
 import { createRunEstimate } from '@cactusstair/routing';
 import type { LogNormal, RunEstimate } from '@cactusstair/routing';
 
+import type { Selection } from '../upstreams/upstreamSelector.js';
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
 import { estimateOutputTokens, estimateTimeFactor } from './sizePolicy.js';
@@ -104,9 +105,18 @@
   { excluded = NO_EXCLUDED, sentEvents = 0 }: RunEstimateOptions = {},
 ): RunEstimate | undefined {
   const selection = chooseUpstream(context, job, sizeIndex, excluded);
-  if (!selection) return undefined;
+  return selection && estimateUpstreamRun(context, job, sizeIndex, selection, sentEvents);
+}
+
+/** Estimates a run at a given upstream. */
+export function estimateUpstreamRun(
+  context: RelayContext,
+  job: RelayJob,
+  sizeIndex: number | undefined,
+  { upstream, firstEventMs }: Selection,
+  sentEvents = 0,
+): RunEstimate {
   const { exchange } = job;
-  const { upstream, firstEventMs } = selection;
   const ratio = context.engines.get(job.service).runTimes.getWaitRatio();
   const fullness = (upstream.running + 1) / upstream.record.slots;
   return createRunEstimate({
--- /dev/null
+++ b/packages/relay/src/requests/sizeDecision.ts
@@ -0,0 +1,176 @@
+import {
+  chooseReplacement,
+  chooseStartSize,
+  completePrices,
+  computeRunPrice,
+  createRunEstimate,
+  estimateAnswerValue,
+} from '@cactusstair/routing';
+import type { RunEstimate, SizeChoice, SizeChoiceRequest, SizeOption } from '@cactusstair/routing';
+
+import type { Attempt } from './attempt.js';
+import type { RelayContext } from './relayContext.js';
+import type { RelayJob } from './relayJob.js';
+import { estimateEvents, estimatePace, estimateUpstreamRun } from './runEstimate.js';
+import { estimateOutputTokens, estimatePressure, estimateTimeFactor } from './sizePolicy.js';
+import { chooseUpstream, estimateWorkMs, listAcceptingUpstreams } from './upstreamChoice.js';
+
+/** A size with the estimate of a run of it that starts now. */
+interface EstimatedSize {
+  option: SizeOption;
+  estimate: RunEstimate;
+}
+
+const NO_EXCLUDED: ReadonlySet<string> = new Set();
+
+/** Whether the configuration lists the model among those of the engines, or lists none. */
+function isServed(job: RelayJob, model: string): boolean {
+  const models = job.engine?.priceByModel ?? {};
+  return model in models || Object.keys(models).length === 0;
+}
+
+/** Chooses the model size of a request and logs what was expected of each. */
+export class SizeDecision {
+  private readonly prices: readonly number[];
+
+  private readonly value: number;
+
+  constructor(
+    private readonly context: RelayContext,
+    private readonly job: RelayJob,
+    private readonly models: readonly string[],
+  ) {
+    const { request, engine } = job;
+    const factors = models.map((_, index) => estimateTimeFactor(index, models.length));
+    this.prices = completePrices(
+      models.map((model) => engine?.priceByModel[model]),
+      factors,
+    );
+    this.value = estimateAnswerValue(this.prices.at(-1)!, {
+      prompt: request.promptTokens,
+      uncachedPrompt: request.promptTokens,
+      output: estimateOutputTokens(request),
+    });
+  }
+
+  /** Chooses the size to start with. */
+  chooseStart(excluded: ReadonlySet<string>, canEscalate: boolean): number {
+    const sizes = this.models.map((_, index) => this.estimateSize(index, excluded));
+    const request = this.createRequest(sizes, canEscalate);
+    const choice = chooseStartSize(request);
+    this.record(choice, request, sizes);
+    return choice.sizeIndex;
+  }
+
+  /**
+   * Chooses the size whose answer replaces the one at hand.
+   *
+   * @returns undefined to keep the answer
+   */
+  chooseReplacement(attempt: Attempt, sizeIndex: number, confidence: number): number | undefined {
+    const sizes = this.models.map((_, index) =>
+      index > sizeIndex ? this.estimateSize(index, NO_EXCLUDED) : undefined,
+    );
+    const request = this.createRequest(sizes, true);
+    const rest = this.estimateRest(attempt, sizeIndex);
+    const choice = chooseReplacement(request, { sizeIndex, confidence, chances: rest });
+    if (choice.sizeIndex === sizeIndex) return undefined;
+    this.record(choice, request, sizes);
+    return choice.sizeIndex;
+  }
+
+  private estimateSize(
+    sizeIndex: number,
+    excluded: ReadonlySet<string>,
+  ): EstimatedSize | undefined {
+    const { context, job } = this;
+    if (!isServed(job, this.models[sizeIndex]!)) return undefined;
+    const selection = chooseUpstream(context, job, sizeIndex, excluded);
+    if (!selection) return undefined;
+    const estimate = estimateUpstreamRun(context, job, sizeIndex, selection);
+    const price = computeRunPrice(this.prices[sizeIndex]!, {
+      prompt: job.request.promptTokens,
+      uncachedPrompt: job.engine ? selection.uncachedTokens : job.request.promptTokens,
+      output: estimateOutputTokens(job.request),
+    });
+    const option: SizeOption = {
+      price,
+      workMs: estimateWorkMs(job, sizeIndex),
+      firstEventMs: estimate.firstEventMs,
+      computeChances: estimate.computeChances,
+    };
+    return { option, estimate };
+  }
+
+  /** Estimates the rest of a run whose first event is about to come. */
+  private estimateRest({ fullness }: Attempt, sizeIndex: number): RunEstimate {
+    const { context, job } = this;
+    const { exchange } = job;
+    const pace = estimatePace(context, job, sizeIndex, fullness);
+    return createRunEstimate({
+      firstEvent: pace,
+      pace,
+      events: estimateEvents(context, job),
+      goalLeftMs: exchange.route!.latencyGoalMs - exchange.elapsedMs,
+      deadlineLeftMs: exchange.timeLeftMs,
+    });
+  }
+
+  private createRequest(
+    sizes: readonly (EstimatedSize | undefined)[],
+    canEscalate: boolean,
+  ): SizeChoiceRequest {
+    const { context, job } = this;
+    const { latencyGoalMs } = job.exchange.route!;
+    return {
+      sizes: sizes.map((size) => size?.option),
+      value: this.value,
+      pressure: estimatePressure(listAcceptingUpstreams(context, job.service), latencyGoalMs),
+      averageWorkMs: context.engines.get(job.service).work.averageMs ?? 0,
+      canEscalate,
+    };
+  }
+
+  private record(
+    { sizeIndex, values }: SizeChoice,
+    { pressure }: SizeChoiceRequest,
+    sizes: readonly (EstimatedSize | undefined)[],
+  ): void {
+    const { exchange } = this.job;
+    const model = this.models[sizeIndex]!;
+    exchange.addStep('size_chosen', {
+      model,
+      pressure: Math.round(pressure * 100) / 100,
+      expected: this.models.map((name, index) =>
+        formatSize(name, sizes[index]?.estimate, values[index], this.value),
+      ),
+    });
+    const estimate = sizes[sizeIndex]?.estimate;
+    exchange.expectation = {
+      model,
+      ...(estimate
+        ? {
+            completionMs: exchange.elapsedMs + estimate.completionMs,
+            highCompletionMs: exchange.elapsedMs + estimate.highCompletionMs,
+          }
+        : {}),
+    };
+  }
+}
+
+/**
+ * Formats what is expected of a size: first event and completion (ms), chances of the goal and the
+ * deadline, and its value relative to a good answer in time.
+ */
+function formatSize(
+  model: string,
+  estimate: RunEstimate | undefined,
+  value: number | undefined,
+  fullValue: number,
+): string {
+  const worth = value === undefined ? '-' : (value / fullValue).toFixed(2);
+  if (!estimate) return `${model} - ${worth}`;
+  const { firstEventMs, completionMs, goalChance, deadlineChance } = estimate;
+  const times = `${Math.round(firstEventMs)}/${Math.round(completionMs)}`;
+  return `${model} ${times} ${goalChance.toFixed(2)}/${deadlineChance.toFixed(2)} ${worth}`;
+}
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -12,8 +12,7 @@
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
 import { computeLengthRatio, estimateGap, estimateRun } from './runEstimate.js';
-import { computeAcceptConfidence, estimatePressure } from './sizePolicy.js';
-import { estimateFirstEventMs, listAcceptingUpstreams } from './upstreamChoice.js';
+import { SizeDecision } from './sizeDecision.js';
 import { StreamPace } from './streamPace.js';
 import { StreamProgress } from './streamProgress.js';
 
@@ -43,8 +42,14 @@
   /** Events that were sent to the caller, over all attempts. */
   private eventCount = 0;
 
+  /** Undefined when the caller named the model. */
+  private readonly sizes: SizeDecision | undefined;
+
   private sizeIndex: number | undefined;
 
+  /** Whether the size was chosen in favor of a smaller one. */
+  private isEscalated = false;
+
   constructor(
     private readonly context: RelayContext,
     private readonly job: RelayJob,
@@ -54,7 +59,7 @@
     this.tracker = new AttemptTracker(context, job, route.isResumable);
     this.order = new EventOrder(request.lastEventId);
     if (request.model === '*' && route.modelSizes.length > 0) {
-      // The smallest model answers most requests in a tenth of the time of the largest.
+      this.sizes = new SizeDecision(context, job, route.modelSizes);
       this.sizeIndex = 0;
     }
   }
@@ -71,6 +76,7 @@
     const { tracker } = this;
     const { exchange } = this.job;
     while (tracker.tryStartAttempt()) {
+      this.chooseSize();
       const attempt = await this.awaitAttempt();
       if (!attempt) break;
       const result = await this.runAttempt(attempt);
@@ -86,12 +92,21 @@
       if (result.type === 'escalated') {
         exchange.addStep('escalated', { upstream: attempt.upstream.id });
         this.sizeIndex = result.sizeIndex;
+        this.isEscalated = true;
       } else if (!tracker.record(attempt, result) || !this.order.canResume) break;
     }
     if (this.hasStarted) exchange.breakStream(tracker.lastReason);
     else await tracker.sendFailure('answer_incomplete', 'overloaded', RETRY_AFTER_MS);
   }
 
+  /** Chooses the size of the next attempt, unless a part of the answer binds it to one. */
+  private chooseSize(): void {
+    const { tracker, order, job } = this;
+    if (!this.sizes || this.isEscalated || this.hasStarted) return;
+    if (order.lastEventId !== undefined || job.request.lastEventId !== undefined) return;
+    this.sizeIndex = this.sizes.chooseStart(tracker.excluded, tracker.hasRunLeft);
+  }
+
   /**
    * Records the length of a complete answer, and what is known of one that was not completed: its
    * wait and its length are at least those that were seen.
@@ -149,31 +164,18 @@
       const owner = attempt.upstream.id;
       return { type: 'failed_answer', status, headers, owner, body: body.value };
     }
-    const sizeIndex = this.hasStarted ? undefined : this.chooseEscalation(head.confidence);
+    const sizeIndex = this.hasStarted ? undefined : this.chooseEscalation(attempt, head.confidence);
     if (sizeIndex !== undefined) return { type: 'escalated', sizeIndex };
     return this.copyEvents(attempt, answer, progress);
   }
 
-  /**
-   * Returns the index of the larger model that replaces the answer, or undefined to keep it. Only
-   * the largest is used: sizes in between cost half as much and are right little more often than
-   * the smallest.
-   */
-  private chooseEscalation(confidence: number | undefined): number | undefined {
-    const { context, job } = this;
-    const largest = job.exchange.route!.modelSizes.length - 1;
-    if (this.sizeIndex === undefined || this.sizeIndex >= largest || confidence === undefined) {
-      return undefined;
-    }
-    const { latencyGoalMs } = job.exchange.route!;
-    const pressure = estimatePressure(listAcceptingUpstreams(context, job.service), latencyGoalMs);
-    const elapsedMs = context.clock.monotonicMs() - job.exchange.arrivedMs;
-    const firstEventMs = elapsedMs + estimateFirstEventMs(context, job, largest);
-    // A dropped answer could not be replaced.
-    if (firstEventMs === Infinity) return undefined;
-    const isLate = firstEventMs > latencyGoalMs;
-    if (confidence >= computeAcceptConfidence(job.request, pressure, isLate)) return undefined;
-    return this.tracker.tryStartEscalation() ? largest : undefined;
+  /** Returns the index of the larger model that replaces the answer, or undefined to keep it. */
+  private chooseEscalation(attempt: Attempt, confidence: number | undefined): number | undefined {
+    const { sizes, sizeIndex } = this;
+    if (!sizes || sizeIndex === undefined || confidence === undefined) return undefined;
+    if (!this.tracker.hasRunLeft) return undefined;
+    const larger = sizes.chooseReplacement(attempt, sizeIndex, confidence);
+    return larger !== undefined && this.tracker.tryStartEscalation() ? larger : undefined;
   }
 
   /** Forwards whole events as they arrive, no faster than the caller reads them. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -69,6 +69,18 @@
 export type { UpstreamHealthPoolOptions } from './upstreamHealthPool.js';
 export { UpstreamHealthPool } from './upstreamHealthPool.js';
 
+// Choice among the model sizes of a request.
+export { estimateAdequacy, estimateAnswerAdequacy } from './cascade/adequacy.js';
+export type { AnswerTokens } from './cascade/answerValue.js';
+export { completePrices, computeRunPrice, estimateAnswerValue } from './cascade/answerValue.js';
+export type {
+  AnswerAtHand,
+  SizeChoice,
+  SizeChoiceRequest,
+  SizeOption,
+} from './cascade/sizeChoice.js';
+export { chooseReplacement, chooseStartSize } from './cascade/sizeChoice.js';
+
 // Cascade policy, sequential test and rollout policy.
 export type {
   CascadePolicyOptions,
