--- a/packages/relay/src/requests/sizeDecision.ts
+++ b/packages/relay/src/requests/sizeDecision.ts
@@ -96,6 +96,7 @@
     const option: SizeOption = {
       price,
       workMs: estimateWorkMs(job, sizeIndex),
+      promptMs: job.engine ? selection.backlogMs : 0,
       firstEventMs: estimate.firstEventMs,
       computeChances: estimate.computeChances,
     };
@@ -127,6 +128,7 @@
       value: this.value,
       pressure: estimatePressure(listAcceptingUpstreams(context, job.service), latencyGoalMs),
       averageWorkMs: context.engines.get(job.service).work.averageMs ?? 0,
+      latencyGoalMs,
       canEscalate,
     };
   }
--- a/packages/routing/src/cascade/sizeChoice.ts
+++ b/packages/routing/src/cascade/sizeChoice.ts
@@ -12,6 +12,8 @@
   price: number;
   /** Time of an engine that the run takes, in the unit of `averageWorkMs`. */
   workMs: number;
+  /** Expected time in which an engine reads the prompt, and sends nothing to others meanwhile. */
+  promptMs: number;
   /** Expected wait for the first event, which is when the confidence is known. */
   firstEventMs: number;
   /** Returns the chances of a run that starts after `delayMs`. */
@@ -28,6 +30,8 @@
   pressure: number;
   /** Average work of the requests to the service. */
   averageWorkMs: number;
+  /** Time within which a first event is due. */
+  latencyGoalMs: number;
   /** Whether an answer may be replaced by that of a larger size. */
   canEscalate: boolean;
 }
@@ -52,12 +56,12 @@
 const LATE_SHARE = 0.3;
 /** From this chance on, an answer counts as one that can be complete in time. */
 const MIN_COMPLETION_CHANCE = 0.5;
-// Cost of a slot in the request's value: pressure to this power, times the work relative to the
-// average. Chosen so that at equal load no more answers are replaced than with the thresholds that
-// this rule replaced (docs/cascades.md).
-const PRESSURE_EXPONENT = 1.5;
-const MIN_WORK_FACTOR = 0.5;
-const MAX_WORK_FACTOR = 2;
+// Cost of a slot in the request's value: pressure to this power, less for light work. With an
+// exponent of 1.5, full work or twice the work share, engines of few slots replaced too few answers
+// (docs/cascades.md).
+const PRESSURE_EXPONENT = 2;
+/** The same for the time in which the prompt is read, in latency goals. */
+const PROMPT_EXPONENT = 2;
 
 /** Expected value of an answer as a share of that of a good one in time. */
 function estimateShare({ goalChance, deadlineChance }: RunChances, adequacy: number): number {
@@ -65,15 +69,20 @@
   return timely * (POOR_SHARE + (1 - POOR_SHARE) * adequacy);
 }
 
-/** Cost of the engine time that a run takes from others, beyond that of the smallest size. */
+/**
+ * Cost of the engine time that a run takes from others, beyond that of the smallest size. A prompt
+ * that takes a large part of a latency goal to read makes others late at any load: a size ten times
+ * slower than the platform's largest lost more answers of others than it improved.
+ */
 function estimateSlotCost(request: SizeChoiceRequest, option: SizeOption): number {
-  const { sizes, value, pressure, averageWorkMs } = request;
+  const { sizes, value, pressure, averageWorkMs, latencyGoalMs } = request;
   const smallest = sizes.find((size) => size !== undefined);
   if (option === smallest) return 0;
   const total = option.workMs + averageWorkMs;
-  const factor = total > 0 ? (2 * option.workMs) / total : 1;
-  const bounded = Math.min(MAX_WORK_FACTOR, Math.max(MIN_WORK_FACTOR, factor));
-  return value * pressure ** PRESSURE_EXPONENT * bounded;
+  // Work below the average takes less from others than a request of the same value gives.
+  const workFactor = total > 0 ? Math.min(1, (2 * option.workMs) / total) : 1;
+  const promptGoals = latencyGoalMs > 0 ? Math.min(1, option.promptMs / latencyGoalMs) : 0;
+  return value * (pressure ** PRESSURE_EXPONENT * workFactor + promptGoals ** PROMPT_EXPONENT);
 }
 
 /** Value of a run whose answer is good enough with the chance `adequacy`, less its costs. */
