--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -70,7 +70,7 @@
 
   private readonly access: UpstreamAccess;
 
-  private readonly engines = new EngineEstimators();
+  private readonly engines: EngineEstimators;
 
   private readonly context: RelayContext;
 
@@ -102,6 +102,7 @@
   constructor(private readonly options: RelayNodeOptions) {
     const { bounds, log, store } = options;
     this.clock = options.clock ?? systemClock;
+    this.engines = new EngineEstimators(this.clock);
     this.self = {
       ...options.peers,
       name: options.name,
@@ -311,7 +312,7 @@
       rollouts: this.rollouts,
       crashes: this.crashes,
       ...createAnswerParts(this.clock),
-      crashDetector: new CrashDetector((upstream) => this.recordCrash(upstream)),
+      crashDetector: new CrashDetector(this.clock, (upstream) => this.recordCrash(upstream)),
       onLoadGrowth: (upstream) => this.peers.notifyLoadGrowth(upstream),
       areKeysConfirmed: () => this.views.config.getAgeMs() <= this.maxKeyAgeMs,
       getBudget: (service) => this.budgets.get(service),
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -1,5 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
+import type { RunEstimate, SilentStream } from '@cactusstair/routing';
+
 import type { Attempt } from './attempt.js';
 import { readAnswerHead } from './attempt.js';
 import type { AttemptFailure } from './attemptTracker.js';
@@ -10,8 +12,8 @@
 import type { StreamEvent } from './eventSplitter.js';
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
-import { computeAcceptConfidence, estimatePressure } from './sizePolicy.js';
-import { estimateFirstEventMs, listAcceptingUpstreams } from './upstreamChoice.js';
+import { computeLengthRatio, estimateGap, estimateRun } from './runEstimate.js';
+import { SizeDecision } from './sizeDecision.js';
 import { StreamPace } from './streamPace.js';
 import { StreamProgress } from './streamProgress.js';
 
@@ -22,6 +24,8 @@
   | { type: 'escalated'; sizeIndex: number }
   | AttemptFailure;
 
+/** A run is given up only if its replacement completes in time with this chance. */
+const MIN_REPLACEMENT_CHANCE = 0.8;
 const OUT_OF_ORDER_REASON = 'the events do not follow those before';
 const FOREIGN_TEXT_REASON = 'the stream holds text that belongs to no event';
 
@@ -33,8 +37,17 @@
 
   private hasStarted = false;
 
+  /** Events that were sent to the caller, over all attempts. */
+  private eventCount = 0;
+
+  /** Undefined when the caller named the model. */
+  private readonly sizes: SizeDecision | undefined;
+
   private sizeIndex: number | undefined;
 
+  /** Whether the size was chosen in favor of a smaller one. */
+  private isEscalated = false;
+
   constructor(
     private readonly context: RelayContext,
     private readonly job: RelayJob,
@@ -44,7 +57,7 @@
     this.tracker = new AttemptTracker(context, job, route.isResumable);
     this.order = new EventOrder(request.lastEventId);
     if (request.model === '*' && route.modelSizes.length > 0) {
-      // The smallest model answers most requests in a tenth of the time of the largest.
+      this.sizes = new SizeDecision(context, job, route.modelSizes);
       this.sizeIndex = 0;
     }
   }
@@ -61,10 +74,12 @@
     const { tracker } = this;
     const { exchange } = this.job;
     while (tracker.tryStartAttempt()) {
+      this.chooseSize();
       const attempt = await this.awaitAttempt();
       if (!attempt) break;
       const result = await this.runAttempt(attempt);
       attempt.close();
+      this.recordRunTimes(attempt, result);
       if (exchange.isOver) return;
       if (result.type === 'complete') {
         attempt.recordProgress();
@@ -76,12 +91,36 @@
       if (result.type === 'escalated') {
         exchange.addStep('escalated', { upstream: attempt.upstream.id });
         this.sizeIndex = result.sizeIndex;
+        this.isEscalated = true;
       } else if (!tracker.record(attempt, result) || !this.order.canResume) break;
     }
     if (this.hasStarted) exchange.breakStream(tracker.lastReason);
     else await tracker.sendFailure('answer_incomplete', 'overloaded');
   }
 
+  /** Chooses the size of the next attempt, unless a part of the answer binds it to one. */
+  private chooseSize(): void {
+    const { tracker, order, job } = this;
+    if (!this.sizes || this.isEscalated || this.hasStarted) return;
+    if (order.lastEventId !== undefined || job.request.lastEventId !== undefined) return;
+    this.sizeIndex = this.sizes.chooseStart(tracker.excluded, tracker.hasRunLeft);
+  }
+
+  /**
+   * Records the length of a complete answer, and what is known of one that was not completed: its
+   * wait and its length are at least those that were seen.
+   */
+  private recordRunTimes(attempt: Attempt, result: StreamResult): void {
+    const { context, job } = this;
+    if (result.type === 'cancelled') attempt.recordUnansweredWait();
+    const ratio = computeLengthRatio(job, this.eventCount);
+    if (ratio === undefined || job.request.lastEventId !== undefined) return;
+    const { runTimes } = context.engines.get(job.service);
+    const route = job.exchange.route!.name;
+    const isLonger = job.exchange.isOver && ratio > runTimes.getLengthRatio(route).median;
+    if (result.type === 'complete' || isLonger) runTimes.recordLength(route, ratio);
+  }
+
   /** Opens an attempt; one that goes on with a stream waits no longer than its events may pause. */
   private awaitAttempt(): Promise<Attempt | undefined> {
     const { context, job, sizeIndex } = this;
@@ -124,31 +163,19 @@
       const owner = attempt.upstream.id;
       return { type: 'failed_answer', status, headers, owner, body: body.value };
     }
-    const sizeIndex = this.hasStarted ? undefined : this.chooseEscalation(head.confidence);
+    const sizeIndex = this.hasStarted ? undefined : this.chooseEscalation(attempt, head.confidence);
     if (sizeIndex !== undefined) return { type: 'escalated', sizeIndex };
     return this.copyEvents(attempt, answer, progress);
   }
 
-  /**
-   * Returns the index of the larger model that replaces the answer, or undefined to keep it. Only
-   * the largest is used: sizes in between cost half as much and are right little more often than
-   * the smallest.
-   */
-  private chooseEscalation(confidence: number | undefined): number | undefined {
-    const { context, job } = this;
-    const largest = job.exchange.route!.modelSizes.length - 1;
-    if (this.sizeIndex === undefined || this.sizeIndex >= largest || confidence === undefined) {
-      return undefined;
-    }
-    const { latencyGoalMs } = job.exchange.route!;
-    const pressure = estimatePressure(listAcceptingUpstreams(context, job.service), latencyGoalMs);
-    const elapsedMs = context.clock.monotonicMs() - job.exchange.arrivedMs;
-    const firstEventMs = elapsedMs + estimateFirstEventMs(context, job, largest);
-    // A dropped answer could not be replaced.
-    if (firstEventMs === Infinity) return undefined;
-    const isLate = firstEventMs > latencyGoalMs;
-    if (confidence >= computeAcceptConfidence(job.request, pressure, isLate)) return undefined;
-    return this.tracker.tryStartEscalation() ? largest : undefined;
+  /** Returns the index of the larger model that replaces the answer, or undefined to keep it. */
+  private chooseEscalation(attempt: Attempt, confidence: number | undefined): number | undefined {
+    const { sizes, sizeIndex } = this;
+    if (!sizes || sizeIndex === undefined || confidence === undefined) return undefined;
+    if (!this.tracker.hasRunLeft) return undefined;
+    return sizes.chooseReplacement(attempt, sizeIndex, confidence, () =>
+      this.tracker.tryStartEscalation(),
+    );
   }
 
   /** Forwards whole events as they arrive, no faster than the caller reads them. */
@@ -211,6 +238,7 @@
     const { exchange } = this.job;
     if (exchange.isOver) return;
     attempt.recordEvent();
+    this.eventCount += 1;
     if (!progress.hasEvents) this.recordOutcome(attempt, false);
     progress.recordEvent();
     this.startStream(answer);
@@ -241,15 +269,47 @@
   }
 
   private createProgress(attempt: Attempt): StreamProgress {
-    const { latencyGoalMs, maxEventGapMs } = this.job.exchange.route!;
     return new StreamProgress(attempt, {
-      latencyGoalMs,
-      maxEventGapMs,
+      describeStream: () => this.describeStream(attempt),
       tryReserveMove: () =>
-        this.order.canResume && this.tracker.tryReserveMove(attempt, this.sizeIndex),
+        this.order.canResume &&
+        this.canReplacementComplete(attempt) &&
+        this.tracker.tryReserveMove(attempt, this.sizeIndex),
+      onGap: (gapMs) => attempt.recordGap(gapMs),
       getNowMs: () => this.context.clock.monotonicMs(),
     });
   }
+
+  /** Describes a silent attempt and what would replace it. */
+  private describeStream(attempt: Attempt): Omit<SilentStream, 'hasEvents'> {
+    const { context, job, sizeIndex } = this;
+    const { upstream } = attempt;
+    const { latencyGoalMs, maxEventGapMs } = job.exchange.route!;
+    return {
+      latencyGoalMs,
+      maxEventGapMs,
+      gap: estimateGap(context, job, sizeIndex, attempt.fullness),
+      waitRatio: context.engines.get(job.service).runTimes.getWaitRatio(),
+      firstEventMs: attempt.expectedWaitMs,
+      promptQueueMs: upstream.backlogMs,
+      isUnreachable:
+        context.crashDetector.hasCrashed(upstream) ||
+        context.reachability.isUnreachable(upstream.record.zone),
+      replacementMs: this.estimateReplacement(attempt)?.firstEventMs ?? Infinity,
+    };
+  }
+
+  private estimateReplacement(attempt: Attempt): RunEstimate | undefined {
+    const excluded = new Set([...this.tracker.excluded, attempt.upstream.id]);
+    const { eventCount: sentEvents } = this;
+    return estimateRun(this.context, this.job, this.sizeIndex, { excluded, sentEvents });
+  }
+
+  /** Whether another upstream would complete the answer in time. */
+  private canReplacementComplete(attempt: Attempt): boolean {
+    const deadlineChance = this.estimateReplacement(attempt)?.deadlineChance ?? 0;
+    return deadlineChance >= MIN_REPLACEMENT_CHANCE;
+  }
 }
 
 /** Whether the end of an answer is marked, other than by the end of its connection. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -47,6 +47,13 @@
   PrefillEstimator,
 } from './engine/prefillEstimator.js';
 export { QueueBias } from './engine/queueBias.js';
+export type { LogNormal, LogSums } from './engine/logSums.js';
+export { computeChance, computeQuantile } from './engine/logSums.js';
+export type { RunChances, RunEstimate, RunParts } from './engine/runEstimate.js';
+export { createRunEstimate } from './engine/runEstimate.js';
+export { RunTimeEstimator } from './engine/runTimeEstimator.js';
+export type { SilenceLimits, SilentStream } from './engine/silenceLimits.js';
+export { computeSilenceLimits } from './engine/silenceLimits.js';
 export { WorkAverage } from './engine/workAverage.js';
 export type { UrgencyRequest } from './engine/requestUrgency.js';
 export { computeUrgency } from './engine/requestUrgency.js';
@@ -81,6 +88,18 @@
 export type { UpstreamHealthPoolOptions } from './upstreamHealthPool.js';
 export { UpstreamHealthPool } from './upstreamHealthPool.js';
 
+// Choice among the model sizes of a request.
+export { estimateAdequacy, estimateAnswerAdequacy } from './cascade/adequacy.js';
+export type { AnswerTokens } from './cascade/answerValue.js';
+export { completePrices, computeRunPrice, estimateAnswerValue } from './cascade/answerValue.js';
+export type {
+  AnswerAtHand,
+  SizeChoice,
+  SizeChoiceRequest,
+  SizeOption,
+} from './cascade/sizeChoice.js';
+export { chooseReplacement, chooseStartSize } from './cascade/sizeChoice.js';
+
 // Cascade policy, sequential test and rollout policy.
 export type {
   CascadePolicyOptions,
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -148,6 +148,14 @@
       assert.equal(decode({ warmup_s: 1e9, warmup_per_s: 3 })?.warmupMs, 3_600_000);
     });
 
+    it('reads how many tokens an event holds, and takes no senseless number for one', () => {
+      const decode = (stride: unknown) =>
+        decodeConfig({ ...config, services: [{ name: 'app', engine: { slots: 4, stride } }] })
+          ?.services[0]?.engine?.eventTokens;
+      assert.equal(decode(9), 9);
+      for (const other of [undefined, null, '9', 0, -3]) assert.equal(decode(other), undefined);
+    });
+
     it('rejects a configuration without a numeric version', () => {
       assert.equal(decodeConfig({ ...config, version: '7' }), undefined);
     });
