--- a/packages/relay/src/upstreams/coldUpstreams.ts
+++ b/packages/relay/src/upstreams/coldUpstreams.ts
@@ -4,6 +4,9 @@
 import type { Service } from '../config/relayConfig.js';
 import type { RelayBounds } from '../relayOptions.js';
 import type { Upstream } from './upstream.js';
+import type { UpstreamRecord } from './upstreamRecord.js';
+
+const MAX_LOST = 10_000;
 
 /** Why an upstream is cold. Its entry says so, or may be too old to say so. */
 export type ColdReason = 'entry' | 'appeared' | 'restarted' | 'returned' | 'evacuation_ended';
@@ -42,6 +45,9 @@
   /** Ids of the upstreams that were cold when they were last looked at. */
   private readonly cold = new Set<string>();
 
+  /** Start times of upstreams whose entries vanished in a store outage, by id. */
+  private readonly lostStarts = new Map<string, number>();
+
   /** Ids of the upstreams that were passed to `onUnknown`. */
   private readonly unknown = new Set<string>();
 
@@ -57,6 +63,25 @@
     onCold?.(upstream, this.computeLeftMs(upstream, warmup), reason);
   }
 
+  /** Records that the entry of an upstream vanished while the store was or had been away. */
+  recordMissing({ id, startedAtMs }: UpstreamRecord): void {
+    this.lostStarts.delete(id);
+    this.lostStarts.set(id, startedAtMs);
+    const oldest = this.lostStarts.size > MAX_LOST ? this.lostStarts.keys().next() : undefined;
+    if (oldest && !oldest.done) this.lostStarts.delete(oldest.value);
+  }
+
+  /**
+   * Records that an upstream was added to the list. One that the store had lost and that has not
+   * started since is not cold: a whole pool may be registered again after an outage.
+   */
+  recordAppeared(upstream: Upstream): void {
+    const { id, startedAtMs } = upstream.record;
+    const isKnown = startedAtMs > 0 && this.lostStarts.get(id) === startedAtMs;
+    this.lostStarts.delete(id);
+    if (!isKnown) this.start(upstream, 'appeared');
+  }
+
   isCold(id: string): boolean {
     const upstream = this.options.findUpstream(id);
     return upstream !== undefined && this.update(upstream) !== undefined;
--- a/packages/relay/src/upstreams/upstreamAccess.ts
+++ b/packages/relay/src/upstreams/upstreamAccess.ts
@@ -100,16 +100,17 @@
     const { id, service, version, zone } = record;
     this.options.log.write(`upstream_${event}`, { upstream: id, service, version, zone });
     if (event === 'restarted') this.notices.forget(record);
-    this.updateCold(event, id);
+    this.updateCold(event, record);
     this.limits.refresh();
   }
 
-  private updateCold(event: UpstreamEvent, id: string): void {
-    const upstream = this.directory.find(id);
-    if (event === 'gone') this.cold.forget(id);
+  private updateCold(event: UpstreamEvent, record: UpstreamRecord): void {
+    const upstream = this.directory.find(record.id);
+    if (event === 'gone') this.cold.forget(record.id);
+    else if (event === 'missing') this.cold.recordMissing(record);
     else if (upstream && event === 'restarted') this.cold.start(upstream, 'restarted');
     else if (upstream && event === 'seen' && this.options.isListRead()) {
-      this.cold.start(upstream, 'appeared');
+      this.cold.recordAppeared(upstream);
     }
   }
 
--- a/tests/relay/support/relayFixture.ts
+++ b/tests/relay/support/relayFixture.ts
@@ -82,7 +82,7 @@
 }
 
 /** In-memory store of the objects that a relay follows. */
-class MemoryStore {
+export class MemoryStore {
   readonly config = new MemorySource<RelayConfig>();
 
   readonly upstreams = new MemorySource<UpstreamRecord>();
@@ -100,7 +100,8 @@
     return Promise.resolve('written');
   }
 
-  announce(): Promise<WriteOutcome> {
+  announce(record: PeerRecord): Promise<WriteOutcome> {
+    this.peers.put(record.name, record);
     return Promise.resolve('written');
   }
 
@@ -122,9 +123,14 @@
   }
 }
 
-/** Bounds that differ from `testBounds`, and a function that fills the store before the start. */
+/** Bounds that differ from `testBounds`, and what else differs from a single instance. */
 export interface FixtureOptions extends Partial<RelayBounds> {
+  /** Fills the store before the start. */
   prepare?: (store: MemoryStore) => void;
+  /** Name of one of several instances. */
+  name?: string;
+  /** Store that several instances share; holds a configuration already. */
+  store?: MemoryStore;
 }
 
 /** A running relay with an in-memory store and scripted upstreams of the service `app`. */
@@ -143,23 +149,23 @@
   static async open(
     routes: Route[],
     clock?: Clock,
-    { prepare, ...bounds }: FixtureOptions = {},
+    { name = 'instance-1', prepare, store = new MemoryStore(), ...bounds }: FixtureOptions = {},
   ): Promise<RelayFixture> {
-    const [callerPort, readinessPort] = (await findFreePorts(2)) as [number, number];
+    const ports = (await findFreePorts(3)) as [number, number, number];
+    const [callerPort, readinessPort, peerPort] = ports;
     const host = '127.0.0.1';
-    const store = new MemoryStore();
-    store.config.put('main', createConfig(1, routes));
+    if (store.config.get('main') === undefined) store.config.put('main', createConfig(1, routes));
     prepare?.(store);
     const lines: string[] = [];
     const sink = { write: (text: string) => lines.push(text) > 0, once: () => undefined };
     const node = new RelayNode({
-      name: 'instance-1',
+      name,
       zone: 'zone-1',
       capacity: 1,
       callers: { host, port: callerPort },
       readiness: { host, port: readinessPort },
       readinessPath: '/readiness',
-      peers: { host, port: 0 },
+      peers: { host, port: peerPort },
       seedHosts: [],
       bounds: { ...testBounds, ...bounds },
       store,
