--- a/tests/platform/support/instanceProcess.ts
+++ b/tests/platform/support/instanceProcess.ts
@@ -142,7 +142,12 @@
 }
 
 /** Formats the settings file of an instance as the platform writes it. */
-export function formatSettings(ports: InstancePorts, store: string, graceSeconds = 8): string {
+export function formatSettings(
+  ports: InstancePorts,
+  store: string,
+  graceSeconds = 8,
+  bounds: Record<string, unknown> = {},
+): string {
   const ip = '127.0.0.1';
   return JSON.stringify({
     node_name: 'edge-zone-1-1',
@@ -156,7 +161,7 @@
     port_range: [ports.peers, ports.peers],
     seed_nodes: [],
     limits: { cpu_share: 1, link_mbps: 1000 },
-    bounds: { grace_s: graceSeconds },
+    bounds: { grace_s: graceSeconds, ...bounds },
     platform: { address: store },
   });
 }
--- a/tests/platform/support/storeStandin.ts
+++ b/tests/platform/support/storeStandin.ts
@@ -9,6 +9,9 @@
 export class StoreStandin {
   private readonly server: Server;
 
+  /** Kinds of objects that were read. */
+  readonly kindsRead = new Set<string>();
+
   private readonly specs = new Map<string, Record<string, unknown>>();
 
   private constructor() {
@@ -41,6 +44,8 @@
   private handle(request: IncomingMessage, response: ServerResponse): void {
     request.resume();
     const url = request.url ?? '';
+    const kind = KIND_PATH.exec(url)?.[1] ?? '';
+    if (request.method === 'GET') this.kindsRead.add(kind);
     if (request.method !== 'GET') {
       response.end('{}');
       return;
@@ -49,7 +54,6 @@
       if (url.includes('wait_ms=0')) response.end(JSON.stringify({ events: [], at: REVISION }));
       return;
     }
-    const kind = KIND_PATH.exec(url)?.[1] ?? '';
     const items = Object.entries(this.specs.get(kind) ?? {}).map(([name, spec]) => ({
       metadata: { name, revision: REVISION },
       spec,
--- a/tests/relay/coldRelay.test.ts
+++ b/tests/relay/coldRelay.test.ts
@@ -115,6 +115,8 @@
     const appeared = await fixture.addUpstream('appeared', createScript('appeared'));
     await fixture.waitForLine('"reason":"appeared"');
     assert.deepEqual([...(await sendMany(40)).keys()], [200]);
+    const metrics = await fetch(`http://127.0.0.1:${fixture.readinessPort}/metrics`);
+    assert.match(await metrics.text(), /cactusstair_relay_cold_upstreams 1/);
     assert.equal(appeared.received.length, 0);
   });
 
--- a/tests/relay/zoneEvacuation.test.ts
+++ b/tests/relay/zoneEvacuation.test.ts
@@ -13,6 +13,7 @@
   formatEvents,
   formatRest,
   formatStreamHead,
+  LAST_CHUNK,
 } from './support/scriptedUpstream.js';
 
 const EVACUATE_MS = 5000;
@@ -93,6 +94,40 @@
     assert.equal(evacuated.received.length, before);
   });
 
+  it('leaves its upstreams out of escalations', async () => {
+    const sized = { ...createStreamRoute(), modelSizes: ['small', 'large'] };
+    const script: Script = (socket, request) => {
+      const head = formatStreamHead(request, { 'X-Confidence': '0' });
+      const event = `id: 1\ndata: ${request.headers['x-model']}\n\n`;
+      socket.end(`${head}${formatChunk(event)}${LAST_CHUNK}`);
+    };
+    fixture = await RelayFixture.open([sized], undefined, { evacuateMs: EVACUATE_MS });
+    await fixture.addUpstream('kept', script);
+    const evacuated = await fixture.addUpstream('evacuated', script, { zone: 'zone-2' });
+    await fixture.waitReady();
+    fixture.store.evacuations.put('zone-2', { zone: 'zone-2' });
+    await fixture.waitForLine(STARTED);
+    const headers = { 'x-model': '*', 'x-token-counts': '100,50' };
+    for (let sent = 0; sent < 10; sent += 1) {
+      const answer = await sendRequest(fixture.callerPort, { path: '/stream/item', headers });
+      assert.equal(answer.body, 'id: 1\ndata: large\n\n');
+    }
+    assert.equal(evacuated.received.length, 0);
+  });
+
+  it('is shown in the metrics', async () => {
+    await openZones();
+    await fixture.waitReady();
+    fixture.store.evacuations.put('zone-2', { zone: 'zone-2' });
+    await fixture.waitForLine(STARTED);
+    const read = async () =>
+      (await fetch(`http://127.0.0.1:${fixture.readinessPort}/metrics`)).text();
+    assert.match(await read(), /cactusstair_relay_evacuated_zone\{zone="zone-2"\} 1/);
+    fixture.store.evacuations.remove('zone-2');
+    await fixture.waitForLine(ENDED);
+    assert.doesNotMatch(await read(), /evacuated_zone\{/);
+  });
+
   it('lets running answers complete', async () => {
     let finish = () => {};
     const { evacuated } = await openZones({}, (socket, request) => {
