Spread the first requests to a cold upstream over its instances

All holders of a share could send their first request at the moment at which an upstream appeared, all of a second's bound at once. They start in turn by rank now, at the rate of the service. The test of the bound also has all instances save up and send in bursts, which reaches the bound. The warm-up of a service is computed once for each configuration.

--- a/packages/relay/src/requests/upstreamChoice.ts
+++ b/packages/relay/src/requests/upstreamChoice.ts
@@ -96,7 +96,7 @@
   const accepting = listCandidates(context, job, excluded).filter(
     ({ record }) => context.notices.getWaitMs(record) <= 0,
   );
-  if (accepting.some(({ record }) => context.notices.isCold(record))) {
+  if (context.notices.hasCold) {
     const selection = chooseAccepting(context, job, sizeIndex, filterWarm(context, accepting));
     if (selection) return selection;
   }
--- a/packages/relay/src/upstreams/coldUpstreams.ts
+++ b/packages/relay/src/upstreams/coldUpstreams.ts
@@ -48,6 +48,8 @@
   /** Start times of upstreams whose entries vanished in a store outage, by id. */
   private readonly lostStarts = new Map<string, number>();
 
+  private readonly warmups = new WeakMap<Service, Warmup>();
+
   /** Ids of the upstreams that were passed to `onUnknown`. */
   private readonly unknown = new Set<string>();
 
@@ -159,11 +161,16 @@
   }
 
   private findWarmup({ record }: Upstream): Warmup | undefined {
-    const { bounds, findService } = this.options;
-    const { warmupMs = 0, warmupRequestsPerSecond = 0 } = findService(record.service) ?? {};
-    if (warmupRequestsPerSecond <= 0) return undefined;
-    const { coldOverage = 1, coldSlack = 0 } = bounds;
+    const service = this.options.findService(record.service);
+    const { warmupMs = 0, warmupRequestsPerSecond = 0 } = service ?? {};
+    if (!service || warmupRequestsPerSecond <= 0) return undefined;
+    const known = this.warmups.get(service);
+    if (known) return known;
+    const { coldOverage = 1, coldSlack = 0 } = this.options.bounds;
     const maxRequests = warmupRequestsPerSecond * coldOverage + coldSlack;
-    return { warmupMs, bound: { requestsPerSecond: warmupRequestsPerSecond, maxRequests } };
+    const bound = { requestsPerSecond: warmupRequestsPerSecond, maxRequests };
+    const warmup = { warmupMs, bound };
+    this.warmups.set(service, warmup);
+    return warmup;
   }
 }
--- a/packages/relay/src/upstreams/upstreamNotices.ts
+++ b/packages/relay/src/upstreams/upstreamNotices.ts
@@ -62,6 +62,11 @@
     return Math.max(this.getPauseLeftMs(id), limits.getWaitMs(id), cold.getWaitMs(id));
   }
 
+  /** Whether an upstream was cold when it was last looked at. */
+  get hasCold(): boolean {
+    return this.options.cold.count > 0;
+  }
+
   /** Whether an upstream warms up and takes few requests until then. */
   isCold({ id }: UpstreamRecord): boolean {
     return this.options.cold.isCold(id);
--- a/packages/routing/src/limits/coldLimits.ts
+++ b/packages/routing/src/limits/coldLimits.ts
@@ -141,28 +141,33 @@
     // Requests that were sent just before count within the same second.
     const sentMs = this.sentAtMs.get(upstream) ?? -Infinity;
     const isRested = this.options.clock.monotonicMs() - sentMs >= WINDOW_MS;
-    if (!hadQuota && isRested) share.allowance.fill();
+    if (hadQuota || share.quota === 0 || !isRested) return;
+    // The instances start in turn, so that an upstream does not get all of a second at once.
+    share.allowance.fill(this.computeRank(upstream) / whole);
   }
 
   private computeQuota(upstream: string, maxRequests: number): number {
-    const { count, isIntroduced, others } = this.instances;
-    if (!isIntroduced) return 0;
-    const size = Math.max(count, others.length + 1);
-    const unknown = size - others.length - 1;
-    return computeColdQuota(this.getRank(upstream) + unknown, size, maxRequests);
+    if (!this.instances.isIntroduced) return 0;
+    return computeColdQuota(this.computeRank(upstream), this.size, maxRequests);
   }
 
-  /** Returns the number of known instances that come before this one at an upstream. */
-  private getRank(upstream: string): number {
-    const known = this.ranks.get(upstream);
-    if (known !== undefined) return known;
+  /** Number of instances, named or not. */
+  private get size(): number {
+    return Math.max(this.instances.count, this.instances.others.length + 1);
+  }
+
+  /** Returns the number of instances that may come before this one at an upstream. */
+  private computeRank(upstream: string): number {
     const { others, self } = this.instances;
+    const unnamed = this.size - others.length - 1;
+    const known = this.ranks.get(upstream);
+    if (known !== undefined) return known + unnamed;
     const own = hashText(`${upstream}@${self}`);
     const rank = others.filter((name) => {
       const other = hashText(`${upstream}@${name}`);
       return other > own || (other === own && name < self);
     }).length;
     this.ranks.set(upstream, rank);
-    return rank;
+    return rank + unnamed;
   }
 }
--- a/packages/routing/src/limits/rateAllowance.ts
+++ b/packages/routing/src/limits/rateAllowance.ts
@@ -31,10 +31,10 @@
     this.tokens = Math.min(this.tokens, maxSaved);
   }
 
-  /** Grants all requests that can be saved up. */
-  fill(): void {
+  /** Grants all requests that can be saved up but `missing`. */
+  fill(missing = 0): void {
     this.update();
-    this.tokens = this.maxTokens;
+    this.tokens = Math.max(0, this.maxTokens - missing);
   }
 
   /** Takes the right to send one request; false if there is none now. */
--- a/tests/routing/coldLimits.test.ts
+++ b/tests/routing/coldLimits.test.ts
@@ -62,14 +62,24 @@
     return sender;
   }
 
-  /** Runs the fleet; every instance sends as much as it may to all upstreams. */
-  async run(upstreams: readonly string[], durationMs: number, each: ColdBound): Promise<void> {
+  /**
+   * Runs the fleet; every instance sends as much as it may to all upstreams.
+   *
+   * @param burstMs interval between bursts for which all save up; 0 to send all the time
+   */
+  async run(
+    upstreams: readonly string[],
+    durationMs: number,
+    each: ColdBound,
+    burstMs = 0,
+  ): Promise<void> {
     const startMs = this.clock.monotonicMs();
     for (let step = 0; step * STEP_MS < durationMs; step += 1) {
       const nowMs = this.clock.monotonicMs();
       for (const { limits, listDelayMs, startedAtMs } of this.senders) {
         if (nowMs < startedAtMs || nowMs - startMs < listDelayMs) continue;
         if (step % 10 === 0) limits.refresh();
+        if (burstMs > 0 && (nowMs - startMs) % burstMs < burstMs - WINDOW_MS) continue;
         for (const upstream of upstreams) this.sendAll(limits, upstream, each);
       }
       await this.clock.advance(STEP_MS);
@@ -159,19 +169,22 @@
   SIZES.forEach((size) => {
     describe(`of ${size} instances`, () => {
       // Cold upstreams crashed under what many instances sent at once (FAILBACK on a small day).
-      it('keeps each sliding second within the bound while instances start and are cut off', async () => {
-        const fleet = new Fleet(createRandom(SEED));
-        const nowMs = fleet.clock.monotonicMs();
-        for (let index = 0; index < size; index += 1) {
-          const isLate = index % 5 === 4;
-          fleet.add({
-            ...(isLate ? { startedAtMs: nowMs + 500 * (index % 17) } : {}),
-            ...(index % 7 === 3 ? { cutOffAtMs: nowMs + 9000 } : {}),
-          });
-        }
-        await fleet.run(listUpstreams(4), 14_000, bound);
-        assert.ok(fleet.getPeak() <= bound.maxRequests, `${fleet.getPeak()} in a second`);
-        assert.ok(fleet.countSent() > 0);
+      [0, 4000, 7000].forEach((burstMs) => {
+        const title = `keeps each second within the bound as instances come and go (${burstMs} ms)`;
+        it(title, async () => {
+          const fleet = new Fleet(createRandom(SEED));
+          const nowMs = fleet.clock.monotonicMs();
+          for (let index = 0; index < size; index += 1) {
+            const isLate = index % 5 === 4;
+            fleet.add({
+              ...(isLate ? { startedAtMs: nowMs + 500 * (index % 17) } : {}),
+              ...(index % 7 === 3 ? { cutOffAtMs: nowMs + 9000 } : {}),
+            });
+          }
+          await fleet.run(listUpstreams(4), 15_000, bound, burstMs);
+          assert.ok(fleet.getPeak() <= bound.maxRequests, `${fleet.getPeak()} in a second`);
+          assert.ok(fleet.countSent() > 0);
+        });
       });
 
       it('keeps the bound for any rate and slack', async () => {
@@ -186,7 +199,7 @@
         ]) {
           const fleet = new Fleet(random);
           for (let index = 0; index < size; index += 1) fleet.add();
-          await fleet.run(listUpstreams(1), 4000, each);
+          await fleet.run(listUpstreams(1), 12_000, each, 4000);
           assert.ok(
             fleet.getPeak() <= each.maxRequests,
             `${fleet.getPeak()} for ${each.maxRequests}`,
@@ -207,6 +220,14 @@
     });
   });
 
+  // All holders sent their first request at once, to an upstream that had just started.
+  it('spreads the first requests of the instances', async () => {
+    const fleet = new Fleet(createRandom(SEED));
+    for (let index = 0; index < 64; index += 1) fleet.add({ listDelayMs: 0 });
+    await fleet.run(listUpstreams(3), 10_000, bound);
+    assert.ok(fleet.getPeak() <= bound.requestsPerSecond + 1, `${fleet.getPeak()} in a second`);
+  });
+
   it('lets an instance send nothing before the others can know it', () => {
     const clock = new ManualClock();
     const known = { self: 'a', others: [], count: 1, isIntroduced: false };
