Examine silent streams late, and bound what odd sums and records lead to

A silent stream is described only after the shortest time for which any is waited: describing it compares upstreams, and each instance checks its streams ten times a second on a third of a core. Sums of a faulty instance lead to finite estimates, upstreams without slots have a level, a request without token counts has a value.

--- a/packages/relay/src/requests/streamProgress.ts
+++ b/packages/relay/src/requests/streamProgress.ts
@@ -1,12 +1,9 @@
-import { computeSilenceLimits } from '@cactusstair/routing';
+import { computeSilenceLimits, getMinSilenceMs } from '@cactusstair/routing';
 import type { SilentStream } from '@cactusstair/routing';
 
 import type { Upstream } from '../upstreams/upstream.js';
 import type { MonitoredCall } from './stallMonitor.js';
 
-/** Shorter silences are not examined. */
-const MIN_SILENCE_MS = 250;
-
 /** The attempt that is tracked. */
 export interface TrackedAttempt {
   readonly upstream: Pick<Upstream, 'lastProgressMs'>;
@@ -15,8 +12,12 @@
 
 /** Options of `StreamProgress`. */
 export interface StreamProgressOptions {
-  /** Returns what is known of the stream and its upstream, once it is silent. */
-  describeStream: () => Omit<SilentStream, 'hasEvents'>;
+  /** Longest pause between two events that the route allows. */
+  maxEventGapMs: number;
+  /** Whether the zone of the upstream is unreachable or it has refused a connection. */
+  isUnreachable: () => boolean;
+  /** Returns what else is known of the stream and its upstream; called only in long silences. */
+  describeStream: () => Omit<SilentStream, 'hasEvents' | 'maxEventGapMs' | 'isUnreachable'>;
   /**
    * Reserves everything that another attempt needs. Returns false if the stream has to stay where
    * it is, because cancelling it would only lose it.
@@ -65,10 +66,13 @@
   describeStall(nowMs: number): string | undefined {
     if (this.isWaitingForCaller) return undefined;
     const silentMs = nowMs - this.progressAtMs;
-    if (silentMs <= MIN_SILENCE_MS) return undefined;
+    const { maxEventGapMs, describeStream } = this.options;
+    const isUnreachable = this.options.isUnreachable();
+    if (silentMs <= getMinSilenceMs(maxEventGapMs, isUnreachable)) return undefined;
     const upstreamSilentMs = Math.min(silentMs, nowMs - this.attempt.upstream.lastProgressMs);
     const { hasEvents } = this;
-    const limits = computeSilenceLimits({ ...this.options.describeStream(), hasEvents });
+    const known = { hasEvents, maxEventGapMs, isUnreachable };
+    const limits = computeSilenceLimits({ ...describeStream(), ...known });
     if (upstreamSilentMs > limits.upstreamMs) {
       return `the upstream sent nothing for ${Math.round(upstreamSilentMs)} ms`;
     }
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 
-import type { RunEstimate, SilentStream } from '@cactusstair/routing';
+import type { RunEstimate } from '@cactusstair/routing';
 
 import type { Attempt } from './attempt.js';
 import { awaitAttempt, readAnswerHead } from './attempt.js';
@@ -271,6 +271,8 @@
 
   private createProgress(attempt: Attempt): StreamProgress {
     return new StreamProgress(attempt, {
+      maxEventGapMs: this.job.exchange.route!.maxEventGapMs,
+      isUnreachable: () => this.isUnreachable(attempt),
       describeStream: () => this.describeStream(attempt),
       tryReserveMove: () =>
         this.order.canResume &&
@@ -281,21 +283,20 @@
     });
   }
 
+  private isUnreachable({ upstream }: Attempt): boolean {
+    const { crashDetector, reachability } = this.context;
+    return crashDetector.hasCrashed(upstream) || reachability.isUnreachable(upstream.record.zone);
+  }
+
   /** Describes a silent attempt and what would replace it. */
-  private describeStream(attempt: Attempt): Omit<SilentStream, 'hasEvents'> {
+  private describeStream(attempt: Attempt) {
     const { context, job, sizeIndex } = this;
-    const { upstream } = attempt;
-    const { latencyGoalMs, maxEventGapMs } = job.exchange.route!;
     return {
-      latencyGoalMs,
-      maxEventGapMs,
+      latencyGoalMs: job.exchange.route!.latencyGoalMs,
       gap: estimateGap(context, job, sizeIndex, attempt.fullness),
       waitRatio: context.engines.get(job.service).runTimes.getWaitRatio(),
       firstEventMs: attempt.expectedWaitMs,
-      promptQueueMs: upstream.backlogMs,
-      isUnreachable:
-        context.crashDetector.hasCrashed(upstream) ||
-        context.reachability.isUnreachable(upstream.record.zone),
+      promptQueueMs: attempt.upstream.backlogMs,
       replacementMs: this.estimateReplacement(attempt)?.firstEventMs ?? Infinity,
     };
   }
--- a/packages/routing/src/cascade/answerValue.ts
+++ b/packages/routing/src/cascade/answerValue.ts
@@ -46,9 +46,11 @@
 
 /** Estimates the value of a good answer in time from the price of the largest size. */
 export function estimateAnswerValue(largestPrice: number, tokens: AnswerTokens): number {
-  const { prompt, output } = tokens;
+  const { prompt } = tokens;
+  // A request that states no tokens is worth as much as one token, so that its answers compare.
+  const output = prompt + tokens.output > 0 ? tokens.output : 1;
   const paid = prompt * PROMPT_TOKEN_PRICE_RATIO + output;
   const outputShare = paid > 0 ? output / paid : 0;
-  const price = computeRunPrice(largestPrice, { ...tokens, uncachedPrompt: prompt });
+  const price = computeRunPrice(largestPrice, { prompt, uncachedPrompt: prompt, output });
   return price * (BASE_VALUE + OUTPUT_VALUE * outputShare);
 }
--- a/packages/routing/src/engine/logSums.ts
+++ b/packages/routing/src/engine/logSums.ts
@@ -15,6 +15,8 @@
 
 // Instances exchange only non-negative sums, so logarithms are taken of multiples of this value.
 const SMALLEST_SAMPLE = 1e-3;
+/** Bounds the median that the sums of a faulty instance lead to; exp(23) x 0.001 ms is 2.7 hours. */
+const MAX_LOG = 23;
 /** Keeps a few equal samples from being taken for certainty. */
 const MIN_DEVIATION = 0.1;
 const MAX_DEVIATION = 1.5;
@@ -44,7 +46,7 @@
 export function toLogNormal(sums: LogSums, prior: LogPrior): LogNormal {
   const priorMean = Math.log(Math.max(1, prior.median / SMALLEST_SAMPLE));
   const weight = sums[0] + prior.weight;
-  const mean = (sums[1] + prior.weight * priorMean) / weight;
+  const mean = Math.min(MAX_LOG, (sums[1] + prior.weight * priorMean) / weight);
   const squares = sums[2] + prior.weight * (priorMean ** 2 + prior.deviation ** 2);
   const deviation = Math.sqrt(Math.max(0, squares / weight - mean * mean));
   return {
--- a/packages/routing/src/engine/runTimeEstimator.ts
+++ b/packages/routing/src/engine/runTimeEstimator.ts
@@ -32,7 +32,9 @@
 
 /** Returns the level of an engine of whose slots a share is in use. */
 function toLevel(fullness: number): number {
-  return Math.min(FULLNESS_LEVELS - 1, Math.max(0, Math.floor(fullness * FULLNESS_LEVELS)));
+  // An upstream that states no slots has no share of them in use.
+  if (!(fullness > 0)) return 0;
+  return Math.min(FULLNESS_LEVELS - 1, Math.floor(fullness * FULLNESS_LEVELS));
 }
 
 /**
--- a/packages/routing/src/engine/silenceLimits.ts
+++ b/packages/routing/src/engine/silenceLimits.ts
@@ -50,6 +50,12 @@
 /** Covers the interval between two checks and the way to the caller. */
 const PATIENCE_MARGIN_MS = 200;
 
+/** Returns the silence before which no stream is given up, whatever is expected. */
+export function getMinSilenceMs(maxEventGapMs: number, isUnreachable: boolean): number {
+  const waitedMs = MIN_PAUSE_SHARE * maxEventGapMs;
+  return isUnreachable ? UNREACHABLE_TIMEOUT_MS : Math.max(UNREACHABLE_TIMEOUT_MS, waitedMs);
+}
+
 /**
  * Computes how long a silent stream is waited for. Serves engines that send nothing on any stream
  * while they read prompts, and events that hold many tokens of a slow model: both look like an
@@ -71,16 +77,15 @@
     CALLER_PATIENCE_GOALS * latencyGoalMs,
     CALLER_PATIENCE_GAPS * maxEventGapMs,
   );
-  const lastMs = Math.max(UNREACHABLE_TIMEOUT_MS, patienceMs - replacementMs - PATIENCE_MARGIN_MS);
+  const minMs = getMinSilenceMs(maxEventGapMs, stream.isUnreachable);
+  const lastMs = Math.max(minMs, patienceMs - replacementMs - PATIENCE_MARGIN_MS);
   // Later than this, the pause exceeds what the route allows whichever upstream goes on.
-  const usefulMs = Math.max(MIN_PAUSE_SHARE * maxEventGapMs, maxEventGapMs - replacementMs);
-  const upstreamMs = stream.isUnreachable
-    ? Math.min(expectedMs, UNREACHABLE_TIMEOUT_MS)
-    : Math.max(expectedMs, usefulMs);
+  const usefulMs = maxEventGapMs - replacementMs;
+  const upstreamMs = stream.isUnreachable ? minMs : Math.max(minMs, expectedMs, usefulMs);
   const dueMs = stream.hasEvents ? maxEventGapMs : Math.max(latencyGoalMs, maxEventGapMs);
   const streamMs = Math.max(expectedMs, STREAM_TIMEOUT_FACTOR * dueMs);
   return {
-    upstreamMs: Math.min(lastMs, Math.max(UNREACHABLE_TIMEOUT_MS, upstreamMs)),
+    upstreamMs: Math.min(lastMs, upstreamMs),
     streamMs: Math.min(lastMs, streamMs),
   };
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -36,7 +36,7 @@
 export { createRunEstimate } from './engine/runEstimate.js';
 export { RunTimeEstimator } from './engine/runTimeEstimator.js';
 export type { SilenceLimits, SilentStream } from './engine/silenceLimits.js';
-export { computeSilenceLimits } from './engine/silenceLimits.js';
+export { computeSilenceLimits, getMinSilenceMs } from './engine/silenceLimits.js';
 export { WorkAverage } from './engine/workAverage.js';
 export type { UrgencyRequest } from './engine/requestUrgency.js';
 export { computeUrgency } from './engine/requestUrgency.js';
--- a/tests/routing/runTimeEstimator.test.ts
+++ b/tests/routing/runTimeEstimator.test.ts
@@ -107,6 +107,38 @@
     assert.ok(Math.abs(median / expected - 1) < 0.3, `${median}`);
   });
 
+  // What a faulty instance reports goes into the arithmetic of all others.
+  it('stays finite whatever the sums of others', () => {
+    const { estimator } = createEstimator();
+    const odd = [
+      [0.01, 1e12, 0],
+      [1e12, 0, 1e300],
+      [0, 0, 0],
+      [1e-9, 1e9, 1e9],
+    ];
+    for (const sums of odd) {
+      estimator.importPeerSums({ 'pace 1 small': sums, wait: sums, 'length route': sums });
+      for (const known of [
+        estimator.getPace('small', 0.4, 50),
+        estimator.getWaitRatio(),
+        estimator.getLengthRatio('route'),
+      ]) {
+        assert.ok(Number.isFinite(computeQuantile(known, HIGH_DEVIATIONS)), `${sums}`);
+        assert.ok(known.median > 0);
+      }
+    }
+  });
+
+  it('accepts upstreams that state no slots', () => {
+    const { estimator } = createEstimator();
+    for (const fullness of [0 / 0, 3 / 0]) {
+      estimator.recordPace('small', fullness, 20);
+      assert.ok(estimator.getPace('small', fullness, 20).median > 0);
+    }
+    const keys = Object.keys(estimator.exportSums());
+    assert.deepEqual(keys.sort(), ['pace 0 small', 'pace 3 small']);
+  });
+
   it('knows how far the lengths of answers differ from the estimates of callers', () => {
     const { clock, estimator } = createEstimator();
     const random = createRandom(5);
--- a/tests/routing/silenceLimits.test.ts
+++ b/tests/routing/silenceLimits.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import { computeSilenceLimits } from '@cactusstair/routing';
+import { computeSilenceLimits, getMinSilenceMs } from '@cactusstair/routing';
 import type { SilentStream } from '@cactusstair/routing';
 
 const stream: SilentStream = {
@@ -56,6 +56,19 @@
     assert.ok(compute({ isUnreachable: true, promptQueueMs: 5000 }).upstreamMs <= 250);
   });
 
+  // Streams are examined only after this time, which must not hide a shorter limit.
+  it('has no limit below the shortest silence', () => {
+    for (const isUnreachable of [true, false]) {
+      for (const replacementMs of [0, 500, 100_000, Infinity]) {
+        for (const hasEvents of [true, false]) {
+          const limits = compute({ isUnreachable, replacementMs, hasEvents });
+          const minMs = getMinSilenceMs(stream.maxEventGapMs, isUnreachable);
+          assert.ok(Math.min(limits.upstreamMs, limits.streamMs) >= minMs);
+        }
+      }
+    }
+  });
+
   it('does not take one refused connection for the silence of a stream that goes on', () => {
     assert.equal(compute({ isUnreachable: true }).streamMs, compute().streamMs);
   });
--- a/tests/routing/sizeChoice.test.ts
+++ b/tests/routing/sizeChoice.test.ts
@@ -204,6 +204,13 @@
   });
 });
 
+describe('estimateAnswerValue', () => {
+  // Without a value no answer would ever be replaced.
+  it('is positive also for a request that states no tokens', () => {
+    assert.ok(estimateAnswerValue(0.27, { prompt: 0, uncachedPrompt: 0, output: 0 }) > 0);
+  });
+});
+
 describe('completePrices', () => {
   it('estimates a missing price from the others and the speeds', () => {
     const [small, , large] = completePrices([undefined, 0.1, 0.4], [0.3, 1, 4]);
