Forget the run times of instances that no longer report

Cause: sums of peers were replaced only for services in a message, so an instance that had lost all others kept their last sums. Run times are now cleared; prefill sums stay as they were.

--- a/packages/relay/src/upstreams/engineEstimators.ts
+++ b/packages/relay/src/upstreams/engineEstimators.ts
@@ -72,11 +72,14 @@
   /** Replaces the sums of all other instances. */
   importPeerSums(all: EngineSums): void {
     for (const [key, sums] of Object.entries(all)) {
-      if (key.endsWith(RUN_TIMES_SUFFIX)) {
-        this.get(key.slice(0, -RUN_TIMES_SUFFIX.length)).runTimes.importPeerSums(sums);
-      } else {
-        this.get(key).prefill.importPeerSums(sums);
-      }
+      if (!key.endsWith(RUN_TIMES_SUFFIX)) this.get(key).prefill.importPeerSums(sums);
+    }
+    // Run times that nobody reports any more must not outlive those who saw them.
+    const services = Object.keys(all)
+      .filter((key) => key.endsWith(RUN_TIMES_SUFFIX))
+      .map((key) => key.slice(0, -RUN_TIMES_SUFFIX.length));
+    for (const service of new Set([...services, ...this.byService.keys()])) {
+      this.get(service).runTimes.importPeerSums(all[service + RUN_TIMES_SUFFIX] ?? {});
     }
   }
 }
