--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -75,6 +75,7 @@
 export type { Selection, SelectionRequest } from './upstreams/upstreamSelector.js';
 export { selectUpstream } from './upstreams/upstreamSelector.js';
 export { ZoneReachability } from './upstreams/zoneReachability.js';
+export { CrashDetector } from './upstreams/crashDetector.js';
 export { EngineEstimators } from './upstreams/engineEstimators.js';
 export { LoadExchange } from './peers/loadExchange.js';
 export type { LoadNotice } from './peers/peerMessage.js';
