--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -81,6 +81,7 @@
 export type { Selection, SelectionRequest } from './upstreams/upstreamSelector.js';
 export { selectUpstream } from './upstreams/upstreamSelector.js';
 export { ZoneReachability } from './upstreams/zoneReachability.js';
+export { CrashDetector } from './upstreams/crashDetector.js';
 export { EngineEstimators } from './upstreams/engineEstimators.js';
 export { findPeers } from './peers/peerFinder.js';
 export { InstanceRoster } from './peers/instanceRoster.js';
