MemoryShares: give nothing back when a withdrawn request is released again

A request that waits and is withdrawn was never granted. A second release took it for a granted one and gave back its bytes, so more memory was granted than there is. Reading of answers releases twice when the caller leaves after the answer was cut, and callers' bodies release twice as well.

--- a/packages/routing/src/limits/memoryShares.ts
+++ b/packages/routing/src/limits/memoryShares.ts
@@ -57,8 +57,13 @@
         if (!this.waiting.has(request)) this.shrink(request, leftBytes);
       },
       release: () => {
-        if (!this.waiting.delete(request)) this.shrink(request, 0);
-        else this.grant();
+        if (!this.waiting.delete(request)) {
+          this.shrink(request, 0);
+          return;
+        }
+        // Was not granted, so a further release must give nothing back.
+        request.bytes = 0;
+        this.grant();
       },
     };
   }
--- a/tests/routing/memoryShares.test.ts
+++ b/tests/routing/memoryShares.test.ts
@@ -29,6 +29,19 @@
     assert.deepEqual(granted, ['a', 'b', 'c']);
   });
 
+  // The second release gave back memory that was never granted, so more was granted than there is.
+  it('gives nothing back when a request that waited is withdrawn twice', () => {
+    const { shares, granted, ask } = createRecorder(100);
+    ask('a', 50);
+    ask('b', 50);
+    const withdrawn = ask('c', 50);
+    withdrawn.release();
+    withdrawn.release();
+    assert.equal(shares.usedBytes, 100);
+    ask('d', 50);
+    assert.deepEqual(granted, ['a', 'b']);
+  });
+
   it('leaves half of the memory to others, however much one owner asks for', () => {
     const { granted, ask } = createRecorder(100);
     for (let index = 0; index < 50; index += 1) ask('endless', 25, `endless ${index}`);
