Relay: bound what callers may send in memory, work and descriptors

Cause: only one request was bounded. All bodies together were kept in memory until their end; a read of 64 KiB was parsed whole, so it gave up to 11,000 chunks or 1,000 requests at once, and one connection was read up to 32 times before others; a refused body was read on; connections were not counted.

Change: each connection of a port passes its bytes to the parser in slices, in turn with the others, and one request at a time: the next one when the response before it has been written. A body above 8 KiB takes memory of a budget (an eighth of limits.memory_mb, at most 64 MiB), else its connection is not read; while one waits, stalled and slow bodies are ended, the slowest first (503, not run). Bodies with more framing than a tenth are refused (413). After a refusal the connection gets at most 256 KiB and 1 s for its caller to read it. Connections are bounded by limits.max_fds with a reserve of 200 and one descriptor per request for its upstream; the slowest one that is not being served makes room.

--- a/packages/relay/src/callerServer.ts
+++ b/packages/relay/src/callerServer.ts
@@ -2,6 +2,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import type { ConnectionGuard } from '@cactusstair/utils';
+import { guardConnections } from '@cactusstair/utils';
+
 import type { CallerLimits } from './config/relayConfig.js';
 import type { SocketAddress } from './relayOptions.js';
 
@@ -11,9 +14,15 @@
 
   private readonly openRequests = new Map<Socket, number>();
 
+  private readonly guard: ConnectionGuard;
+
   private isClosing = false;
 
-  constructor(handle: (incoming: IncomingMessage, outgoing: ServerResponse) => void) {
+  /** @param maxConnections largest number of connections */
+  constructor(
+    maxConnections: number,
+    handle: (incoming: IncomingMessage, outgoing: ServerResponse) => void,
+  ) {
     this.server = createServer(
       {
         // `RequestHandler` checks the configured limit; this one only bounds memory.
@@ -28,7 +37,8 @@
         handle(incoming, outgoing);
       },
     );
-    this.server.on('connection', (socket) => {
+    this.guard = guardConnections(this.server, { maxConnections });
+    this.guard.onConnection((socket) => {
       this.openRequests.set(socket, 0);
       socket.once('close', () => this.openRequests.delete(socket));
     });
@@ -45,6 +55,11 @@
     return this.openRequests.size;
   }
 
+  /** Connections that were closed for others, or not accepted, since the start. */
+  get closedCount(): number {
+    return this.guard.closedCount;
+  }
+
   applyLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -23,9 +23,9 @@
 export { SourceFollower } from './follow/sourceFollower.js';
 export type { EventLogOptions, LogSink } from './observe/eventLog.js';
 export { EventLog } from './observe/eventLog.js';
-export type { RelayNodeOptions } from './relayNode.js';
 export { RelayNode } from './relayNode.js';
-export type { PeerRecord, RelayBounds, SocketAddress } from './relayOptions.js';
+export type { RelayNodeOptions } from './relayNodeOptions.js';
+export type { InstanceLimits, PeerRecord, RelayBounds, SocketAddress } from './relayOptions.js';
 export type { RelayStore } from './relayStore.js';
 export type {
   AnswerHead,
@@ -39,6 +39,8 @@
 export type { UpstreamRecord } from './upstreams/upstreamRecord.js';
 
 // Components that can be used without `RelayNode`.
+export type { CallerCapacity } from './instanceLimits.js';
+export { computeCallerCapacity } from './instanceLimits.js';
 export { computeAgeMs, readClocks } from './follow/clockReading.js';
 export type { PeerSourceOptions } from './peers/peerSource.js';
 export { PeerSource } from './peers/peerSource.js';
--- a/packages/relay/src/observe/requestMetrics.ts
+++ b/packages/relay/src/observe/requestMetrics.ts
@@ -1,3 +1,6 @@
+import type { BodyBudget } from '@cactusstair/routing';
+
+import type { CallerServer } from '../callerServer.js';
 import type { Exchange } from '../requests/exchange.js';
 
 // Histogram bucket bounds of the time to the first byte or event, in seconds. They include the
@@ -16,6 +19,9 @@
 /** Values that are sampled when the metrics are requested. */
 export interface MetricReadings {
   openRequests: number;
+  callers: Pick<CallerServer, 'connectionCount' | 'closedCount'>;
+  /** Memory for bodies of requests. */
+  bodies: Pick<BodyBudget, 'usedBytes' | 'waitingCount' | 'refusals'>;
   configVersion: number;
   configAgeSeconds: number;
   upstreams: number;
@@ -71,6 +77,15 @@
       sum.set({ workspace, route }, series.sumSeconds);
     }
     create('open_requests', 'Requests that are not answered.', []).set(readings.openRequests);
+    const { bodies, callers } = readings;
+    create('caller_connections', 'Open connections of callers.', []).set(callers.connectionCount);
+    create('closed_connections_total', 'Connections closed for others, or not accepted.', []).set(
+      callers.closedCount,
+    );
+    create('body_bytes', 'Memory that bodies of requests take.', []).set(bodies.usedBytes);
+    create('waiting_bodies', 'Bodies that wait for memory.', []).set(bodies.waitingCount);
+    const refused = create('refused_bodies_total', 'Bodies refused for memory.', ['reason']);
+    for (const [reason, value] of Object.entries(bodies.refusals)) refused.set({ reason }, value);
     create('config_version', 'Version in force.', []).set(readings.configVersion);
     create('config_age_seconds', 'Age of the last confirmed read.', []).set(
       readings.configAgeSeconds,
--- a/packages/relay/src/observe/statusServer.ts
+++ b/packages/relay/src/observe/statusServer.ts
@@ -1,3 +1,5 @@
+import { ignoreBody } from '@cactusstair/utils';
+
 import { CallerServer } from '../callerServer.js';
 
 /** Options of `createStatusServer`. */
@@ -5,14 +7,16 @@
   readinessPath: string;
   isReady: () => boolean;
   formatMetrics: () => Promise<string>;
+  /** Largest number of connections. */
+  maxConnections: number;
 }
 
 const METRICS_PATH = '/metrics';
 
 /** Serves readiness, 200 or 503, and the metrics as text. */
 export function createStatusServer(options: StatusServerOptions): CallerServer {
-  return new CallerServer((incoming, outgoing) => {
-    incoming.resume();
+  return new CallerServer(options.maxConnections, (incoming, outgoing) => {
+    ignoreBody(incoming, outgoing);
     if (incoming.url === METRICS_PATH) {
       options.formatMetrics().then(
         (text) => {
--- a/packages/relay/src/peers/viewServer.ts
+++ b/packages/relay/src/peers/viewServer.ts
@@ -1,6 +1,8 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 
+import { guardConnections, ignoreBody } from '@cactusstair/utils';
+
 import type { SourceFollower } from '../follow/sourceFollower.js';
 import type { SocketAddress } from '../relayOptions.js';
 import type { ViewName } from './peerMessage.js';
@@ -25,13 +27,18 @@
 export class ViewServer {
   private readonly server: Server;
 
-  constructor(private readonly views: Readonly<Record<ViewName, Exporter>>) {
+  /** @param maxConnections largest number of connections; default: no limit */
+  constructor(
+    private readonly views: Readonly<Record<ViewName, Exporter>>,
+    maxConnections = Infinity,
+  ) {
     this.server = createServer((incoming, outgoing) => {
-      incoming.resume();
+      ignoreBody(incoming, outgoing);
       const answer = this.answer(incoming.url ?? '');
       outgoing.writeHead(STATUS_BY_RESULT[answer.result], { 'content-type': 'application/json' });
       outgoing.end(answer.result === 'found' ? answer.text : undefined);
     });
+    guardConnections(this.server, { maxConnections });
   }
 
   listen(address: SocketAddress): Promise<void> {
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -6,17 +6,16 @@
 import { ConfigIndex } from './config/configIndex.js';
 import type { RelayConfig } from './config/relayConfig.js';
 import { drainCallers } from './gracefulStop.js';
-import type { EventLog } from './observe/eventLog.js';
 import { RequestMetrics } from './observe/requestMetrics.js';
 import { createStatusServer } from './observe/statusServer.js';
+import { computeCallerCapacity } from './instanceLimits.js';
 import { openWhenFree } from './openWhenFree.js';
 import { PeerExchange } from './peers/peerExchange.js';
 import { findPeers } from './peers/peerFinder.js';
-import type { PeerRecord, RelayBounds, SocketAddress } from './relayOptions.js';
-import type { RelayStore } from './relayStore.js';
+import type { RelayNodeOptions } from './relayNodeOptions.js';
+import type { PeerRecord } from './relayOptions.js';
 import type { Exchange } from './requests/exchange.js';
 import type { RelayContext } from './requests/relayContext.js';
-import type { Dialect } from './requests/relayRequest.js';
 import { RequestHandler } from './requests/requestHandler.js';
 import { RetryBudgets } from './requests/retryBudgets.js';
 import { StallMonitor } from './requests/stallMonitor.js';
@@ -34,27 +33,6 @@
 import { UpstreamNotices } from './upstreams/upstreamNotices.js';
 import { ZoneReachability } from './upstreams/zoneReachability.js';
 
-/** Options of `RelayNode`. */
-export interface RelayNodeOptions {
-  name: string;
-  zone: string;
-  /** Size of the machine relative to others, for example processor share times link rate. */
-  capacity: number;
-  callers: SocketAddress;
-  /** Address for readiness checks, which are answered with 200 while ready, else 503. */
-  readiness: SocketAddress;
-  readinessPath: string;
-  /** Address for other instances: UDP for messages, TCP for reads of store state. */
-  peers: SocketAddress;
-  /** Hosts of other instances, used until the store has been read. */
-  seedHosts: readonly string[];
-  bounds: RelayBounds;
-  store: RelayStore;
-  dialect: Dialect;
-  log: EventLog;
-  clock?: Clock;
-}
-
 /** Subtracted from the bound on revoked keys for the time between the check and the run. */
 const KEY_AGE_MARGIN_MS = 500;
 const ABSENCE_AGE_MARGIN_MS = 200;
@@ -105,6 +83,7 @@
   constructor(private readonly options: RelayNodeOptions) {
     const { bounds, log, store } = options;
     this.clock = options.clock ?? systemClock;
+    const capacity = computeCallerCapacity(options.limits ?? {});
     this.self = {
       ...options.peers,
       name: options.name,
@@ -162,16 +141,18 @@
       getConfigVersion: () => this.config?.config.version,
       onConfig: (config) => this.applyConfig(config),
       log,
+      maxPeerConnections: capacity.maxPeers,
     });
     this.handler = new RequestHandler({
       context: this.createContext(),
+      bodyBytes: capacity.bodyBytes,
       getConfigAgeMs: () => this.views.config.getAgeMs(),
       confirmConfig: () => this.views.config.confirm(),
       maxKeyAgeMs: this.maxKeyAgeMs,
       maxAbsenceAgeMs: bounds.configApplyMs - ABSENCE_AGE_MARGIN_MS,
       onEnd: (exchange) => this.recordEnd(exchange),
     });
-    this.callerServer = new CallerServer((incoming, outgoing) => {
+    this.callerServer = new CallerServer(capacity.maxCallers, (incoming, outgoing) => {
       this.handler.handle(incoming, outgoing).catch((error: unknown) => {
         this.recordFault('request', error as Error);
       });
@@ -180,6 +161,7 @@
       readinessPath: options.readinessPath,
       isReady: () => this.isReady,
       formatMetrics: () => this.formatMetrics(),
+      maxConnections: capacity.maxStatus,
     });
   }
 
@@ -372,6 +354,8 @@
   private formatMetrics(): Promise<string> {
     return this.metrics.format({
       openRequests: this.callerServer.openCount,
+      callers: this.callerServer,
+      bodies: this.handler.bodyBudget,
       configVersion: this.config?.config.version ?? 0,
       configAgeSeconds: this.views.config.getAgeMs() / 1000,
       upstreams: this.directory.listAll().length,
--- a/packages/relay/src/relayOptions.ts
+++ b/packages/relay/src/relayOptions.ts
@@ -12,6 +12,13 @@
   capacity: number;
 }
 
+/** Size of the process; a limit that is not set has a default. */
+export interface InstanceLimits {
+  memoryBytes?: number;
+  /** Descriptors of the process, 200 of which are reserved for files. */
+  maxDescriptors?: number;
+}
+
 /** Limits set by the deployment; times are in milliseconds. */
 export interface RelayBounds {
   /** Grace period between the stop signal and the forced end of the process. */
--- a/packages/relay/src/requests/requestHandler.ts
+++ b/packages/relay/src/requests/requestHandler.ts
@@ -1,11 +1,13 @@
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { ByteCollector } from '@cactusstair/utils';
+import { BodyBudget } from '@cactusstair/routing';
 
 import type { ConfigIndex } from '../config/configIndex.js';
 import type { Route } from '../config/relayConfig.js';
 import { describeInvalidHeaders } from '../messageHead.js';
+import type { BodyResult } from './bodyReader.js';
+import { readBody } from './bodyReader.js';
 import { relayBuffered } from './bufferedRelay.js';
 import { Exchange } from './exchange.js';
 import type { RelayContext } from './relayContext.js';
@@ -16,6 +18,8 @@
 /** Options of `RequestHandler`. */
 export interface RequestHandlerOptions {
   context: RelayContext;
+  /** Memory for the bodies of requests, in bytes. */
+  bodyBytes: number;
   /** Time since the configuration was last confirmed as current; Infinity before the first read. */
   getConfigAgeMs: () => number;
   /** Reads configuration changes from the store; false when the store did not answer. */
@@ -28,9 +32,20 @@
 }
 
 const RETRY_AFTER_MS = 300;
+/** Value of Retry-After when the memory for bodies is in use: about the time that bodies wait for it. */
+const BODY_RETRY_AFTER_MS = 2000;
 /** Length of a fingerprint in characters; instances exchange those of suspect requests. */
 const FINGERPRINT_LENGTH = 16;
 
+const EMPTY_BODY = Buffer.alloc(0);
+
+const bodyFailures = {
+  too_long: ['request_too_large', 'the body exceeds the configured limit'],
+  chunks_too_small: ['request_too_large', 'the body comes in too many small chunks'],
+  no_memory: ['overloaded', 'the memory for request bodies is in use'],
+  too_slow: ['overloaded', 'the body arrived too slowly while others waited for its memory'],
+} as const;
+
 type RelayFunction = (context: RelayContext, job: RelayJob) => Promise<void>;
 
 const relayByKind: Record<Route['kind'], RelayFunction> = {
@@ -39,22 +54,10 @@
   stream: relayStream,
 };
 
-function readBody(
-  incoming: IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | 'too_long' | 'cut'> {
-  return new Promise((resolve) => {
-    const body = new ByteCollector(maxBytes);
-    incoming.on('data', (chunk: Buffer) => {
-      if (body.append(chunk)) return;
-      incoming.removeAllListeners('data');
-      incoming.resume();
-      resolve('too_long');
-    });
-    incoming.on('end', () => resolve(body.takeBuffer()));
-    incoming.on('error', () => resolve('cut'));
-    incoming.on('close', () => resolve('cut'));
-  });
+/** Refuses a request whose body was not read to its end. */
+function refuseBody(exchange: Exchange, type: keyof typeof bodyFailures): void {
+  const [code, message] = bodyFailures[type];
+  exchange.sendFailure(code, message, code === 'overloaded' ? BODY_RETRY_AFTER_MS : undefined);
 }
 
 /** Counts the bytes of a request's headers, with the `: ` and CRLF of each line. */
@@ -96,7 +99,13 @@
   /** Monotonic time at which the last answer must be sent; Infinity before a stop. */
   private endsAtMs = Infinity;
 
-  constructor(private readonly options: RequestHandlerOptions) {}
+  /** Memory for the bodies of requests. */
+  readonly bodyBudget: BodyBudget;
+
+  constructor(private readonly options: RequestHandlerOptions) {
+    const { bodyBytes, context } = options;
+    this.bodyBudget = new BodyBudget({ clock: context.clock, maxBytes: bodyBytes });
+  }
 
   private get isStopping(): boolean {
     return this.endsAtMs < Infinity;
@@ -139,13 +148,39 @@
       incoming.headers,
     );
     const limits = context.getConfig()?.config.limits;
-    const body = await readBody(incoming, limits?.maxBodyBytes ?? 0);
-    if (body === 'cut') return;
-    const request: RelayRequest = {
-      ...decoded,
-      body: body === 'too_long' ? Buffer.alloc(0) : body,
-    };
+    const { result, waitedMs, release } = await readBody(incoming, {
+      maxBytes: limits?.maxBodyBytes ?? 0,
+      budget: this.bodyBudget,
+      owner: this.describeOwner(exchange, decoded.apiKey),
+      maxWaitMs: decoded.deadlineMs ?? Infinity,
+    });
+    if (result.type === 'cut') return;
+    if (waitedMs > 0) exchange.addStep('body_waited', { waitMs: Math.round(waitedMs) });
+    const body = result.type === 'whole' ? result.body : EMPTY_BODY;
+    const request: RelayRequest = { ...decoded, body };
     exchange.request = request;
+    try {
+      await this.serveRead(exchange, request, result);
+    } finally {
+      // Attempts are kept for a while to find out what crashed an upstream.
+      request.body = EMPTY_BODY;
+      release();
+    }
+  }
+
+  /** Returns who the memory for a body is counted for. */
+  private describeOwner({ incoming }: Exchange, apiKey: string | undefined): string {
+    const workspace = this.options.context.getConfig()?.findWorkspace(apiKey ?? '');
+    return workspace ? `workspace ${workspace.name}` : `address ${incoming.socket.remoteAddress}`;
+  }
+
+  private async serveRead(
+    exchange: Exchange,
+    request: RelayRequest,
+    result: Exclude<BodyResult, { type: 'cut' }>,
+  ): Promise<void> {
+    const { context } = this.options;
+    const { incoming } = exchange;
     let config = context.getConfig();
     if (config && this.needsConfirmation(config, request)) {
       // A route or key that is unknown here may have just been added: read the store once.
@@ -156,8 +191,8 @@
       exchange.sendFailure('not_ready', 'no configuration has been read yet', RETRY_AFTER_MS);
       return;
     }
-    if (body === 'too_long') {
-      exchange.sendFailure('request_too_large', 'the body exceeds the configured limit');
+    if (result.type !== 'whole') {
+      refuseBody(exchange, result.type);
       return;
     }
     if (countHeaderBytes(incoming) > config.config.limits.maxHeaderBytes) {
--- a/packages/relay/src/storeViews.ts
+++ b/packages/relay/src/storeViews.ts
@@ -29,6 +29,8 @@
   /** Called with each configuration that was read; the same version may be passed repeatedly. */
   onConfig: (config: RelayConfig) => void;
   log: EventLog;
+  /** Largest number of connections of other instances. */
+  maxPeerConnections: number;
 }
 
 /** Long-poll duration; the store allows up to 30 s, and fewer polls cost less. */
@@ -99,7 +101,7 @@
       upstreams: { follower: this.upstreams, formatState: () => directory.formatState() },
       rollouts: { follower: this.rollouts, formatState: () => rollouts.formatState() },
     });
-    this.server = new ViewServer(followers);
+    this.server = new ViewServer(followers, options.maxPeerConnections);
   }
 
   /** Whether entries may be missing because of a current or recent store outage. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -33,6 +33,8 @@
 export { WorkAverage } from './engine/workAverage.js';
 export type { UrgencyRequest } from './engine/requestUrgency.js';
 export { computeUrgency } from './engine/requestUrgency.js';
+export type { ArrivingBody, BodyListener, BodyOptions, BodyRefusal } from './limits/bodyBudget.js';
+export { BodyBudget, BodyLease, chooseBodyToEnd } from './limits/bodyBudget.js';
 export type { MemoryGrant } from './limits/memoryShares.js';
 export { MemoryShares } from './limits/memoryShares.js';
 export { RateAllowance } from './limits/rateAllowance.js';
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -3,6 +3,19 @@
 export { describeInvalidStatus } from './answerStatus.js';
 export { ByteCollector } from './byteCollector.js';
 export type { Clock } from './clock.js';
+export { recordReadBytes } from './connections/bufferCollection.js';
+export { CallerConnection } from './connections/callerConnection.js';
+export type { ConnectionGuardOptions, ConnectionState } from './connections/connectionGuard.js';
+export {
+  chooseConnectionToClose,
+  ConnectionGuard,
+  findConnection,
+  guardConnections,
+  ignoreBody,
+  refuseBody,
+} from './connections/connectionGuard.js';
+export { RateMeter } from './connections/rateMeter.js';
+export { connectionTurns, TurnQueue } from './connections/turnQueue.js';
 export { createDictionary } from './dictionary.js';
 export { systemClock } from './clock.js';
 export { isHeaderSet } from './headerFlag.js';
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -134,6 +134,18 @@
       assert.equal(parsed.bounds.stopGraceMs, 8000);
     });
 
+    it('reads the limits of the process and leaves out those that are not above 0', () => {
+      const parse = (limits: unknown) =>
+        parsePlatformSettings(JSON.stringify({ ...settings, limits }))._unsafeUnwrap().limits;
+      assert.deepEqual(parse({ memory_mb: 250, max_fds: 4100 }), {
+        memoryBytes: 250_000_000,
+        maxDescriptors: 4100,
+      });
+      assert.deepEqual(parse({ memory_mb: 0, max_fds: -1 }), {});
+      assert.deepEqual(parse({ memory_mb: '250' }), {});
+      assert.deepEqual(parse(undefined), {});
+    });
+
     it('names the missing field or the syntax error', () => {
       const without = { ...settings, platform: {} };
       const missing = parsePlatformSettings(JSON.stringify(without));
