--- a/packages/routing/src/limits/bodyBudget.ts
+++ b/packages/routing/src/limits/bodyBudget.ts
@@ -6,8 +6,8 @@
 
 /** Bodies up to this size take no memory of the budget; the bound on connections bounds them. */
 const SMALL_BODY_BYTES = 8 * 1024;
-/** What a connection may hold in memory while its body waits, in bytes. */
-const WAITING_BYTES = 80 * 1024;
+/** What a connection may hold in memory while its body waits: 16 KiB and two reads of 64 KiB. */
+const WAITING_BYTES = 144 * 1024;
 /** Share of the memory that bodies which wait may take beside the budget. */
 const MAX_WAITING_SHARE = 0.5;
 /** A body that has not got memory by then is refused. */
--- a/packages/utils/src/connections/callerConnection.ts
+++ b/packages/utils/src/connections/callerConnection.ts
@@ -7,7 +7,7 @@
 import { RateMeter } from './rateMeter.js';
 import { connectionTurns } from './turnQueue.js';
 
-/** Bytes that wait for the parser before no more is read; a single read may exceed it by 64 KiB. */
+/** Bytes that wait for the parser before no more is read; two reads of 64 KiB may exceed it. */
 const MAX_PENDING_BYTES = 16 * 1024;
 /** Bytes passed to the parser at a time. One-byte chunks of such a slice take 1 to 2 ms. */
 const SLICE_BYTES = 4 * 1024;
