--- a/packages/relay/src/observe/requestMetrics.ts
+++ b/packages/relay/src/observe/requestMetrics.ts
@@ -1,3 +1,8 @@
+import type { Gauge } from 'prom-client';
+
+import type { BodyBudget } from '@cactusstair/routing';
+
+import type { CallerServer } from '../callerServer.js';
 import type { Exchange } from '../requests/exchange.js';
 import { SizeMetrics } from './sizeMetrics.js';
 
@@ -24,9 +29,15 @@
   sumSeconds: number;
 }
 
+/** Creates a gauge whose values are set before the metrics are formatted. */
+type CreateGauge = (name: string, help: string, labelNames: string[]) => Gauge;
+
 /** Values that are sampled when the metrics are requested. */
 export interface MetricReadings {
   openRequests: number;
+  callers: Pick<CallerServer, 'connectionCount' | 'closedCount'>;
+  /** Memory for bodies of requests. */
+  bodies: Pick<BodyBudget, 'usedBytes' | 'waitingCount' | 'refusals'>;
   configVersion: number;
   configAgeSeconds: number;
   upstreams: number;
@@ -51,6 +62,7 @@
 
   /** Waits and refusals by service. */
   private readonly waits = new Map<string, WaitSeries>();
+
   private readonly sizes = new SizeMetrics();
 
   /** Counts a request that has ended. */
@@ -89,10 +101,15 @@
 
   /** Formats all metrics as text. */
   async format(readings: MetricReadings): Promise<string> {
-    const { Gauge, Registry } = await import('prom-client');
+    const { Gauge: GaugeMetric, Registry } = await import('prom-client');
     const registry = new Registry();
-    const create = (name: string, help: string, labelNames: string[]) =>
-      new Gauge({ name: `cactusstair_relay_${name}`, help, labelNames, registers: [registry] });
+    const create: CreateGauge = (name, help, labelNames) =>
+      new GaugeMetric({
+        name: `cactusstair_relay_${name}`,
+        help,
+        labelNames,
+        registers: [registry],
+      });
     const labels = ['workspace', 'route'];
     const ends = create('requests_total', 'Requests by how they ended.', [...labels, 'end']);
     const name = 'first_byte_seconds';
@@ -109,6 +126,28 @@
       count.set({ workspace, route }, series.count);
       sum.set({ workspace, route }, series.sumSeconds);
     }
+    this.addWaits(create, readings);
+    this.addSizes(create);
+    create('open_requests', 'Requests that are not answered.', []).set(readings.openRequests);
+    addCallers(create, readings);
+    create('config_version', 'Version in force.', []).set(readings.configVersion);
+    create('config_age_seconds', 'Age of the last confirmed read.', []).set(
+      readings.configAgeSeconds,
+    );
+    create('upstreams', 'Upstreams in the list.', []).set(readings.upstreams);
+    create('cold_upstreams', 'Upstreams that warm up.', []).set(readings.coldUpstreams);
+    const evacuated = create('evacuated_zone', 'Zone without new requests.', ['zone']);
+    for (const zone of readings.evacuatedZones) evacuated.set({ zone }, 1);
+    create('living_instances', 'Instances heard from, this one included.', []).set(readings.peers);
+    create('log_lines_dropped_total', 'Lines that a slow reader did not take.', []).set(
+      readings.droppedLogLines,
+    );
+    create('faults_total', 'Errors that no part of the program expected.', []).set(readings.faults);
+    return registry.metrics();
+  }
+
+  /** Adds what is known of the queues. */
+  private addWaits(create: CreateGauge, readings: MetricReadings): void {
     const waiting = create('waiting_requests', 'Requests that wait.', ['service']);
     for (const [service, value] of Object.entries(readings.waiting)) {
       waiting.set({ service }, value);
@@ -127,6 +166,10 @@
       waitSum.set({ service }, series.sumSeconds);
       for (const [reason, value] of series.refused) refused.set({ service, reason }, value);
     }
+  }
+
+  /** Adds which model sizes were chosen, and how long their answers took. */
+  private addSizes(create: CreateGauge): void {
     const sizeLabels = ['route', 'model'];
     const chosen = create('size_chosen_total', 'Requests by the size chosen last.', sizeLabels);
     const completed = create('size_completed_total', 'Complete answers.', sizeLabels);
@@ -144,21 +187,6 @@
       observed.set({ route, model }, counts.observedSeconds);
       above.set({ route, model }, counts.aboveQuantile);
     }
-    create('open_requests', 'Requests that are not answered.', []).set(readings.openRequests);
-    create('config_version', 'Version in force.', []).set(readings.configVersion);
-    create('config_age_seconds', 'Age of the last confirmed read.', []).set(
-      readings.configAgeSeconds,
-    );
-    create('upstreams', 'Upstreams in the list.', []).set(readings.upstreams);
-    create('cold_upstreams', 'Upstreams that warm up.', []).set(readings.coldUpstreams);
-    const evacuated = create('evacuated_zone', 'Zone without new requests.', ['zone']);
-    for (const zone of readings.evacuatedZones) evacuated.set({ zone }, 1);
-    create('living_instances', 'Instances heard from, this one included.', []).set(readings.peers);
-    create('log_lines_dropped_total', 'Lines that a slow reader did not take.', []).set(
-      readings.droppedLogLines,
-    );
-    create('faults_total', 'Errors that no part of the program expected.', []).set(readings.faults);
-    return registry.metrics();
   }
 
   private getWaitSeries(service: string): WaitSeries {
@@ -187,3 +215,15 @@
     return series;
   }
 }
+
+/** Adds what callers hold: connections and bodies of requests. */
+function addCallers(create: CreateGauge, { bodies, callers }: MetricReadings): void {
+  create('caller_connections', 'Open connections of callers.', []).set(callers.connectionCount);
+  create('closed_connections_total', 'Connections closed for others, or not accepted.', []).set(
+    callers.closedCount,
+  );
+  create('body_bytes', 'Memory that bodies of requests take.', []).set(bodies.usedBytes);
+  create('waiting_bodies', 'Bodies that wait for memory.', []).set(bodies.waitingCount);
+  const refused = create('refused_bodies_total', 'Bodies refused for memory.', ['reason']);
+  for (const [reason, value] of Object.entries(bodies.refusals)) refused.set({ reason }, value);
+}
--- a/packages/relay/src/storeViews.ts
+++ b/packages/relay/src/storeViews.ts
@@ -33,6 +33,8 @@
   /** Called with each configuration that was read; the same version may be passed repeatedly. */
   onConfig: (config: RelayConfig) => void;
   log: EventLog;
+  /** Largest number of connections of other instances. */
+  maxPeerConnections: number;
 }
 
 /** Long-poll duration; the store allows up to 30 s, and fewer polls cost less. */
@@ -118,7 +120,7 @@
           }
         : {}),
     });
-    this.server = new ViewServer(this.listFollowers());
+    this.server = new ViewServer(this.listFollowers(), options.maxPeerConnections);
   }
 
   /** Whether all states that requests depend on, besides the configuration, were read. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -59,6 +59,8 @@
 export { computeUrgency } from './engine/requestUrgency.js';
 export type { ColdBound, ColdLimitsOptions, KnownInstances } from './limits/coldLimits.js';
 export { ColdLimits, computeColdQuota } from './limits/coldLimits.js';
+export type { ArrivingBody, BodyListener, BodyOptions, BodyRefusal } from './limits/bodyBudget.js';
+export { BodyBudget, BodyLease, chooseBodyToEnd } from './limits/bodyBudget.js';
 export type { MemoryGrant } from './limits/memoryShares.js';
 export { MemoryShares } from './limits/memoryShares.js';
 export { RateAllowance } from './limits/rateAllowance.js';
