Detect that the store was restored from an older copy

Cause: revisions of the store go back with a restore and are assigned again. A poll from the old revision is answered without 410 once the new writes have passed that revision, and lacks them; a new configuration was never in force.

A newer era ends the comparisons of the old one and causes a list; the state in force stays until then. Peers exchange the era with their messages and with reads of changes. Upstreams that were draining or gone are held for 5 s although the copy lists them as ready; missing ones count as missing in an outage.

--- a/packages/relay/src/follow/sourceFollower.ts
+++ b/packages/relay/src/follow/sourceFollower.ts
@@ -36,6 +36,13 @@
   onChange: (change: SourceChange<T>) => void;
   /** Called when reads begin to fail and when they succeed again. */
   onAvailability?: (isAvailable: boolean, reason: string) => void;
+  /**
+   * Called when a newer era of the store is seen after the first list, before the list of that era
+   * is passed to `onSnapshot`.
+   */
+  onEra?: (era: number) => void;
+  /** Returns the newest era that any answer of the store has named. */
+  getKnownEra?: () => number | undefined;
 }
 
 // Refused calls also have a cost, so failed reads are retried with a growing pause.
@@ -48,6 +55,8 @@
 export interface ExportedChanges<T> {
   changes: SourceChange<T>[];
   revision: number;
+  /** Era of the revision; absent if the store names none. */
+  era?: number;
   /** Age of the last confirmed read. */
   ageMs: number;
   /** Whether the last read of the store failed. */
@@ -66,6 +75,15 @@
 
   private revision: number | undefined;
 
+  /** Newest era that an answer has named; undefined while the store has named none. */
+  private era: number | undefined;
+
+  /** Era of the list that the state is based on. */
+  private listedEra: number | undefined;
+
+  /** Whether the list of a new era is still to be read. */
+  private isRelisting = false;
+
   private isAvailable = true;
 
   private failedAt: ClockReading | undefined;
@@ -107,6 +125,14 @@
     return this.confirmedAt ? computeAgeMs(this.options.clock, this.confirmedAt) : Infinity;
   }
 
+  /**
+   * Era of the state's revisions; undefined if the store names none. It lags behind the store until
+   * the list of a new era has been read.
+   */
+  get stateEra(): number | undefined {
+    return this.listedEra;
+  }
+
   /** Whether the last read failed, or any read failed less than `spanMs` ago. */
   hasRecentFailure(spanMs: number): boolean {
     if (!this.isAvailable) return true;
@@ -122,14 +148,19 @@
     return this.restoredAt ? computeAgeMs(this.options.clock, this.restoredAt) : Infinity;
   }
 
-  /** Returns the changes since `revision` for a peer; undefined if the log no longer holds them. */
-  exportSince(revision: number): ExportedChanges<T> | undefined {
+  /**
+   * Returns the changes since `revision` for a peer; undefined if the log no longer holds them or
+   * the revision is of another era.
+   */
+  exportSince(revision: number, era?: number): ExportedChanges<T> | undefined {
+    if (this.revision === undefined || era !== this.listedEra) return undefined;
     const changes = this.log.listSince(revision);
-    if (!changes || this.revision === undefined) return undefined;
+    if (!changes) return undefined;
     const restoredAgeMs = this.getRestoredAgeMs();
     return {
       changes,
       revision: this.revision,
+      ...(era === undefined ? {} : { era }),
       ageMs: this.getAgeMs(),
       isDisturbed: !this.isAvailable,
       restoredAgeMs: Number.isFinite(restoredAgeMs) ? restoredAgeMs : null,
@@ -162,6 +193,19 @@
     this.retryAtMs = -Infinity;
   }
 
+  /**
+   * Ends all comparisons with revisions of earlier eras when `era` is newer. The state stays as it
+   * is until the objects have been listed in the new era.
+   */
+  startEra(era: number): void {
+    if (this.era !== undefined && era <= this.era) return;
+    this.era = era;
+    if (!this.isLoaded) return;
+    this.revision = undefined;
+    this.isRelisting = true;
+    this.options.onEra?.(era);
+  }
+
   /** Follows the changes until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, coalesceMs = 0, shouldLongPoll = () => true, waitMs } = this.options;
@@ -186,10 +230,13 @@
     const { clock, getMaxAgeMs } = this.options;
     while (!signal.aborted) {
       await clock.sleep(AGE_CHECK_INTERVAL_MS, signal);
+      const knownEra = this.options.getKnownEra?.();
+      if (knownEra !== undefined) this.startEra(knownEra);
       if (!this.isLoaded) continue;
-      const isDue = this.isAvailable
-        ? this.getAgeMs() >= getMaxAgeMs()
-        : clock.monotonicMs() >= this.retryAtMs;
+      const isDue =
+        this.isAvailable && !this.isRelisting
+          ? this.getAgeMs() >= getMaxAgeMs()
+          : clock.monotonicMs() >= this.retryAtMs;
       if (isDue && !(await this.confirm())) {
         this.retryAtMs = clock.monotonicMs() + this.growRetryPause();
       }
@@ -206,7 +253,8 @@
 
   private async readChanges(): Promise<boolean> {
     if (this.revision !== undefined && (await this.poll(this.revision))) return true;
-    // The store has dropped the history: list now instead of waiting for the long poll in `run`.
+    // The store has dropped the history or was restored: list now instead of waiting for the long
+    // poll in `run`.
     return this.revision === undefined && this.isLoaded ? this.load() : false;
   }
 
@@ -220,25 +268,40 @@
 
   private async readList(): Promise<boolean> {
     const before = readClocks(this.options.clock);
+    const { era } = this;
     const listed = await this.options.source.list();
     if (listed.isErr()) return this.handleFailure(listed.error);
+    const { items, revision, era: readEra } = listed.value;
+    if (readEra !== undefined) this.startEra(readEra);
+    // A list of the new era counts whenever it was sent.
+    if (!this.checkEra(readEra, readEra === this.era ? readEra : era)) return false;
     this.applied.clear();
-    for (const item of listed.value.items) this.applied.set(item.name, item.revision);
-    this.listedRevision = listed.value.revision;
-    this.log.reset(listed.value.revision);
-    this.options.onSnapshot(listed.value.items);
-    this.recordRead(before, listed.value.revision);
+    for (const item of items) this.applied.set(item.name, item.revision);
+    this.listedRevision = revision;
+    this.listedEra = this.era;
+    this.log.reset(revision);
+    if (this.isRelisting) this.recordRelisted();
+    this.options.onSnapshot(items);
+    this.recordRead(before, revision);
     return true;
   }
 
+  /** Treats entries that the list of a new era lacks as those that vanish in an outage. */
+  private recordRelisted(): void {
+    this.isRelisting = false;
+    this.failedAt = readClocks(this.options.clock);
+    this.restoredAt = this.failedAt;
+  }
+
   /**
    * Waits for changes. The store may end a waiting call without an answer at any time, so only a
    * short read that fails as well shows an outage.
    */
   private async watch(revision: number, waitMs: number): Promise<boolean> {
     const before = readClocks(this.options.clock);
-    const polled = await this.options.source.poll(revision, waitMs);
-    if (polled.isOk()) return this.applyRead(before, polled.value);
+    const { era } = this;
+    const polled = await this.options.source.poll(revision, waitMs, era);
+    if (polled.isOk()) return this.applyRead(before, polled.value, era);
     if (polled.error.type === 'history_gone') return this.handleFailure(polled.error);
     await this.confirm();
     return false;
@@ -246,12 +309,30 @@
 
   private async poll(revision: number): Promise<boolean> {
     const before = readClocks(this.options.clock);
-    const polled = await this.options.source.poll(revision, 0);
-    return polled.isOk() ? this.applyRead(before, polled.value) : this.handleFailure(polled.error);
+    const { era } = this;
+    const polled = await this.options.source.poll(revision, 0, era);
+    return polled.isOk()
+      ? this.applyRead(before, polled.value, era)
+      : this.handleFailure(polled.error);
+  }
+
+  /**
+   * Whether an answer belongs to the era in which the read was sent, and no newer era has been seen
+   * since. An earlier era in answer to a later read means that the store is not what it was.
+   */
+  private checkEra(readEra: number | undefined, sentInEra: number | undefined): boolean {
+    if (readEra !== undefined) this.startEra(readEra);
+    if (sentInEra !== this.era) return false;
+    if (readEra === undefined || readEra === this.era) return true;
+    return this.handleFailure({
+      type: 'unavailable',
+      message: `the store answered in era ${readEra} after era ${this.era}`,
+    });
   }
 
   /** Applies the changes of a read that began at `before`. */
-  private applyRead(before: ClockReading, read: SourceChanges<T>): true {
+  private applyRead(before: ClockReading, read: SourceChanges<T>, sentInEra?: number): boolean {
+    if (!this.checkEra(read.era, sentInEra)) return false;
     const { changes, revision: readRevision, ageMs = 0, restoredAgeMs } = read;
     if (typeof restoredAgeMs === 'number') this.recordRestored(restoredAgeMs);
     for (const change of changes) this.apply(change, readRevision);
@@ -294,7 +375,8 @@
     this.setAvailable(true, '');
   }
 
-  private handleFailure(failure: SourceFailure): boolean {
+  private handleFailure(failure: SourceFailure): false {
+    if (failure.era !== undefined) this.startEra(failure.era);
     if (failure.type === 'history_gone') this.revision = undefined;
     else this.setAvailable(false, failure.message);
     return false;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -16,6 +16,7 @@
   SourceChanges,
   SourceFailure,
   SourceItem,
+  SourceList,
   WriteOutcome,
 } from './follow/changeSource.js';
 export type { ClockReading } from './follow/clockReading.js';
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -6,6 +6,7 @@
 import { createDictionary } from '@cactusstair/utils';
 
 import type { ClockReading } from '../follow/clockReading.js';
+import type { StoreEra } from '../follow/storeHistory.js';
 import { readClocks } from '../follow/clockReading.js';
 import type { PeerRecord, SocketAddress } from '../relayOptions.js';
 import type { RolloutRouter } from '../rollouts/rolloutRouter.js';
@@ -39,6 +40,10 @@
    * `since`.
    */
   onPeerView: (name: ViewName, state: string, since: ClockReading) => void;
+  /** Returns the era of the store for the messages; undefined if it names none. */
+  getStoreEra?: () => StoreEra | undefined;
+  /** Called with each new message of a peer. */
+  onMessage?: (message: PeerMessage) => void;
   onEvent?: (event: 'peer_seen', name: string) => void;
 }
 
@@ -191,6 +196,11 @@
     return this.isLeaving ? living.length : this.table.getRank(living);
   }
 
+  /** Whether a recent message or report shows each known instance to be running. */
+  get hasHeardAll(): boolean {
+    return this.table.listLivePeers().length >= this.table.addressCount;
+  }
+
   /** Returns the number of live instances in all zones, including this one. */
   countInstances(): number {
     return Math.max(this.listLiveInstances().length, this.sums.findFleetReport()?.count ?? 0);
@@ -309,6 +319,7 @@
     const loads = this.loads.createOwnLoads();
     // Reporters pass on what the instances of their zone saw.
     const scope = this.role === 'reporter' ? 'all' : 'own';
+    const store = this.options.getStoreEra?.();
     this.sequence += 1;
     this.sentMessages.set(this.sequence, { sentAt: readClocks(clock), loads });
     this.sentMessages.delete(this.sequence - MAX_SENT_MESSAGES);
@@ -326,6 +337,7 @@
       limits: limits.exportReports(scope),
       pins: rollouts.exportPins(),
       views: listViews(),
+      ...(store ? { store } : {}),
       echoes: this.listEchoes(),
     };
   }
@@ -391,6 +403,7 @@
     this.options.limits.importReports(message.limits ?? []);
     this.options.rollouts.importPins([...message.pins, ...(message.report?.pins ?? [])]);
     this.applyViews(message);
+    this.options.onMessage?.(message);
   }
 
   /** Sums the loads of all other instances from their messages and reports. */
--- a/packages/relay/src/peers/peerMessage.ts
+++ b/packages/relay/src/peers/peerMessage.ts
@@ -1,5 +1,6 @@
 import type { CrashReport, LimitReport } from '@cactusstair/routing';
 
+import type { StoreEra } from '../follow/storeHistory.js';
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
 import type { EngineSums } from '../upstreams/engineEstimators.js';
 
@@ -61,6 +62,8 @@
   /** Pin keys of sessions that stay on the old version during a rollout. */
   pins: string[];
   views: Partial<Record<ViewName, ViewState>>;
+  /** Era of the store; absent if it names none, and in messages of older builds. */
+  store?: StoreEra;
   /** Keyed by peer name. */
   echoes: Record<string, Echo>;
   /** Only set in messages of reporters. */
@@ -110,6 +113,14 @@
   );
 }
 
+/** Whether a value is an era with the time since its begin, or is absent. */
+function isStoreEra(value: unknown): boolean {
+  if (value === undefined) return true;
+  if (!Array.isArray(value) || value.length !== 2) return false;
+  const [era, restoredAgeMs] = value as [unknown, unknown];
+  return isAmounts([era], 1) && (restoredAgeMs === null || isAmounts([restoredAgeMs], 1));
+}
+
 function isLoadNotice(value: object): value is LoadNotice {
   const { name, load } = value as Partial<LoadNotice>;
   return (
@@ -139,6 +150,7 @@
     message.views !== null &&
     typeof message.echoes === 'object' &&
     message.echoes !== null &&
+    isStoreEra(message.store) &&
     isEngineSums(message.engines) &&
     isEngineSums(message.report?.engines) &&
     isCounts(message.report?.countByZone)
--- a/packages/relay/src/peers/peerSource.ts
+++ b/packages/relay/src/peers/peerSource.ts
@@ -33,6 +33,7 @@
       Array.isArray(value?.changes) &&
       typeof value.revision === 'number' &&
       typeof value.ageMs === 'number' &&
+      (value.era === undefined || typeof value.era === 'number') &&
       typeof value.isDisturbed === 'boolean';
     return isValid ? (value as ExportedChanges<T>) : undefined;
   } catch {
@@ -76,21 +77,28 @@
     return this.options.store.list();
   }
 
-  async poll(revision: number, waitMs: number): Promise<Result<SourceChanges<T>, SourceFailure>> {
+  async poll(
+    revision: number,
+    waitMs: number,
+    era?: number,
+  ): Promise<Result<SourceChanges<T>, SourceFailure>> {
     const provider = waitMs === 0 ? this.options.findProvider() : undefined;
-    const text = provider && (await fetchText(provider, this.formatPath(revision)));
+    const text = provider && (await fetchText(provider, this.formatPath(revision, era)));
     const exported = text === undefined ? undefined : parseChanges<T>(text);
-    // Ignore a peer that is behind, or that has lost contact with the store itself.
+    // Ignore a peer that is behind, that has lost contact with the store itself, or whose revisions
+    // are of another era.
     const isUsable =
       exported !== undefined &&
+      exported.era === era &&
       !exported.isDisturbed &&
       exported.ageMs <= MAX_PEER_AGE_MS &&
       exported.revision >= revision;
     if (isUsable) return ok(exported);
-    return this.options.store.poll(revision, waitMs);
+    return this.options.store.poll(revision, waitMs, era);
   }
 
-  private formatPath(revision: number): string {
-    return `${VIEW_PATH}${this.options.name}?since=${revision}`;
+  private formatPath(revision: number, era: number | undefined): string {
+    const eraQuery = era === undefined ? '' : `&era=${era}`;
+    return `${VIEW_PATH}${this.options.name}?since=${revision}${eraQuery}`;
   }
 }
--- a/packages/relay/src/peers/sharedViews.ts
+++ b/packages/relay/src/peers/sharedViews.ts
@@ -9,9 +9,20 @@
 
 /** A followed state that instances confirm for each other. */
 export interface SharedView {
-  follower: Pick<SourceFollower<unknown>, 'isLoaded' | 'getAgeMs' | 'adopt' | 'confirm'>;
-  /** Identifies the state, so that two instances can check whether they hold the same one. */
-  formatState: () => string;
+  follower: Pick<
+    SourceFollower<unknown>,
+    'isLoaded' | 'getAgeMs' | 'adopt' | 'confirm' | 'stateEra'
+  >;
+  /**
+   * Identifies the state, so that two instances can check whether they hold the same one. Undefined
+   * while none is in force.
+   */
+  formatState: () => string | undefined;
+  /**
+   * Whether `formatState` describes contents and no revisions. Only such states can be compared
+   * between eras of the store. Default false.
+   */
+  isContent?: boolean;
 }
 
 // Each call to the store has a cost. The live instance of rank 0 therefore confirms its views by
@@ -33,6 +44,15 @@
 /** Minimum time between two reads of a view that are caused by a peer with a different state. */
 const MISMATCH_READ_INTERVAL_MS = 400;
 
+/** Formats the state of a view with the era of its revisions, if the store names one. */
+function formatSharedState({ follower, formatState, isContent }: SharedView): string | undefined {
+  const { stateEra } = follower;
+  const state = formatState();
+  return isContent || stateEra === undefined || state === undefined
+    ? state
+    : `${stateEra}/${state}`;
+}
+
 /** Manages the states that instances confirm for each other. */
 export class SharedViews {
   private readonly mismatchReadAtMs = new Map<ViewName, number>();
@@ -57,9 +77,11 @@
   /** Returns the confirmed states and the ages of their confirmations. */
   listStates(): Partial<Record<ViewName, ViewState>> {
     const states: Partial<Record<ViewName, ViewState>> = {};
-    for (const [name, { follower, formatState }] of Object.entries(this.views)) {
-      const ageMs = follower.getAgeMs();
-      if (Number.isFinite(ageMs)) states[name as ViewName] = [formatState(), ageMs];
+    for (const [name, view] of Object.entries(this.views)) {
+      const ageMs = view.follower.getAgeMs();
+      const state = formatSharedState(view);
+      if (state === undefined || !Number.isFinite(ageMs)) continue;
+      states[name as ViewName] = [state, ageMs];
     }
     return states;
   }
@@ -71,7 +93,7 @@
   applyPeerState(name: ViewName, state: string, since: ClockReading): void {
     const view = this.views[name];
     if (!view?.follower.isLoaded) return;
-    if (view.formatState() === state) {
+    if (formatSharedState(view) === state) {
       view.follower.adopt(since);
       return;
     }
--- a/packages/relay/src/peers/viewServer.ts
+++ b/packages/relay/src/peers/viewServer.ts
@@ -7,7 +7,10 @@
 
 type Exporter = Pick<SourceFollower<unknown>, 'exportSince'>;
 
-/** Path prefix of the views; the query parameter names the revision that the client already has. */
+/**
+ * Path prefix of the views. The query parameters name the revision that the client already has, and
+ * its era if the store names one.
+ */
 export const VIEW_PATH = '/views/';
 /**
  * Maximum size of an answer. All instances of a zone ask for a change at once, and a long
@@ -52,10 +55,11 @@
   }
 
   private answer(path: string): ViewAnswer {
-    const match = /^\/views\/([a-z]+)\?since=(\d{1,15})$/.exec(path);
+    const match = /^\/views\/([a-z]+)\?since=(\d{1,15})(?:&era=(\d{1,15}))?$/.exec(path);
     const name = match?.[1];
     if (name === undefined || !Object.hasOwn(this.views, name)) return { result: 'unknown' };
-    const exported = this.views[name as ViewName].exportSince(Number(match?.[2]));
+    const era = match?.[3] === undefined ? undefined : Number(match[3]);
+    const exported = this.views[name as ViewName].exportSince(Number(match?.[2]), era);
     if (!exported || !Number.isFinite(exported.ageMs)) return { result: 'gone' };
     const text = JSON.stringify(exported);
     return text.length > MAX_VIEW_BYTES ? { result: 'too_long' } : { result: 'found', text };
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -11,7 +11,7 @@
 import { createStatusServer } from './observe/statusServer.js';
 import { openWhenFree } from './openWhenFree.js';
 import { PeerExchange } from './peers/peerExchange.js';
-import { findPeers } from './peers/peerFinder.js';
+import { followPeers } from './peers/peerFinder.js';
 import type { PeerRecord, RelayBounds, SocketAddress } from './relayOptions.js';
 import type { RelayStore } from './relayStore.js';
 import { createAnswerParts } from './requests/answerDeliveries.js';
@@ -20,7 +20,6 @@
 import type { Dialect } from './requests/relayRequest.js';
 import { RequestHandler } from './requests/requestHandler.js';
 import { RetryBudgets } from './requests/retryBudgets.js';
-import type { TrackedOrder } from './rollouts/rolloutRouter.js';
 import { formatVersionKey, RolloutRouter } from './rollouts/rolloutRouter.js';
 import { RolloutController } from './rollouts/rolloutController.js';
 import { StoreViews } from './storeViews.js';
@@ -97,6 +96,9 @@
   /** Whether the instance has opened all its addresses. */
   private isListening = false;
 
+  /** Whether the store has named the other instances. */
+  private arePeersListed = false;
+
   private stopping: Promise<void> | undefined;
 
   private faults = 0;
@@ -148,6 +150,8 @@
       limits: this.limits,
       listViews: () => this.views.shared.listStates(),
       onPeerView: (name, state, since) => this.views.shared.applyPeerState(name, state, since),
+      getStoreEra: () => this.views.history.describe(),
+      onMessage: (message) => this.views.handlePeerMessage(message),
       onEvent: (event, name) => log.write(event, { peer: name }),
     });
     this.views = new StoreViews({
@@ -159,12 +163,13 @@
       // Covers both a changed configuration and a draining upstream, so the smaller bound applies.
       boundMs: Math.min(bounds.configApplyMs, bounds.drainMs),
       getConfigVersion: () => this.config?.config.version,
+      hasHeardAll: () => this.arePeersListed && this.peers.hasHeardAll,
       onConfig: (config) => this.applyConfig(config),
       log,
     });
     this.handler = new RequestHandler({
       context: this.createContext(),
-      getConfigAgeMs: () => this.views.config.getAgeMs(),
+      getConfigAgeMs: () => this.views.getConfigAgeMs(),
       confirmConfig: () => this.views.config.confirm(),
       maxKeyAgeMs: this.maxKeyAgeMs,
       maxAbsenceAgeMs: bounds.configApplyMs - ABSENCE_AGE_MARGIN_MS,
@@ -190,7 +195,7 @@
       this.config !== undefined &&
       this.views.upstreams.isLoaded &&
       this.views.rollouts.isLoaded &&
-      (!this.config.needsKeys || this.views.config.getAgeMs() < this.maxKeyAgeMs)
+      (!this.config.needsKeys || this.views.getConfigAgeMs() < this.maxKeyAgeMs)
     );
   }
 
@@ -214,13 +219,15 @@
     await this.openListeners();
     lifecycle.startLastingTask('exchange with peers', (signal) => this.peers.run(signal));
     lifecycle.startLastingTask('find peers', (signal) =>
-      findPeers(
+      followPeers(
         {
           clock: this.clock,
           self: this.self,
           announce: (record) => options.store.announce(record),
           source: options.store.peers,
           onPeer: (record) => this.peers.addPeer(record),
+          onListed: () => (this.arePeersListed = true),
+          getStoreEra: () => this.views.history.era,
         },
         signal,
       ),
@@ -309,8 +316,7 @@
       countOldVersionCalls: (service, targetVersion) =>
         this.countOldVersionCalls(service, targetVersion),
       getRank: () => this.peers.getRank(),
-      storeProgress: (tracked: TrackedOrder, progress) =>
-        this.options.store.putProgress(tracked.name, tracked.revision, progress),
+      storeProgress: (tracked, progress) => this.views.storeProgress(tracked, progress),
       onEvent: (event, fields) => this.options.log.write(event, fields),
     });
   }
@@ -371,7 +377,7 @@
     return this.metrics.format({
       openRequests: this.callerServer.openCount,
       configVersion: this.config?.config.version ?? 0,
-      configAgeSeconds: this.views.config.getAgeMs() / 1000,
+      configAgeSeconds: this.views.getConfigAgeMs() / 1000,
       upstreams: this.directory.listAll().length,
       peers: this.peers.listLiveInstances().length,
       droppedLogLines: this.options.log.dropped,
--- a/packages/relay/src/relayStore.ts
+++ b/packages/relay/src/relayStore.ts
@@ -6,6 +6,11 @@
 
 /** The operations of the platform's store that the relay uses. */
 export interface RelayStore {
+  /**
+   * Returns the newest era that any answer of the store has named, those to writes included;
+   * undefined if it names none.
+   */
+  getEra?(): number | undefined;
   config: ChangeSource<RelayConfig>;
   upstreams: ChangeSource<UpstreamRecord>;
   rollouts: ChangeSource<RolloutOrder>;
--- a/packages/relay/src/rollouts/rolloutController.ts
+++ b/packages/relay/src/rollouts/rolloutController.ts
@@ -83,7 +83,7 @@
 
   /** Decides and stores the next step of one order, if one is due. */
   async check(tracked: TrackedOrder): Promise<void> {
-    const next = this.decide(tracked);
+    const next = restoreProgress(tracked) ?? this.decide(tracked);
     const key = `${tracked.name} ${tracked.revision}`;
     if (!next) {
       this.dueSinceMs.delete(key);
@@ -93,7 +93,10 @@
     const dueSinceMs = this.dueSinceMs.get(key) ?? nowMs;
     this.dueSinceMs.set(key, dueSinceMs);
     if (nowMs - dueSinceMs < this.options.getRank() * RANK_DELAY_MS) return;
+    // The store has no such order, or one of which the revision is not known.
+    if (tracked.isUnconfirmed) return;
     const outcome = await this.options.storeProgress(tracked, next.progress);
+    if (outcome === 'written') tracked.lostProgress = undefined;
     this.options.onEvent?.('rollout_step', {
       service: tracked.order.service,
       ...next.progress,
@@ -184,6 +187,13 @@
   }
 }
 
+/** Returns the step that stores progress in force again after a restore of the store lost it. */
+function restoreProgress({ lostProgress }: TrackedOrder): Decision | undefined {
+  if (!lostProgress) return undefined;
+  const pace: PaceVerdict = { verdict: 'not_yet', ratio: 1, answers: 0 };
+  return { progress: lostProgress, reason: 'a restore of the store lost this step', pace };
+}
+
 /**
  * Lets the target version have requests again when the fleet has taken a further step. Without such
  * a step the missing evidence only says that the blocked version answers nothing here.
--- a/packages/relay/src/rollouts/rolloutRouter.ts
+++ b/packages/relay/src/rollouts/rolloutRouter.ts
@@ -5,7 +5,9 @@
 import type { Upstream } from '../upstreams/upstream.js';
 import type { UpstreamRecord } from '../upstreams/upstreamRecord.js';
 import type { RolloutOrder } from './rolloutOrder.js';
+import { findLostProgress, OrderRestore } from './orderRestore.js';
 import { computeStepShares, FIRST_STEP, LAST_STEP } from './rolloutOrder.js';
+import type { RolloutProgress } from './rolloutOrder.js';
 import type { EvidenceSums, VersionOutcome } from './versionEvidence.js';
 import { addLoadedPace, addOutcome, addPace, createEvidence } from './versionEvidence.js';
 
@@ -36,6 +38,13 @@
    * Undefined while nothing speaks against it.
    */
   blockedAtStep: number | undefined;
+  /**
+   * Whether the order was read in an earlier era of the store and the present one has not confirmed
+   * it. Its revision means nothing then.
+   */
+  isUnconfirmed: boolean;
+  /** Progress in force that a restore of the store has lost; undefined when it is stored. */
+  lostProgress: RolloutProgress | undefined;
 }
 
 interface SessionPin {
@@ -85,19 +94,38 @@
 
   private readonly stepShares: readonly number[];
 
+  private readonly restore: OrderRestore;
+
+  /** Whether the next list is the first one of a restored store. */
+  private isRestoring = false;
+
   constructor(private readonly options: RolloutRouterOptions) {
+    this.restore = new OrderRestore(options.clock);
     this.stepShares = computeStepShares(options.canaryShare);
   }
 
+  /**
+   * Ends comparisons with the revisions of the orders in force, because the store was restored from
+   * an older copy. They stay in force.
+   */
+  startRestore(): void {
+    this.isRestoring = true;
+    for (const tracked of this.orders.values()) tracked.isUnconfirmed = true;
+  }
+
   applySnapshot(items: readonly SourceItem<RolloutOrder>[]): void {
+    if (this.isRestoring) this.restore.start();
+    this.isRestoring = false;
     const services = new Set<string>();
     for (const item of items) {
       if (!item.value) continue;
       services.add(item.value.service);
       this.put(item);
     }
-    for (const service of [...this.orders.keys()]) {
-      if (!services.has(service)) this.orders.delete(service);
+    for (const [service, tracked] of this.orders) {
+      if (services.has(service)) continue;
+      if (tracked.isUnconfirmed && this.restore.isSettling) this.restore.defer(service, undefined);
+      else this.remove(service, tracked);
     }
   }
 
@@ -106,18 +134,31 @@
       this.put(change);
       return;
     }
+    for (const item of this.restore.listDeferred()) {
+      if (item.name === change.name && item.value) this.restore.drop(item.value.service);
+    }
     for (const [service, tracked] of this.orders) {
-      if (tracked.name === change.name) this.orders.delete(service);
+      if (tracked.name === change.name) this.remove(service, tracked);
     }
   }
 
+  /** Returns the orders in force. */
   listOrders(): TrackedOrder[] {
+    for (const [service, item] of this.restore.takeSettled()) {
+      const tracked = this.orders.get(service);
+      if (item) this.put(item);
+      else if (tracked?.isUnconfirmed) this.remove(service, tracked);
+    }
     return [...this.orders.values()];
   }
 
-  /** Identifies the set of orders, so that instances can check whether they hold the same ones. */
+  /**
+   * Identifies the orders as the store has them, so that instances can check whether they have read
+   * the same ones.
+   */
   formatState(): string {
-    return this.listOrders()
+    const confirmed = this.listOrders().filter(({ isUnconfirmed }) => !isUnconfirmed);
+    return [...confirmed, ...this.restore.listDeferred()]
       .map(({ name, revision }) => `${name}@${revision}`)
       .sort()
       .join();
@@ -194,24 +235,41 @@
     const order = item.value;
     if (!order) return;
     const known = this.orders.get(order.service);
-    if (known && known.revision >= item.revision) return;
+    if (known && !known.isUnconfirmed && known.revision >= item.revision) return;
+    if (this.restore.isOlder(known?.order, order)) {
+      this.restore.defer(order.service, item);
+      return;
+    }
+    this.restore.recordInForce(order);
     const nowMs = this.options.clock.monotonicMs();
     const isSame = known?.order.targetVersion === order.targetVersion;
+    if (known && !isSame) this.restore.recordReplaced(known.order);
+    const lostProgress =
+      isSame && this.restore.isSettling ? findLostProgress(known.order, order) : undefined;
     // A rollout that started before this instance did has been running since then.
     const elapsedMs =
       order.startedAtWallMs === undefined
         ? 0
         : Math.max(0, this.options.clock.wallMs() - order.startedAtWallMs);
+    const step = lostProgress?.step ?? order.step;
     this.orders.set(order.service, {
-      order,
+      order: { ...order, ...lostProgress },
       name: item.name,
       revision: item.revision,
       seenAtMs: isSame ? known.seenAtMs : nowMs - elapsedMs,
-      stepSeenAtMs: isSame && known.order.step === order.step ? known.stepSeenAtMs : nowMs,
+      stepSeenAtMs: isSame && known.order.step === step ? known.stepSeenAtMs : nowMs,
       blockedAtStep: isSame ? known.blockedAtStep : undefined,
+      isUnconfirmed: false,
+      lostProgress,
     });
   }
 
+  private remove(service: string, { order }: TrackedOrder): void {
+    this.orders.delete(service);
+    this.restore.recordReplaced(order);
+    this.restore.drop(service);
+  }
+
   private isAssignedToTarget(tracked: TrackedOrder, session: string | undefined): boolean {
     const { order } = tracked;
     const share = this.stepShares[Math.min(order.step, LAST_STEP)] ?? 0;
--- a/packages/relay/src/storeViews.ts
+++ b/packages/relay/src/storeViews.ts
@@ -1,18 +1,20 @@
 import type { Clock, LifecycleManager } from '@cactusstair/utils';
 
 import type { RelayConfig } from './config/relayConfig.js';
-import type { ChangeSource, SourceItem } from './follow/changeSource.js';
+import { RestoredConfig } from './config/restoredConfig.js';
+import type { ChangeSource, SourceItem, WriteOutcome } from './follow/changeSource.js';
 import { SourceFollower } from './follow/sourceFollower.js';
+import { StoreHistory } from './follow/storeHistory.js';
 import type { EventLog } from './observe/eventLog.js';
 import type { PeerExchange } from './peers/peerExchange.js';
-import type { ViewName } from './peers/peerMessage.js';
+import type { PeerMessage, ViewName } from './peers/peerMessage.js';
 import { PeerSource } from './peers/peerSource.js';
 import { SharedViews } from './peers/sharedViews.js';
 import { ViewServer } from './peers/viewServer.js';
 import type { SocketAddress } from './relayOptions.js';
 import type { RelayStore } from './relayStore.js';
-import type { RolloutRouter } from './rollouts/rolloutRouter.js';
-import type { RolloutOrder } from './rollouts/rolloutOrder.js';
+import type { RolloutRouter, TrackedOrder } from './rollouts/rolloutRouter.js';
+import type { RolloutOrder, RolloutProgress } from './rollouts/rolloutOrder.js';
 import type { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 import type { UpstreamRecord } from './upstreams/upstreamRecord.js';
 
@@ -26,6 +28,8 @@
   /** Time within which a change in the store must be in force, in milliseconds. */
   boundMs: number;
   getConfigVersion: () => number | undefined;
+  /** Whether the other instances are known, and each of them has been heard from. */
+  hasHeardAll: () => boolean;
   /** Called with each configuration that was read; the same version may be passed repeatedly. */
   onConfig: (config: RelayConfig) => void;
   log: EventLog;
@@ -42,6 +46,8 @@
 const OTHER_RETRY_MS = 2000;
 /** Entries may still be missing for this long after the store became available again. */
 const RECENT_OUTAGE_MS = 3000;
+/** Minimum time between two reads that peers with the same newer era cause. */
+const ERA_READ_INTERVAL_MS = 2000;
 
 /**
  * Follows the configuration, the list of upstreams and the rollout orders. Reads them from the
@@ -57,11 +63,32 @@
   /** Compares these states with those of the peers. */
   readonly shared: SharedViews;
 
+  /** Era of the store. */
+  readonly history: StoreHistory;
+
+  private readonly restoredConfig: RestoredConfig;
+
   private readonly server: ViewServer;
 
+  /** The last read that was caused by a peer with a newer era. */
+  private eraRead = { era: -1, atMs: -Infinity };
+
   constructor(private readonly options: StoreViewsOptions) {
     const { clock, directory, log, rollouts, store } = options;
-    const applyConfig = ({ value }: SourceItem<RelayConfig>) => value && options.onConfig(value);
+    this.history = new StoreHistory(
+      clock,
+      () => store.getEra?.(),
+      (era) => log.write('store_restored', { era }),
+    );
+    this.restoredConfig = new RestoredConfig({
+      clock,
+      getVersion: options.getConfigVersion,
+      getStoreEra: () => this.history.describe(),
+      hasHeardAll: options.hasHeardAll,
+      apply: options.onConfig,
+    });
+    const applyConfig = ({ value }: SourceItem<RelayConfig>) =>
+      value && this.restoredConfig.offer(value);
     this.config = new SourceFollower({
       ...this.createOptions('config', store.config),
       coalesceMs: CONFIG_COALESCE_MS,
@@ -78,12 +105,14 @@
       ...this.createOptions('upstreams', store.upstreams),
       coalesceMs: UPSTREAM_COALESCE_MS,
       maxRetryMs: OTHER_RETRY_MS,
+      onEra: () => directory.startRestore(),
       onSnapshot: (items) => directory.applySnapshot(items),
       onChange: (change) => directory.applyChange(change),
     });
     this.rollouts = new SourceFollower({
       ...this.createOptions('rollouts', store.rollouts),
       maxRetryMs: OTHER_RETRY_MS,
+      onEra: () => rollouts.startRestore(),
       onSnapshot: (items) => rollouts.applySnapshot(items),
       onChange: (change) => {
         rollouts.applyChange(change);
@@ -94,9 +123,14 @@
     this.shared = new SharedViews(clock, {
       config: {
         follower: this.config,
-        formatState: () => String(options.getConfigVersion() ?? ''),
+        formatState: () => options.getConfigVersion()?.toString(),
+        isContent: true,
+      },
+      upstreams: {
+        follower: this.upstreams,
+        formatState: () => directory.formatState(),
+        isContent: true,
       },
-      upstreams: { follower: this.upstreams, formatState: () => directory.formatState() },
       rollouts: { follower: this.rollouts, formatState: () => rollouts.formatState() },
     });
     this.server = new ViewServer(followers);
@@ -107,7 +141,40 @@
     return this.upstreams.hasRecentFailure(RECENT_OUTAGE_MS);
   }
 
+  /**
+   * Returns the time in milliseconds since the configuration in force was last known to be the newest
+   * one.
+   */
+  getConfigAgeMs(): number {
+    return Math.max(this.config.getAgeMs(), this.restoredConfig.getBehindMs());
+  }
+
+  /** Learns from a peer which configuration it has in force, and whether the store was restored. */
+  handlePeerMessage({ name, store, views }: PeerMessage): void {
+    const version = Number(views.config?.[0] || NaN);
+    this.restoredConfig.recordPeer(name, Number.isNaN(version) ? undefined : version, store);
+    const { era } = this.history;
+    if (!store || era === undefined || store[0] <= era) return;
+    // The era is taken from the store only, so that no wrong message can change it.
+    const nowMs = this.options.clock.monotonicMs();
+    const isNew = store[0] !== this.eraRead.era;
+    if (!isNew && nowMs - this.eraRead.atMs < ERA_READ_INTERVAL_MS) return;
+    this.eraRead = { era: store[0], atMs: nowMs };
+    void this.config.confirm();
+  }
+
+  /** Stores the progress of an order if the order has not changed. */
+  async storeProgress(
+    { name, revision }: TrackedOrder,
+    progress: RolloutProgress,
+  ): Promise<WriteOutcome> {
+    // A revision of an earlier era may be that of another write by now.
+    if (this.rollouts.stateEra !== this.history.era) return 'refused';
+    return this.options.store.putProgress(name, revision, progress);
+  }
+
   startTasks(lifecycle: LifecycleManager): void {
+    lifecycle.startLastingTask('hold configuration', (signal) => this.restoredConfig.run(signal));
     const followers = { config: this.config, upstreams: this.upstreams, rollouts: this.rollouts };
     for (const [name, follower] of Object.entries(followers)) {
       lifecycle.startLastingTask(`follow ${name}`, (signal) => follower.run(signal));
@@ -129,6 +196,7 @@
     return {
       clock,
       waitMs: POLL_WAIT_MS,
+      getKnownEra: () => this.history.era,
       source: new PeerSource({ name, store: source, findProvider: () => peers.findProvider() }),
       shouldLongPoll: () => peers.isWatcher,
       getMaxAgeMs: () => SharedViews.getMaxAgeMs(name, peers.getRank(), boundMs),
--- a/packages/relay/src/upstreams/upstream.ts
+++ b/packages/relay/src/upstreams/upstream.ts
@@ -50,6 +50,12 @@
   /** When its entry vanished in or shortly after a store outage; undefined while it is listed. */
   missingSinceMs: number | undefined;
 
+  /**
+   * Monotonic time until which it gets no requests although it is listed as ready, because the list
+   * is that of an older copy of the store.
+   */
+  heldUntilMs = -Infinity;
+
   private downUntilMs = 0;
 
   private downMs = MIN_DOWN_MS;
--- a/packages/relay/src/upstreams/upstreamDirectory.ts
+++ b/packages/relay/src/upstreams/upstreamDirectory.ts
@@ -22,6 +22,21 @@
 
 /** Entries that expired in a store outage are registered again within about this time after it. */
 const RESTORE_GRACE_MS = 2000;
+/**
+ * Time after which a restored store has dropped the entries of upstreams that no longer run: they
+ * write about every 1,200 ms, entries lapse after three intervals, and the deletion is read up to
+ * 800 ms later. The rest is a margin.
+ */
+const ENTRY_LAPSE_MS = 5000;
+/** Longer than the age of a copy and an outage together. */
+const GONE_MEMORY_MS = 120_000;
+const MAX_GONE_RUNS = 2000;
+
+/** A run of an upstream that has left the list. */
+interface GoneRun {
+  startedAtMs: number;
+  goneAtMs: number;
+}
 
 /** Upstreams that the platform lists, by id and service. */
 export class UpstreamDirectory {
@@ -29,12 +44,31 @@
 
   private readonly byService = new Map<string, Set<Upstream>>();
 
+  /** Runs that have left the list lately, by id, oldest first. */
+  private readonly goneRuns = new Map<string, GoneRun>();
+
+  /** Whether the next list is the first one of a restored store. */
+  private isRestoring = false;
+
+  /** When the first list of a restored store was read, on the monotonic clock. */
+  private restoredAtMs = -Infinity;
+
   private state: string | undefined;
 
   constructor(private readonly options: UpstreamDirectoryOptions) {}
 
+  /**
+   * Prepares for the list of a store that was restored from an older copy: runs that were draining or
+   * gone are held even if it lists them as ready.
+   */
+  startRestore(): void {
+    this.isRestoring = true;
+  }
+
   /** Replaces the whole list. */
   applySnapshot(items: readonly SourceItem<UpstreamRecord>[]): void {
+    if (this.isRestoring) this.restoredAtMs = this.options.clock.monotonicMs();
+    this.isRestoring = false;
     const listed = new Set<string>();
     for (const item of items) {
       if (!item.value) continue;
@@ -55,8 +89,10 @@
   /** Returns the upstreams of a service that accept new requests. */
   listUsable(service: string): Upstream[] {
     const found: Upstream[] = [];
+    const nowMs = this.options.clock.monotonicMs();
     for (const upstream of this.byService.get(service) ?? []) {
       if (upstream.record.isDraining || this.options.isLeaving?.(upstream.record)) continue;
+      if (upstream.heldUntilMs > nowMs) continue;
       if (upstream.missingSinceMs !== undefined && this.isRestoreGraceOver()) {
         this.remove(upstream);
         continue;
@@ -98,12 +134,16 @@
       this.byId.set(record.id, upstream);
       const siblings = this.byService.get(record.service) ?? new Set<Upstream>();
       this.byService.set(record.service, siblings.add(upstream));
+      if (this.isGoneRun(record)) this.hold(upstream);
       this.options.onEvent?.('seen', record);
       return;
     }
     if (record.isDraining && !known.record.isDraining) this.options.onEvent?.('draining', record);
     const hasRestarted = record.startedAtMs !== known.record.startedAtMs;
-    if (hasRestarted) known.restart();
+    if (hasRestarted) {
+      known.restart();
+      known.heldUntilMs = -Infinity;
+    } else if (known.record.isDraining && !record.isDraining) this.hold(known);
     if (record.service !== known.record.service) {
       this.byService.get(known.record.service)?.delete(known);
       const siblings = this.byService.get(record.service) ?? new Set<Upstream>();
@@ -130,8 +170,31 @@
     return this.options.getStoreRestoredAgeMs() >= RESTORE_GRACE_MS;
   }
 
+  /** Holds an upstream until a restored store has had the time to drop its entry. */
+  private hold(upstream: Upstream): void {
+    upstream.heldUntilMs = this.restoredAtMs + ENTRY_LAPSE_MS;
+  }
+
+  private isGoneRun({ id, startedAtMs }: UpstreamRecord): boolean {
+    const run = this.goneRuns.get(id);
+    // A run that left the restored list is not one that the copy lists by mistake.
+    return run?.startedAtMs === startedAtMs && run.goneAtMs < this.restoredAtMs;
+  }
+
+  private recordGoneRun({ id, startedAtMs }: UpstreamRecord): void {
+    const goneAtMs = this.options.clock.monotonicMs();
+    this.goneRuns.delete(id);
+    this.goneRuns.set(id, { startedAtMs, goneAtMs });
+    for (const [oldId, run] of this.goneRuns) {
+      const isOld = goneAtMs - run.goneAtMs >= GONE_MEMORY_MS;
+      if (!isOld && this.goneRuns.size <= MAX_GONE_RUNS) return;
+      this.goneRuns.delete(oldId);
+    }
+  }
+
   private remove(upstream: Upstream): void {
     this.state = undefined;
+    this.recordGoneRun(upstream.record);
     this.byId.delete(upstream.id);
     this.byService.get(upstream.record.service)?.delete(upstream);
     this.options.onEvent?.('gone', upstream.record);
--- a/tests/relay/support/memorySource.ts
+++ b/tests/relay/support/memorySource.ts
@@ -1,6 +1,13 @@
+import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 
-import type { ChangeSource, SourceChange } from '@cactusstair/relay';
+import type {
+  ChangeSource,
+  SourceChange,
+  SourceChanges,
+  SourceFailure,
+  SourceList,
+} from '@cactusstair/relay';
 
 /** In-memory source of one kind of objects that can simulate store failures. */
 export class MemorySource<T> implements ChangeSource<T> {
@@ -8,6 +15,9 @@
 
   private history: SourceChange<T>[] = [];
 
+  /** All changes since the start, from which a restore rebuilds an older state. */
+  private writes: SourceChange<T>[] = [];
+
   private waiting: (() => void)[] = [];
 
   revision = 1;
@@ -18,6 +28,32 @@
   /** Makes all calls fail while set. */
   isDown = false;
 
+  /** Era that all answers name, failures included; undefined for a store that names none. */
+  era: number | undefined;
+
+  /**
+   * Restores the state before the last `lostWrites` changes, in a new era, and cuts all watches. An
+   * outage is played by `isDown` before the call or after it; writes of the new era follow by `put`
+   * and `skipRevisions`.
+   */
+  restore(lostWrites: number): void {
+    this.writes = this.writes.slice(0, Math.max(0, this.writes.length - lostWrites));
+    this.items.clear();
+    for (const { name, revision, value, isDeleted } of this.writes) {
+      if (isDeleted) this.items.delete(name);
+      else this.items.set(name, { revision, value });
+    }
+    this.revision = this.writes.at(-1)?.revision ?? 1;
+    this.history = this.history.filter(({ revision }) => revision <= this.revision);
+    this.era = (this.era ?? 0) + 1;
+    this.cutWatches();
+  }
+
+  /** Raises the revision as `count` writes of objects of other kinds do. */
+  skipRevisions(count: number): void {
+    this.revision += count;
+  }
+
   put(name: string, value: T | undefined): void {
     this.revision += 1;
     this.items.set(name, { revision: this.revision, value });
@@ -62,30 +98,43 @@
 
   private cuts = 0;
 
-  async list() {
+  list(): Promise<Result<SourceList<T>, SourceFailure>> {
     this.calls += 1;
-    if (this.isDown) return err({ type: 'unavailable' as const, message: 'down' });
+    if (this.isDown) return Promise.resolve(this.fail('unavailable'));
     const items = [...this.items].map(([name, item]) => ({ name, ...item }));
-    return ok({ items, revision: this.revision });
+    return Promise.resolve(ok({ items, revision: this.revision, ...this.describeEra() }));
   }
 
-  async poll(since: number, waitMs: number) {
+  async poll(since: number, waitMs: number): Promise<Result<SourceChanges<T>, SourceFailure>> {
     this.calls += 1;
     if (!this.isDown && waitMs > 0 && since === this.revision) {
       const { cuts } = this;
       await new Promise<void>((resolve) => {
         this.waiting.push(resolve);
       });
-      if (this.cuts > cuts) return err({ type: 'unavailable' as const, message: 'cut off' });
+      // The connection ends without an answer, so that no era is known.
+      if (this.cuts > cuts) return err({ type: 'unavailable', message: 'cut off' });
     }
-    if (this.isDown) return err({ type: 'unavailable' as const, message: 'down' });
-    if (since < this.oldestRevision) return err({ type: 'history_gone' as const });
+    if (this.isDown) return this.fail('unavailable');
+    if (since < this.oldestRevision || since > this.revision) return this.fail('history_gone');
     const changes = this.history.filter((change) => change.revision > since);
-    return ok({ changes, revision: this.revision });
+    return ok({ changes, revision: this.revision, ...this.describeEra() });
+  }
+
+  private fail(type: SourceFailure['type']) {
+    const era = this.describeEra();
+    return err<never, SourceFailure>(
+      type === 'unavailable' ? { type, message: 'down', ...era } : { type, ...era },
+    );
+  }
+
+  private describeEra(): { era?: number } {
+    return this.era === undefined ? {} : { era: this.era };
   }
 
   private record(change: SourceChange<T>): void {
     this.history.push(change);
+    this.writes.push(change);
     this.wake();
   }
 }
