--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -41,6 +41,8 @@
 
 // Components that can be used without `RelayNode`.
 export { computeAgeMs, readClocks } from './follow/clockReading.js';
+export { RestoredConfig } from './config/restoredConfig.js';
+export type { StoreEra } from './follow/storeHistory.js';
 export type { PeerSourceOptions } from './peers/peerSource.js';
 export { PeerSource } from './peers/peerSource.js';
 export { SharedViews } from './peers/sharedViews.js';
--- a/tests/relay/support/memorySource.ts
+++ b/tests/relay/support/memorySource.ts
@@ -64,6 +64,10 @@
     return this.items.get(name)?.value;
   }
 
+  getRevision(name: string): number | undefined {
+    return this.items.get(name)?.revision;
+  }
+
   remove(name: string): void {
     this.revision += 1;
     this.items.delete(name);
