--- a/tests/platform/storeClient.test.ts
+++ b/tests/platform/storeClient.test.ts
@@ -138,6 +138,65 @@
     }
   });
 
+  describe('the era of the store', () => {
+    it('goes with lists, changes, dropped histories and failures', async () => {
+      let status = 200;
+      await open((_request, response) => {
+        response.writeHead(status, { 'Store-Era': '4' });
+        response.end(JSON.stringify({ items: [], events: [], at: 8 }));
+      });
+      assert.equal((await openSource().list())._unsafeUnwrap().era, 4);
+      assert.equal((await openSource().poll(5, 0))._unsafeUnwrap().era, 4);
+      for (status of [410, 503]) {
+        assert.equal((await openSource().poll(5, 0))._unsafeUnwrapErr().era, 4);
+      }
+      assert.equal(client.era, 4);
+    });
+
+    it('is read from the answers to writes too', async () => {
+      await open((_request, response) => {
+        response.writeHead(409, { 'Store-Era': '5' }).end('{}');
+      });
+      const store = createPlatformStore(client);
+      assert.equal(store.getEra?.(), undefined);
+      await store.putProgress('app', 1, {
+        targetVersion: 'v2',
+        state: 'running',
+        step: 1,
+        startedAtWallMs: 1,
+      });
+      assert.equal(store.getEra?.(), 5);
+    });
+
+    // Objects of two eras would be taken for one state.
+    it('makes a list whose pages differ in it fail', async () => {
+      let pages = 0;
+      await open((_request, response) => {
+        pages += 1;
+        response.writeHead(200, { 'Store-Era': String(pages) });
+        const items = [createObject(`name-${pages}`, 3, 'good')];
+        response.end(JSON.stringify({ items, has_more: pages === 1, at: 7 }));
+      });
+      assert.deepEqual((await openSource().list())._unsafeUnwrapErr(), {
+        type: 'history_gone',
+        era: 2,
+      });
+    });
+
+    async function checkUnknown(value: string): Promise<void> {
+      await open((_request, response) => {
+        response.writeHead(200, { 'Store-Era': value });
+        response.end(JSON.stringify({ items: [], at: 8 }));
+      });
+      assert.deepEqual((await openSource().list())._unsafeUnwrap(), { items: [], revision: 8 });
+      assert.equal(client.era, undefined);
+    }
+
+    for (const value of ['', 'x', '-1', '1.5', '1e3', '9'.repeat(20)]) {
+      it(`is unknown when the header is "${value}"`, () => checkUnknown(value));
+    }
+  });
+
   const brokenAnswers: Record<string, Handler> = {
     'is not JSON': (_request, response) => response.end('<html>'),
     'has no revision': (_request, response) => response.end('{"events":[]}'),
--- a/tests/relay/peerSource.test.ts
+++ b/tests/relay/peerSource.test.ts
@@ -56,8 +56,9 @@
     await waitFor(() => parts.follower.isLoaded, { what: 'the first list', timeoutMs: 2000 });
   }
 
-  async function openPair() {
+  async function openPair(era?: number) {
     const source = new MemorySource<string>();
+    source.era = era;
     source.put('a', 'first');
     const provider = createFollower(source);
     await follow(provider, source);
@@ -132,6 +133,50 @@
     assert.deepEqual(polled.isOk() && polled.value.changes.map(({ name }) => name), ['b']);
   });
 
+  describe('in eras of the store', () => {
+    it('reads changes from a peer of the same era', async () => {
+      const { source, provider, reader, waitProvider } = await openPair(1);
+      source.put('b', 'second');
+      await waitProvider(() => provider.state.has('b'));
+      const { calls } = source;
+      assert.equal(await reader.follower.confirm(), true);
+      assert.equal(reader.state.get('b'), 'second');
+      assert.equal(source.calls, calls);
+    });
+
+    // A peer that has not seen the restore would confirm a state that the store no longer has.
+    it('reads the store when the peer is of an earlier era', async () => {
+      const { source, provider, reader } = await openPair(1);
+      const stopped = provider.follower.exportSince(source.revision, 1)!;
+      source.restore(0);
+      source.put('b', 'second');
+      assert.equal(await reader.follower.confirm(), true);
+      assert.equal(stopped.era, 1);
+      reader.follower.startEra(2);
+      await reader.follower.confirm();
+      assert.equal(reader.state.get('b'), 'second');
+      assert.equal(reader.follower.stateEra, 2);
+    });
+
+    // Changes of the new era after a revision of the old one lack those before that revision.
+    it('reads the store when the peer is of a later era', async () => {
+      const { source, provider, reader, waitProvider } = await openPair(1);
+      source.put('a', 'changed');
+      await reader.follower.confirm();
+      source.restore(1);
+      source.put('b', 'second');
+      source.skipRevisions(10);
+      source.put('c', 'third');
+      await waitProvider(() => provider.state.has('c'));
+      await reader.follower.confirm();
+      assert.deepEqual(Object.fromEntries(reader.state), {
+        a: 'first',
+        b: 'second',
+        c: 'third',
+      });
+    });
+  });
+
   it('adopts a store outage that the peer has seen', async () => {
     const { source, provider, reader, waitProvider } = await openPair();
     source.isDown = true;
--- a/tests/relay/support/memorySource.ts
+++ b/tests/relay/support/memorySource.ts
@@ -45,7 +45,7 @@
     }
     this.revision = this.writes.at(-1)?.revision ?? 1;
     this.history = this.history.filter(({ revision }) => revision <= this.revision);
-    this.era = (this.era ?? 0) + 1;
+    if (this.era !== undefined) this.era += 1;
     this.cutWatches();
   }
 
