Tests: eras in peers' messages and answers, a withdrawal that an instance never read

Mutations of PeerSource's comparison of eras and of the controller's 'written' case were not noticed by the tests before. A test for each was added, one for messages with an invalid era, and one for an instance that was cut off when a key was withdrawn and read the restored copy.

--- a/tests/relay/peerSource.test.ts
+++ b/tests/relay/peerSource.test.ts
@@ -158,6 +158,32 @@
       assert.equal(reader.follower.stateEra, 2);
     });
 
+    // Instances of older builds name no era with what they export.
+    for (const era of [undefined, 1, 3]) {
+      it(`reads the store when the answer of the peer names era ${era}`, async () => {
+        const { source, provider } = await openPair(2);
+        const [port] = (await findFreePorts(1)) as [number];
+        const nothing = { exportSince: () => undefined };
+        const { era: _held, ...exported } = provider.follower.exportSince(source.revision, 2)!;
+        const server = new ViewServer({
+          config: nothing,
+          upstreams: { exportSince: () => ({ ...exported, ...(era ? { era } : {}) }) },
+          rollouts: nothing,
+        });
+        await server.listen({ host: '127.0.0.1', port });
+        stops.push(() => server.close());
+        const peerSource = new PeerSource<string>({
+          name: 'upstreams',
+          store: source,
+          findProvider: () => ({ host: '127.0.0.1', port }),
+        });
+        const { calls } = source;
+        const polled = await peerSource.poll(source.revision, 0, 2);
+        assert.equal(polled._unsafeUnwrap().era, 2);
+        assert.equal(source.calls, calls + 1);
+      });
+    }
+
     // Changes of the new era after a revision of the old one lack those before that revision.
     it('reads the store when the peer is of a later era', async () => {
       const { source, provider, reader, waitProvider } = await openPair(1);
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -216,6 +216,33 @@
     assert.deepEqual(first.exchange.listLiveInstances(), ['first', 'second']);
   });
 
+  // A wrong era would go into arithmetic with the age of the restore.
+  it('ignores messages with an invalid era of the store', async () => {
+    const [first] = await openPair();
+    const message = {
+      ...{ zone: 'zone-1', capacity: 1, incarnation: 1, sequence: 1, isLeaving: false },
+      ...{ loads: {}, evidence: {}, crashes: [], pins: [], views: {}, echoes: {} },
+    };
+    const socket = createSocket('udp4');
+    const eras = ['x', 2, [], [2], ['x', null], [2, 'x'], [-1, null], [2, null, 1], [null, 1]];
+    const messages = [
+      ...eras.map((store, index) => ({ ...message, name: `invalid-${index}`, store })),
+      { ...message, name: 'third', store: [2, 1000] },
+      { ...message, name: 'fourth', store: [2, null] },
+    ];
+    for (const sent of messages) {
+      await new Promise((resolve) => {
+        socket.send(JSON.stringify(sent), first.port, '127.0.0.1', resolve);
+      });
+    }
+    socket.close();
+    await waitFor(() => first.exchange.listLiveInstances().includes('fourth'), {
+      what: 'the valid message',
+      timeoutMs: 2000,
+    });
+    assert.deepEqual(first.exchange.listLiveInstances(), ['first', 'fourth', 'second', 'third']);
+  });
+
   describe('in a fleet too large for a full mesh', () => {
     const ZONES = ['zone-1', 'zone-2'];
     const PER_ZONE = 7;
--- a/tests/relay/restoredFleet.test.ts
+++ b/tests/relay/restoredFleet.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 
-import { waitFor } from '@cactusstair/utils';
+import { systemClock, waitFor } from '@cactusstair/utils';
 
 import { FleetFixture } from './support/fleetFixture.js';
 import { createConfig, createRoute } from './support/relayFixture.js';
@@ -81,6 +81,24 @@
     assert.equal(fleet.upstreams[0]!.received.length, 0);
   });
 
+  // The instance would take the restored configuration for confirmed and accept a key that the
+  // others know to be withdrawn.
+  it('stop accepting keys where a withdrawal was never read, within the time of a key', async () => {
+    const [first, second, third] = fleet.instances;
+    third!.link.isCut = true;
+    fleet.store.config.cutWatches();
+    put(2, ['another key']);
+    await fleet.waitForLines('"event":"config_applied","version":2,', [first!, second!]);
+    await fleet.store.restore({ config: 1 }, 300);
+    third!.link.isCut = false;
+    await fleet.waitForLines('"event":"store_restored"', [third!]);
+    await systemClock.sleep(KEY_MS);
+    assert.deepEqual([...new Set(await fleet.sendFor(500, third!))], [503]);
+    put(2, ['another key']);
+    await fleet.waitForLines('"event":"config_applied","version":2,', [third!]);
+    assert.deepEqual([...new Set(await fleet.sendFor(300, third!))], [401]);
+  });
+
   // 32 requests reached an upstream that had left (hard-load.md, gap 6).
   it('send nothing to an upstream that had left, with half of the instances cut off', async () => {
     const leaving = await fleet.addUpstream('leaving', { startedAtMs: 5 });
@@ -121,9 +139,7 @@
       id: 'added',
       port: added.port,
     });
-    await new Promise((resolve) => {
-      setTimeout(resolve, 2500);
-    });
+    await systemClock.sleep(2500);
     for (const { lines } of fleet.instances) {
       assert.doesNotMatch(lines.join(''), /"event":"upstream_gone"/);
     }
@@ -138,9 +154,7 @@
     const [first] = fleet.store.progress;
     await fleet.store.restore({ rollouts: 1 }, 200);
     await waitFor(() => fleet.store.progress.length === 2, { what: 'the step', timeoutMs: 5000 });
-    await new Promise((resolve) => {
-      setTimeout(resolve, 3000);
-    });
+    await systemClock.sleep(3000);
     assert.deepEqual(fleet.store.progress, [first, first]);
   });
 
