Forget deferred rollout orders when a list has been read

A list replaces what the store is known to have. An order that was kept out of force in one era was applied after the time of the restore although the next era's list lacked it.

Run: relay/restoredState, the new test fails without the call of dropAll (19 of 20 pass) and passes with it (20 of 20).

--- a/packages/relay/src/rollouts/orderRestore.ts
+++ b/packages/relay/src/rollouts/orderRestore.ts
@@ -83,6 +83,11 @@
     this.deferred.delete(service);
   }
 
+  /** Drops all that was deferred, because a list says what the store has now. */
+  dropAll(): void {
+    this.deferred.clear();
+  }
+
   listDeferred(): SourceItem<RolloutOrder>[] {
     return [...this.deferred.values()].flatMap((item) => item ?? []);
   }
--- a/packages/relay/src/rollouts/rolloutRouter.ts
+++ b/packages/relay/src/rollouts/rolloutRouter.ts
@@ -116,6 +116,7 @@
   applySnapshot(items: readonly SourceItem<RolloutOrder>[]): void {
     if (this.isRestoring) this.restore.start();
     this.isRestoring = false;
+    this.restore.dropAll();
     const services = new Set<string>();
     for (const item of items) {
       if (!item.value) continue;
--- a/tests/relay/restoredState.test.ts
+++ b/tests/relay/restoredState.test.ts
@@ -210,6 +210,17 @@
       assert.equal(getOrder(), undefined);
     });
 
+    // What was deferred in one era would be applied although the next one lacks it.
+    it('forgets what it has kept out when the store is restored once more', async () => {
+      const { clock, list, restore, getOrder } = createRouter();
+      list(50, { ...running, step: 1 });
+      list(51);
+      restore(20, { ...running, step: 1 });
+      restore(10);
+      await clock.advance(SETTLE_MS);
+      assert.equal(getOrder(), undefined);
+    });
+
     it('formats equal states for instances that have read the same orders', () => {
       const old = createRouter();
       const started = createRouter();
