--- a/tests/relay/invalidHead.test.ts
+++ b/tests/relay/invalidHead.test.ts
@@ -35,6 +35,12 @@
   'a status above 599': (whole) => whole.replace('HTTP/1.1 200', 'HTTP/1.1 900'),
   'a status of two digits': (whole) => whole.replace('HTTP/1.1 200', 'HTTP/1.1 20'),
   'a status of zero': (whole) => whole.replace('HTTP/1.1 200', 'HTTP/1.1 000'),
+  'a status below 100': (whole) => whole.replace('HTTP/1.1 200', 'HTTP/1.1 099'),
+  // The parser takes it for an interim answer, and the end of the connection for the missing one.
+  'an unknown interim status': (whole) => whole.replace('HTTP/1.1 200', 'HTTP/1.1 199'),
+  'the first status above 599': (whole) => whole.replace('HTTP/1.1 200', 'HTTP/1.1 600'),
+  'the last status of three digits': (whole) => whole.replace('HTTP/1.1 200', 'HTTP/1.1 999'),
+  'a status of four digits': (whole) => whole.replace('HTTP/1.1 200', 'HTTP/1.1 1000'),
 };
 
 describe('a head that cannot be passed on', () => {
