--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -16,6 +16,7 @@
   SourceChanges,
   SourceFailure,
   SourceItem,
+  SourceList,
   WriteOutcome,
 } from './follow/changeSource.js';
 export type { ClockReading } from './follow/clockReading.js';
@@ -42,6 +43,8 @@
 export type { CallerCapacity } from './instanceLimits.js';
 export { computeCallerCapacity } from './instanceLimits.js';
 export { computeAgeMs, readClocks } from './follow/clockReading.js';
+export { RestoredConfig } from './config/restoredConfig.js';
+export type { StoreEra } from './follow/storeHistory.js';
 export type { PeerSourceOptions } from './peers/peerSource.js';
 export { PeerSource } from './peers/peerSource.js';
 export { SharedViews } from './peers/sharedViews.js';
--- a/packages/relay/src/peers/instanceRoster.ts
+++ b/packages/relay/src/peers/instanceRoster.ts
@@ -31,6 +31,11 @@
     this.listedAtMs ??= this.clock.monotonicMs();
   }
 
+  /** Whether the records of the instances in the store were read. */
+  get isListed(): boolean {
+    return this.listedAtMs !== undefined;
+  }
+
   /** Records the number of instances that run now. */
   recordCount(count: number): void {
     this.largestCount = Math.max(this.largestCount, count);
--- a/packages/relay/src/peers/peerFinder.ts
+++ b/packages/relay/src/peers/peerFinder.ts
@@ -17,9 +17,18 @@
   shouldListAgain?: () => boolean;
 }
 
+/** Options of `followPeers`. */
+export interface PeerFollowerOptions extends PeerFinderOptions {
+  /** Returns the newest era of the store; undefined if it names none. */
+  getStoreEra: () => number | undefined;
+}
+
 const RETRY_MS = 1000;
 const MIN_RELIST_MS = 5000;
 const MAX_RELIST_MS = 60_000;
+const ERA_CHECK_INTERVAL_MS = 500;
+/** The instances register again within this time, so that not all write at once. */
+const MAX_RESTORE_DELAY_MS = 1000;
 
 /**
  * Registers this instance, then lists the others. Because each instance registers before it lists,
@@ -27,19 +36,47 @@
  * while `shouldListAgain` says so.
  */
 export async function findPeers(options: PeerFinderOptions, signal: AbortSignal): Promise<void> {
-  const { announce, clock, self, shouldListAgain } = options;
+  await registerAndList(options, signal);
+  if (options.shouldListAgain) await keepListing(options, signal);
+}
+
+/** Finds the peers, and registers this instance again whenever the store was restored. */
+export async function followPeers(
+  options: PeerFollowerOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  const { clock, getStoreEra } = options;
+  while (!signal.aborted) {
+    await registerAndList(options, signal);
+    const era = getStoreEra();
+    const restored = new AbortController();
+    const listing = keepListing(options, AbortSignal.any([signal, restored.signal]));
+    while (!signal.aborted && getStoreEra() === era) {
+      await clock.sleep(ERA_CHECK_INTERVAL_MS, signal);
+    }
+    restored.abort();
+    await listing;
+    await clock.sleep(MAX_RESTORE_DELAY_MS * Math.random(), signal);
+  }
+}
+
+async function registerAndList(options: PeerFinderOptions, signal: AbortSignal): Promise<void> {
+  const { announce, clock, self } = options;
   while (!signal.aborted) {
     const outcome = await announce(self);
-    if (outcome === 'written' && (await listPeers(options))) break;
+    if (outcome === 'written' && (await listPeers(options))) return;
     await clock.sleep(RETRY_MS * (0.5 + Math.random()), signal);
   }
+}
+
+async function keepListing(options: PeerFinderOptions, signal: AbortSignal): Promise<void> {
+  const { clock, shouldListAgain } = options;
   let pauseMs = MIN_RELIST_MS;
   while (shouldListAgain && !signal.aborted) {
     await clock.sleep(pauseMs * (0.5 + Math.random()), signal);
-    if (!signal.aborted && shouldListAgain()) {
-      await listPeers(options);
-      pauseMs = Math.min(pauseMs * 2, MAX_RELIST_MS);
-    }
+    if (signal.aborted || !shouldListAgain()) continue;
+    await listPeers(options);
+    pauseMs = Math.min(pauseMs * 2, MAX_RELIST_MS);
   }
 }
 
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -11,9 +11,9 @@
 import { computeCallerCapacity } from './instanceLimits.js';
 import { openWhenFree } from './openWhenFree.js';
 import { PeerExchange } from './peers/peerExchange.js';
-import { findPeers } from './peers/peerFinder.js';
 import type { RelayNodeOptions } from './relayNodeOptions.js';
 import type { PeerRecord } from './relayOptions.js';
+import { followPeers } from './peers/peerFinder.js';
 import { createAnswerParts } from './requests/answerDeliveries.js';
 import { createServiceQueues } from './requests/createServiceQueues.js';
 import type { Exchange } from './requests/exchange.js';
@@ -123,6 +123,8 @@
       listViews: () => this.views.shared.listStates(),
       onPeerView: (name, state, since) => this.views.shared.applyPeerState(name, state, since),
       onLoads: () => this.context.queues.offerReportedPlaces(),
+      getStoreEra: () => this.views.history.describe(),
+      onMessage: (message) => this.views.handlePeerMessage(message),
       onEvent: (event, name) => log.write(event, { peer: name }),
     });
     this.views = new StoreViews({
@@ -136,6 +138,7 @@
       // Covers both a changed configuration and a draining upstream, so the smaller bound applies.
       boundMs: Math.min(bounds.configApplyMs, bounds.drainMs),
       getConfigVersion: () => this.config?.config.version,
+      hasHeardAll: () => this.peers.roster.isListed && this.peers.hasHeardAll,
       onConfig: (config) => this.applyConfig(config),
       log,
       maxPeerConnections: capacity.maxPeers,
@@ -144,7 +147,7 @@
     this.handler = new RequestHandler({
       context: this.context,
       bodyBytes: capacity.bodyBytes,
-      getConfigAgeMs: () => this.views.config.getAgeMs(),
+      getConfigAgeMs: () => this.views.getConfigAgeMs(),
       confirmConfig: () => this.views.config.confirm(),
       maxKeyAgeMs: this.maxKeyAgeMs,
       maxAbsenceAgeMs: bounds.configApplyMs - ABSENCE_AGE_MARGIN_MS,
@@ -170,7 +173,7 @@
       this.stopping === undefined &&
       this.config !== undefined &&
       this.views.isLoaded &&
-      (!this.config.needsKeys || this.views.config.getAgeMs() < this.maxKeyAgeMs)
+      (!this.config.needsKeys || this.views.getConfigAgeMs() < this.maxKeyAgeMs)
     );
   }
 
@@ -194,7 +197,7 @@
     await this.openListeners();
     lifecycle.startLastingTask('exchange with peers', (signal) => this.peers.run(signal));
     lifecycle.startLastingTask('find peers', (signal) =>
-      findPeers(
+      followPeers(
         {
           clock: this.clock,
           self: this.self,
@@ -203,6 +206,7 @@
           onPeer: (record) => this.peers.addPeer(record),
           onListed: () => this.peers.roster.recordListed(),
           shouldListAgain: () => this.isInstanceUnknown(),
+          getStoreEra: () => this.views.history.era,
         },
         signal,
       ),
@@ -214,7 +218,7 @@
         router: this.rollouts,
         peers: this.peers,
         directory: this.directory,
-        store: options.store,
+        storeProgress: (tracked, progress) => this.views.storeProgress(tracked, progress),
         log: options.log,
       }).run(signal),
     );
@@ -343,7 +347,7 @@
       callers: this.callerServer,
       bodies: this.handler.bodyBudget,
       configVersion: this.config?.config.version ?? 0,
-      configAgeSeconds: this.views.config.getAgeMs() / 1000,
+      configAgeSeconds: this.views.getConfigAgeMs() / 1000,
       upstreams: this.directory.listAll().length,
       coldUpstreams: this.access.cold.count,
       evacuatedZones: this.access.evacuations.listZones(),
--- a/packages/relay/src/rollouts/createRolloutController.ts
+++ b/packages/relay/src/rollouts/createRolloutController.ts
@@ -2,10 +2,10 @@
 
 import type { EventLog } from '../observe/eventLog.js';
 import type { PeerExchange } from '../peers/peerExchange.js';
-import type { RelayStore } from '../relayStore.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
+import type { RolloutControllerOptions } from './rolloutController.js';
 import { RolloutController } from './rolloutController.js';
-import type { RolloutRouter, TrackedOrder } from './rolloutRouter.js';
+import type { RolloutRouter } from './rolloutRouter.js';
 
 /** What the rollout controller of an instance needs of its other parts. */
 export interface RolloutSurroundings {
@@ -13,13 +13,14 @@
   router: RolloutRouter;
   peers: PeerExchange;
   directory: UpstreamDirectory;
-  store: RelayStore;
+  /** Stores progress if the order has not changed. */
+  storeProgress: RolloutControllerOptions['storeProgress'];
   log: EventLog;
 }
 
 /** Creates the controller that drives rollouts on the instance of the first rank. */
 export function createRolloutController(surroundings: RolloutSurroundings): RolloutController {
-  const { clock, router, peers, directory, store, log } = surroundings;
+  const { clock, router, peers, directory, storeProgress, log } = surroundings;
   return new RolloutController({
     clock,
     router,
@@ -32,8 +33,7 @@
       return own + peers.countPeerCalls(old.map(({ id }) => id));
     },
     getRank: () => peers.getRank(),
-    storeProgress: (tracked: TrackedOrder, progress) =>
-      store.putProgress(tracked.name, tracked.revision, progress),
+    storeProgress,
     onEvent: (event, fields) => log.write(event, fields),
   });
 }
--- a/packages/relay/src/upstreams/upstream.ts
+++ b/packages/relay/src/upstreams/upstream.ts
@@ -63,6 +63,12 @@
   /** Monotonic time at which it is warm by its entry; counted from when the entry was read. */
   private warmAtMs = 0;
 
+  /**
+   * Monotonic time until which it gets no requests although it is listed as ready, because the list
+   * is that of an older copy of the store.
+   */
+  heldUntilMs = -Infinity;
+
   private downUntilMs = 0;
 
   private downMs = MIN_DOWN_MS;
--- a/packages/relay/src/upstreams/upstreamAccess.ts
+++ b/packages/relay/src/upstreams/upstreamAccess.ts
@@ -49,6 +49,7 @@
   constructor(private readonly options: UpstreamAccessOptions) {
     const { bounds, clock, log } = options;
     this.evacuations = new ZoneEvacuations({
+      clock,
       isFollowed: bounds.evacuateMs !== undefined,
       onEvent: (state, zone) => this.recordEvacuation(state, zone),
     });
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -2,81 +2,21 @@
 import { createSocket } from 'node:dgram';
 import { afterEach, describe, it } from 'node:test';
 
-import type { ClockReading, PeerRecord, ViewName, ViewState } from '@cactusstair/relay';
-import {
-  EngineEstimators,
-  PeerExchange,
-  RolloutRouter,
-  UpstreamDirectory,
-} from '@cactusstair/relay';
-import { CrashAttribution, UpstreamLimits } from '@cactusstair/routing';
-import type { Clock } from '@cactusstair/utils';
+import type { PeerRecord } from '@cactusstair/relay';
 import { ManualClock, systemClock, waitFor } from '@cactusstair/utils';
 
-import { createRecord } from './support/records.js';
-
-interface Instance {
-  exchange: PeerExchange;
-  directory: UpstreamDirectory;
-  crashes: CrashAttribution;
-  limits: UpstreamLimits;
-  engines: EngineEstimators;
-  rollouts: RolloutRouter;
-  views: Partial<Record<ViewName, ViewState>>;
-  receivedViews: { name: ViewName; state: string; since: ClockReading }[];
-  port: number;
-  stop: AbortController;
-  task: Promise<void>;
-}
-
-function findPort(): Promise<number> {
-  return new Promise((resolve) => {
-    const socket = createSocket('udp4');
-    socket.bind(0, '127.0.0.1', () => {
-      const { port } = socket.address();
-      socket.close(() => resolve(port));
-    });
-  });
-}
+import type { Instance } from './support/peerInstance.js';
+import { openInstance } from './support/peerInstance.js';
 
 describe('PeerExchange', () => {
   const instances: Instance[] = [];
 
   async function open(
-    name: string,
-    zone = 'zone-1',
-    capacity = 1,
-    clock: Clock = systemClock,
-  ): Promise<Instance> {
-    const directory = new UpstreamDirectory({
-      clock,
-      isStoreDisturbed: () => false,
-      getStoreRestoredAgeMs: () => Infinity,
-    });
-    const value = createRecord('upstream');
-    directory.applySnapshot([{ name: 'upstream', revision: 1, value }]);
-    const crashes = new CrashAttribution({ clock, minHistoryMs: 0 });
-    const rollouts = new RolloutRouter({ clock, sessionTtlMs: 5000, canaryShare: 0.15 });
-    const port = await findPort();
-    const engines = new EngineEstimators();
-    const limits = new UpstreamLimits({
-      clock,
-      getGroup: () => typed.exchange.describeGroup(),
-      findUpstream: () => ({ pool: 'app v1', zone }),
-    });
-    const parts = { directory, crashes, limits, engines, rollouts };
-    const instance = { ...parts, views: {}, receivedViews: [], port };
-    const typed = instance as unknown as Instance;
-    typed.exchange = new PeerExchange({
-      clock,
-      self: { host: '127.0.0.1', port: instance.port, name, zone, capacity },
-      ...parts,
-      listViews: () => typed.views,
-      onPeerView: (view, state, since) => typed.receivedViews.push({ name: view, state, since }),
-    });
-    await typed.exchange.start();
-    instances.push(typed);
-    return typed;
+    ...options: Parameters<typeof openInstance>
+  ): ReturnType<typeof openInstance> {
+    const instance = await openInstance(...options);
+    instances.push(instance);
+    return instance;
   }
 
   function start(instance: Instance): void {
@@ -228,6 +168,33 @@
     assert.deepEqual(first.exchange.listLiveInstances(), ['first', 'second']);
   });
 
+  // A wrong era would go into arithmetic with the age of the restore.
+  it('ignores messages with an invalid era of the store', async () => {
+    const [first] = await openPair();
+    const message = {
+      ...{ zone: 'zone-1', capacity: 1, incarnation: 1, sequence: 1, isLeaving: false },
+      ...{ loads: {}, evidence: {}, crashes: [], pins: [], views: {}, echoes: {} },
+    };
+    const socket = createSocket('udp4');
+    const eras = ['x', 2, [], [2], ['x', null], [2, 'x'], [-1, null], [2, null, 1], [null, 1]];
+    const messages = [
+      ...eras.map((store, index) => ({ ...message, name: `invalid-${index}`, store })),
+      { ...message, name: 'third', store: [2, 1000] },
+      { ...message, name: 'fourth', store: [2, null] },
+    ];
+    for (const sent of messages) {
+      await new Promise((resolve) => {
+        socket.send(JSON.stringify(sent), first.port, '127.0.0.1', resolve);
+      });
+    }
+    socket.close();
+    await waitFor(() => first.exchange.listLiveInstances().includes('fourth'), {
+      what: 'the valid message',
+      timeoutMs: 2000,
+    });
+    assert.deepEqual(first.exchange.listLiveInstances(), ['first', 'fourth', 'second', 'third']);
+  });
+
   describe('in a fleet too large for a full mesh', () => {
     const ZONES = ['zone-1', 'zone-2'];
     const PER_ZONE = 7;
