--- a/packages/relay/src/requests/bodyReader.ts
+++ b/packages/relay/src/requests/bodyReader.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import type { BodyBudget, BodyLease, BodyRefusal } from '@cactusstair/routing';
-import { ByteCollector, findConnection, recordReadBytes, refuseBody } from '@cactusstair/utils';
+import { ByteCollector, findConnection, refuseBody } from '@cactusstair/utils';
 
 /** Bytes of framing that any body in chunks may have: 4096 chunks of the smallest kind. */
 const FREE_FRAMING_BYTES = 24 * 1024;
@@ -95,7 +95,6 @@
 
   private complete(): void {
     this.lease.complete();
-    recordReadBytes(this.collector.length);
     this.end({ type: 'whole', body: this.collector.takeBuffer() });
   }
 
--- a/packages/utils/src/connections/bufferCollection.ts
+++ b/packages/utils/src/connections/bufferCollection.ts
@@ -1,10 +1,10 @@
 /** Bytes that are read from callers before their buffers are collected. */
-const COLLECT_INTERVAL_BYTES = 8 * 1024 * 1024;
+const COLLECT_INTERVAL_BYTES = 16 * 1024 * 1024;
 
 let readBytes = 0;
 
 /**
- * Counts bytes that were read from callers or copied. The garbage collector hardly sees the size of
+ * Counts bytes that were read from callers. The garbage collector hardly sees the size of
  * buffers, so it is called in time where it is exposed (`--expose-gc`).
  */
 export function recordReadBytes(bytes: number): void {
--- a/packages/utils/src/connections/callerConnection.ts
+++ b/packages/utils/src/connections/callerConnection.ts
@@ -235,8 +235,8 @@
     this.recordProgress(chunk.length);
     this.pending.push(chunk);
     this.pendingBytes += chunk.length;
-    if (this.pendingBytes >= MAX_PENDING_BYTES) this.socket.pause();
     this.pass();
+    if (this.pendingBytes >= MAX_PENDING_BYTES) this.socket.pause();
   }
 
   private receiveEnd(): void {
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -3,7 +3,6 @@
 export { describeInvalidStatus } from './answerStatus.js';
 export { ByteCollector } from './byteCollector.js';
 export type { Clock } from './clock.js';
-export { recordReadBytes } from './connections/bufferCollection.js';
 export { CallerConnection } from './connections/callerConnection.js';
 export type { ConnectionGuardOptions, ConnectionState } from './connections/connectionGuard.js';
 export {
