Learn the time at each upstream as a function of its load

Upstreams of one service differ in speed, and some slow down before their slots are full; nothing measured how the time of a call depends on the load. CapacityEstimator keeps the times of calls by band of occupied slots, relative to their class, as sums that halve every 3 s and add up over instances. From them it derives the expected time of a further call and the concurrency that an upstream handles well. PeerLoadEstimate estimates the load of other instances from old reports.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,6 +7,12 @@
   RequestClass,
 } from './admissionQueue.js';
 export { AdmissionQueue } from './admissionQueue.js';
+export type { CapacitySample, CapacityTarget } from './capacity/capacityEstimator.js';
+export { CapacityEstimator } from './capacity/capacityEstimator.js';
+export type { CapacitySums, ClassSums, UpstreamSums } from './capacity/capacitySums.js';
+export { addCapacitySums, isCapacitySums, roundCapacitySums } from './capacity/capacitySums.js';
+export type { LoadEstimate } from './capacity/peerLoadEstimate.js';
+export { PeerLoadEstimate } from './capacity/peerLoadEstimate.js';
 export type { ConcurrencyLimitOptions, LatencySample } from './concurrencyLimit.js';
 export { ConcurrencyLimit } from './concurrencyLimit.js';
 export type {
