Choose upstreams by their learned capacity

The cost of a placement was a constant by occupied slot (FULL_SERVICE_COST_MS, RUNNING_COST_MS), whatever the upstream takes. It is now the expected time there, upstreams below what they handle well come first, and where the loads of other instances are older than a call two upstreams are drawn in proportion to their throughput. Instances exchange the sums in the optional field capacities.

--- a/packages/relay/src/observe/requestMetrics.ts
+++ b/packages/relay/src/observe/requestMetrics.ts
@@ -19,6 +19,8 @@
   configVersion: number;
   configAgeSeconds: number;
   upstreams: number;
+  /** Concurrency that each upstream handles well, by upstream id. */
+  capacityByUpstream: [upstream: string, limit: number][];
   peers: number;
   droppedLogLines: number;
   /** Errors that no part of the program expected. */
@@ -76,6 +78,8 @@
       readings.configAgeSeconds,
     );
     create('upstreams', 'Upstreams in the list.', []).set(readings.upstreams);
+    const capacity = create('upstream_capacity', 'Requests that it handles well.', ['upstream']);
+    for (const [upstream, limit] of readings.capacityByUpstream) capacity.set({ upstream }, limit);
     create('living_instances', 'Instances heard from, this one included.', []).set(readings.peers);
     create('log_lines_dropped_total', 'Lines that a slow reader did not take.', []).set(
       readings.droppedLogLines,
--- a/packages/relay/src/peers/fleetReport.ts
+++ b/packages/relay/src/peers/fleetReport.ts
@@ -3,6 +3,8 @@
 import { addEvidence, createEvidence } from '../rollouts/versionEvidence.js';
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
 import { addEngineSums, createEngineSums } from '../upstreams/engineEstimators.js';
+import { addCapacityReport, roundCapacityReport } from '../upstreams/upstreamCapacities.js';
+import type { CapacityReport } from '../upstreams/upstreamCapacities.js';
 import type { FleetReport, UpstreamLoad } from './peerMessage.js';
 
 /** Load of each upstream, keyed by upstream id. */
@@ -40,7 +42,7 @@
 /** The contribution of one instance or zone to a report. */
 export type ReportPart = Pick<
   FleetReport,
-  'count' | 'countByZone' | 'loads' | 'evidence' | 'engines' | 'pins'
+  'count' | 'countByZone' | 'loads' | 'evidence' | 'engines' | 'capacities' | 'pins'
 >;
 
 /**
@@ -56,6 +58,7 @@
   const loads: UpstreamLoads = createDictionary();
   const evidence = createDictionary<EvidenceSums>();
   const engines = createEngineSums();
+  const capacities: CapacityReport = createDictionary();
   const pins = new Set<string>();
   const countByZone = createDictionary<number>();
   let count = 0;
@@ -66,6 +69,7 @@
     }
     addLoads(loads, part.loads);
     addEngineSums(engines, part.engines ?? {});
+    addCapacityReport(capacities, part.capacities ?? {});
     for (const [key, sums] of Object.entries(part.evidence)) {
       const total = evidence[key] ?? createEvidence();
       addEvidence(total, sums);
@@ -73,5 +77,14 @@
     }
     for (const pin of part.pins) if (pins.size < MAX_REPORTED_PINS) pins.add(pin);
   }
-  return { scope, count, countByZone, loads, evidence, engines, pins: [...pins] };
+  return {
+    scope,
+    count,
+    countByZone,
+    loads,
+    evidence,
+    engines,
+    capacities: roundCapacityReport(capacities),
+    pins: [...pins],
+  };
 }
--- a/packages/relay/src/peers/fleetSums.ts
+++ b/packages/relay/src/peers/fleetSums.ts
@@ -2,6 +2,8 @@
 
 import { addEngineSums, createEngineSums } from '../upstreams/engineEstimators.js';
 import type { EngineSums } from '../upstreams/engineEstimators.js';
+import { addCapacityReport } from '../upstreams/upstreamCapacities.js';
+import type { CapacityReport } from '../upstreams/upstreamCapacities.js';
 import type { ReportPart, UpstreamLoads } from './fleetReport.js';
 import { addLoads } from './fleetReport.js';
 import type { FleetReport } from './peerMessage.js';
@@ -116,4 +118,21 @@
     }
     return sum;
   }
+
+  /** Sums the capacity sums of the other instances; a fleet report includes those of this one. */
+  sumCapacities(): CapacityReport {
+    const role = this.getRole();
+    if (role === 'member') return this.findFleetReport()?.capacities ?? {};
+    const sum: CapacityReport = createDictionary();
+    const peers =
+      role === 'mesh'
+        ? this.table.listRecentPeers(LOST_AFTER_MS)
+        : this.listZonePeers(LOST_AFTER_MS);
+    for (const { message } of peers) addCapacityReport(sum, message.capacities ?? {});
+    if (role === 'mesh') return sum;
+    for (const { capacities } of this.listOtherZoneReports(LOST_AFTER_MS)) {
+      addCapacityReport(sum, capacities ?? {});
+    }
+    return sum;
+  }
 }
--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -12,6 +12,7 @@
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
 import type { EngineEstimators } from '../upstreams/engineEstimators.js';
 import type { Upstream } from '../upstreams/upstream.js';
+import type { UpstreamCapacities } from '../upstreams/upstreamCapacities.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
 import type { UpstreamLoads } from './fleetReport.js';
 import { addLoads, createFleetReport, subtractLoads } from './fleetReport.js';
@@ -29,6 +30,7 @@
   self: PeerRecord;
   directory: UpstreamDirectory;
   engines: EngineEstimators;
+  capacities: UpstreamCapacities;
   rollouts: RolloutRouter;
   crashes: CrashAttribution;
   limits: UpstreamLimits;
@@ -146,6 +148,7 @@
       this.send();
       this.loads.refresh(STALE_AFTER_MS);
       this.options.engines.importPeerSums(this.sums.sumEngines());
+      this.options.capacities.importPeerSums(this.sums.sumCapacities());
       this.options.limits.refresh();
       await this.options.clock.sleep(SEND_INTERVAL_MS, signal);
     }
@@ -305,7 +308,7 @@
   }
 
   private createMessage(): PeerMessage {
-    const { self, clock, crashes, engines, limits, listViews, rollouts } = this.options;
+    const { self, capacities, clock, crashes, engines, limits, listViews, rollouts } = this.options;
     const loads = this.loads.createOwnLoads();
     // Reporters pass on what the instances of their zone saw.
     const scope = this.role === 'reporter' ? 'all' : 'own';
@@ -322,6 +325,7 @@
       loads,
       evidence: rollouts.exportEvidence(),
       engines: engines.exportSums(),
+      capacities: capacities.exportSums(),
       crashes: crashes.exportReports(scope),
       limits: limits.exportReports(scope),
       pins: rollouts.exportPins(),
--- a/packages/relay/src/peers/peerMessage.ts
+++ b/packages/relay/src/peers/peerMessage.ts
@@ -2,6 +2,8 @@
 
 import type { EvidenceSums } from '../rollouts/versionEvidence.js';
 import type { EngineSums } from '../upstreams/engineEstimators.js';
+import type { CapacityReport } from '../upstreams/upstreamCapacities.js';
+import { isCapacityReport } from '../upstreams/upstreamCapacities.js';
 
 /**
  * Load that one instance puts on one upstream: running requests, pending prompt work in ms, tokens
@@ -37,6 +39,8 @@
   evidence: Record<string, EvidenceSums>;
   /** Absent in reports of older builds. */
   engines?: EngineSums;
+  /** Absent in reports of older builds, checked on import. */
+  capacities?: CapacityReport;
   pins: string[];
 }
 
@@ -54,6 +58,8 @@
   evidence: Record<string, EvidenceSums>;
   /** Prefill samples; absent in messages of older builds. */
   engines?: EngineSums;
+  /** Times of calls by upstream and load; absent in messages of older builds, checked on import. */
+  capacities?: CapacityReport;
   /** Checked when they are imported. */
   crashes: CrashReport[];
   /** Limits that upstreams have named; absent in messages of older builds, checked on import. */
@@ -141,6 +147,8 @@
     message.echoes !== null &&
     isEngineSums(message.engines) &&
     isEngineSums(message.report?.engines) &&
+    isCapacityReport(message.capacities) &&
+    isCapacityReport(message.report?.capacities) &&
     isCounts(message.report?.countByZone)
   );
 }
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -20,6 +20,7 @@
 import { RequestHandler } from './requests/requestHandler.js';
 import { RetryBudgets } from './requests/retryBudgets.js';
 import { StallMonitor } from './requests/stallMonitor.js';
+import { countOldVersionCalls } from './rollouts/oldVersionCalls.js';
 import type { TrackedOrder } from './rollouts/rolloutRouter.js';
 import { formatVersionKey, RolloutRouter } from './rollouts/rolloutRouter.js';
 import { RolloutController } from './rollouts/rolloutController.js';
@@ -28,6 +29,7 @@
 import { EngineEstimators } from './upstreams/engineEstimators.js';
 import { CrashDetector } from './upstreams/crashDetector.js';
 import type { Upstream } from './upstreams/upstream.js';
+import { UpstreamCapacities } from './upstreams/upstreamCapacities.js';
 import { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 import type { UpstreamEvent } from './upstreams/upstreamDirectory.js';
 import type { UpstreamRecord } from './upstreams/upstreamRecord.js';
@@ -77,6 +79,8 @@
 
   private readonly engines = new EngineEstimators();
 
+  private readonly capacities: UpstreamCapacities;
+
   private readonly rollouts: RolloutRouter;
 
   private readonly crashes: CrashAttribution;
@@ -103,14 +107,9 @@
   private faults = 0;
 
   constructor(private readonly options: RelayNodeOptions) {
-    const { bounds, log, store } = options;
+    const { bounds, capacity, log, name, peers, store, zone } = options;
     this.clock = options.clock ?? systemClock;
-    this.self = {
-      ...options.peers,
-      name: options.name,
-      zone: options.zone,
-      capacity: options.capacity,
-    };
+    this.self = { ...peers, name, zone, capacity };
     this.lifecycle = new LifecycleManager((task, error) => this.recordFault(task, error as Error));
     this.budgets = new RetryBudgets(this.clock, bounds, () => this.peers.countInstances());
     this.crashes = new CrashAttribution({
@@ -124,6 +123,11 @@
       isLeaving: (record) => this.notices.isLeaving(record),
       onEvent: (event, record) => this.handleUpstreamEvent(event, record),
     });
+    this.capacities = new UpstreamCapacities({
+      clock: this.clock,
+      listUpstreams: () => this.directory.listAll(),
+      onChange: (change) => log.write('upstream_capacity', { ...change }),
+    });
     this.limits = new UpstreamLimits({
       clock: this.clock,
       getGroup: () => this.peers.describeGroup(),
@@ -144,12 +148,13 @@
       self: this.self,
       directory: this.directory,
       engines: this.engines,
+      capacities: this.capacities,
       rollouts: this.rollouts,
       crashes: this.crashes,
       limits: this.limits,
       listViews: () => this.views.shared.listStates(),
-      onPeerView: (name, state, since) => this.views.shared.applyPeerState(name, state, since),
-      onEvent: (event, name) => log.write(event, { peer: name }),
+      onPeerView: (view, state, since) => this.views.shared.applyPeerState(view, state, since),
+      onEvent: (event, peer) => log.write(event, { peer }),
     });
     this.views = new StoreViews({
       clock: this.clock,
@@ -226,6 +231,7 @@
         signal,
       ),
     );
+    lifecycle.startLastingTask('watch capacities', (signal) => this.capacities.watch(signal));
     lifecycle.startLastingTask('drive rollouts', (signal) =>
       this.createRolloutController().run(signal),
     );
@@ -292,6 +298,7 @@
       notices: this.notices,
       reachability: new ZoneReachability(this.clock),
       engines: this.engines,
+      capacities: this.capacities,
       rollouts: this.rollouts,
       crashes: this.crashes,
       stallMonitor: new StallMonitor(this.clock),
@@ -309,7 +316,7 @@
       router: this.rollouts,
       listEvidence: () => this.peers.listEvidence(),
       countOldVersionCalls: (service, targetVersion) =>
-        this.countOldVersionCalls(service, targetVersion),
+        countOldVersionCalls(this.directory, this.peers, { service, targetVersion }),
       getRank: () => this.peers.getRank(),
       storeProgress: (tracked: TrackedOrder, progress) =>
         this.options.store.putProgress(tracked.name, tracked.revision, progress),
@@ -317,14 +324,6 @@
     });
   }
 
-  private countOldVersionCalls(service: string, targetVersion: string): number {
-    const old = this.directory
-      .listAll()
-      .filter(({ record }) => record.service === service && record.version !== targetVersion);
-    const own = old.reduce((sum, upstream) => sum + upstream.calls.size, 0);
-    return own + this.peers.countPeerCalls(old.map(({ id }) => id));
-  }
-
   private applyConfig(config: RelayConfig): void {
     if (this.config && config.version <= this.config.config.version) return;
     this.config = new ConfigIndex(config);
@@ -339,6 +338,7 @@
     const { id, service, version, zone } = record;
     this.options.log.write(`upstream_${event}`, { upstream: id, service, version, zone });
     if (event === 'restarted') this.notices.forget(record);
+    if (event === 'restarted' || event === 'gone') this.capacities.forget(record);
     this.limits.refresh();
   }
 
@@ -375,6 +375,7 @@
       configVersion: this.config?.config.version ?? 0,
       configAgeSeconds: this.views.config.getAgeMs() / 1000,
       upstreams: this.directory.listAll().length,
+      capacityByUpstream: this.capacities.listLimits(),
       peers: this.peers.listLiveInstances().length,
       droppedLogLines: this.options.log.dropped,
       faults: this.faults,
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { computeUrgency } from '@cactusstair/routing';
-import type { SuspectRun } from '@cactusstair/routing';
+import type { CapacityEstimator, SuspectRun } from '@cactusstair/routing';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
@@ -22,6 +22,7 @@
   estimateWorkMs,
   getAcceptWaitMs,
   getModel,
+  getWorkClass,
 } from './upstreamChoice.js';
 
 // A connection between zones opens in about 3 ms. A lost SYN is retransmitted only after a second,
@@ -35,6 +36,9 @@
 /** Added to waits that are compared, so that a difference of milliseconds is not a large ratio. */
 const MIN_EXPECTED_WAIT_MS = 50;
 
+/** Answers with this status or a higher one report an error. */
+const MIN_ERROR_STATUS = 400;
+
 /** Misdirected Request: another upstream than the expected one listens at the address. */
 export const MISDIRECTED_STATUS = 421;
 
@@ -66,6 +70,17 @@
 
   private readonly running: RunningCall;
 
+  /** Whether the caller was too slow for the answer, so that its time says nothing of the upstream. */
+  isCallerSlow = false;
+
+  /** Status of the answer; 0 until its head arrives. */
+  answerStatus = 0;
+
+  /** Load of the upstream when the attempt started, and when it ended. */
+  private readonly startLoad: number;
+
+  private endLoad: number | undefined;
+
   private readonly cancelListener = () => this.call.cancel('the request has ended');
 
   constructor(
@@ -85,6 +100,7 @@
       heldTokens: engine ? request.promptTokens + estimateOutputTokens(request) : 0,
     };
     upstream.calls.add(this.running);
+    this.startLoad = this.estimateLoad();
     context.notices.recordSent(upstream.record);
     if (engine)
       context.engines.get(job.service).work.record(estimateWorkMs(job, options.sizeIndex));
@@ -180,12 +196,49 @@
     const { context, job, upstream } = this;
     // An upstream that has just started is slow, whichever version it has.
     if (upstream.record.warmupLeftMs > 0) return;
+    this.recordCapacity(paceMs);
     context.rollouts.recordPace(job.service, upstream.record.version, paceMs);
     if (isLong && this.model !== undefined) {
       context.rollouts.recordLoadedPace(this.record, this.model, upstream.running, paceMs);
     }
   }
 
+  /** Records the time of the whole call after its answer is complete. */
+  recordDuration(): void {
+    if (this.upstream.record.warmupLeftMs > 0) return;
+    const durationMs = this.context.clock.monotonicMs() - this.startedMs;
+    this.capacity.recordCall(this.workClass, durationMs);
+  }
+
+  /** Records the time of the call, or of its events, as evidence about the upstream's capacity. */
+  private recordCapacity(timeMs: number): void {
+    // An error answer says nothing about the time that the work takes. Another run of the upstream
+    // may have been listed under its id meanwhile.
+    const isError = this.answerStatus >= MIN_ERROR_STATUS;
+    if (
+      isError ||
+      this.isCallerSlow ||
+      this.upstream.record.startedAtMs !== this.record.startedAtMs
+    )
+      return;
+    const running = (this.startLoad + (this.endLoad ?? this.estimateLoad())) / 2;
+    const { record: upstream, workClass } = this;
+    this.capacity.record({ upstream, workClass, running: Math.max(1, running), timeMs });
+    if (!this.job.engine) this.recordDuration();
+  }
+
+  private get capacity(): CapacityEstimator {
+    return this.context.capacities.get(this.job.service, this.job.engine !== undefined);
+  }
+
+  private get workClass(): string {
+    return getWorkClass(this.job, this.model);
+  }
+
+  private estimateLoad(): number {
+    return this.upstream.estimateLoad(this.capacity.estimateCallMs(this.workClass)).running;
+  }
+
   private recordSent(): void {
     const { context, job, upstream } = this;
     context.reachability.recordReached(upstream.record.zone);
@@ -209,6 +262,7 @@
 
   /** Removes the attempt from the upstream's load and closes its connection. */
   close(): void {
+    this.endLoad ??= this.estimateLoad();
     this.upstream.calls.delete(this.running);
     this.suspectRun?.end();
     this.job.exchange.offCancel(this.cancelListener);
@@ -286,6 +340,7 @@
   const { dialect, notices } = attempt.context;
   const status = answer.statusCode ?? 0;
   const head = dialect.decodeAnswer(status, answer.headers);
+  attempt.answerStatus = status;
   const mismatch = checkAnswer(attempt, head);
   if (mismatch) return err(mismatch);
   // Another upstream than the one that was called answers with this status.
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -7,6 +7,7 @@
 import type { CrashDetector } from '../upstreams/crashDetector.js';
 import type { EngineEstimators } from '../upstreams/engineEstimators.js';
 import type { Upstream } from '../upstreams/upstream.js';
+import type { UpstreamCapacities } from '../upstreams/upstreamCapacities.js';
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js';
 import type { UpstreamNotices } from '../upstreams/upstreamNotices.js';
 import type { ZoneReachability } from '../upstreams/zoneReachability.js';
@@ -23,6 +24,7 @@
   notices: UpstreamNotices;
   reachability: ZoneReachability;
   engines: EngineEstimators;
+  capacities: UpstreamCapacities;
   rollouts: RolloutRouter;
   crashes: CrashAttribution;
   stallMonitor: StallMonitor;
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -70,6 +70,7 @@
       if (exchange.isOver) return;
       if (result.type === 'complete') {
         attempt.recordProgress();
+        attempt.recordDuration();
         attempt.upstream.recordSuccess();
         exchange.endStream();
         return;
@@ -183,7 +184,7 @@
           if (kind === 'repeated') continue;
           this.forwardEvent(attempt, answer, event, progress);
         }
-        await this.waitForCaller(progress);
+        await this.waitForCaller(attempt, progress);
         if (this.job.exchange.isOver) return attempt.createFailure('the request has ended');
       }
     } catch {
@@ -218,9 +219,10 @@
     exchange.writeStream(event.bytes);
   }
 
-  private async waitForCaller(progress: StreamProgress): Promise<void> {
+  private async waitForCaller(attempt: Attempt, progress: StreamProgress): Promise<void> {
     const { exchange } = this.job;
     if (!exchange.outgoing.writableNeedDrain) return;
+    attempt.isCallerSlow = true;
     progress.startWaitingForCaller();
     await exchange.waitForDrain();
     progress.stopWaitingForCaller();
--- a/packages/relay/src/requests/upstreamChoice.ts
+++ b/packages/relay/src/requests/upstreamChoice.ts
@@ -13,6 +13,11 @@
   return job.exchange.route?.modelSizes[sizeIndex];
 }
 
+/** Returns the class of a request whose times at the upstreams of a service are comparable. */
+export function getWorkClass({ engine, exchange }: RelayJob, model: string | undefined): string {
+  return (engine ? model : exchange.route?.name) ?? '';
+}
+
 /** Nominal time in which an engine reads a part of the request's prompt. */
 export function estimateJobNominalMs(
   { exchange, request }: RelayJob,
@@ -56,6 +61,8 @@
   const model = getModel(job, sizeIndex);
   const { prefill, queueBias } = context.engines.get(service);
   return {
+    capacity: context.capacities.get(service, engine !== undefined),
+    workClass: getWorkClass(job, model),
     zone: context.zone,
     isZoneUnreachable: (zone) => context.reachability.isUnreachable(zone),
     ...(engine ? { engine } : {}),
--- a/packages/relay/src/upstreams/upstream.ts
+++ b/packages/relay/src/upstreams/upstream.ts
@@ -1,3 +1,5 @@
+import type { LoadEstimate } from '@cactusstair/routing';
+import { PeerLoadEstimate } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 
 import type { UpstreamRecord } from './upstreamRecord.js';
@@ -41,8 +43,9 @@
 export class Upstream {
   readonly calls = new Set<RunningCall>();
 
-  /** Load last reported by the other instances. */
-  peerLoad: PeerLoad = NO_LOAD;
+  private reportedLoad: PeerLoad = NO_LOAD;
+
+  private readonly peerEstimate: PeerLoadEstimate;
 
   /** Monotonic time at which bytes last arrived from the upstream on any connection. */
   lastProgressMs: number;
@@ -71,12 +74,33 @@
   ) {
     this.lastProgressMs = clock.monotonicMs();
     this.rateAtMs = this.lastProgressMs;
+    this.peerEstimate = new PeerLoadEstimate(clock);
   }
 
   get id(): string {
     return this.record.id;
   }
 
+  /** Load last reported by the other instances. */
+  get peerLoad(): PeerLoad {
+    return this.reportedLoad;
+  }
+
+  set peerLoad(load: PeerLoad) {
+    this.reportedLoad = load;
+    this.peerEstimate.record(load.running);
+  }
+
+  /**
+   * Estimates the number of requests of all instances that run at this upstream now.
+   *
+   * @param callMs typical duration of a request there, in milliseconds
+   */
+  estimateLoad(callMs: number): LoadEstimate {
+    const { running, unknown } = this.peerEstimate.estimate(callMs);
+    return { running: this.calls.size + running, unknown };
+  }
+
   /** Number of requests of all instances known to run at this upstream. */
   get running(): number {
     return this.calls.size + this.peerLoad.running;
@@ -159,7 +183,8 @@
   /** Resets the state that belongs to an earlier run under the same id. */
   restart(): void {
     this.cachedParts.clear();
-    this.peerLoad = NO_LOAD;
+    this.peerEstimate.reset();
+    this.reportedLoad = NO_LOAD;
     this.rate = 0;
     this.waitSamples = 0;
     this.waitRatioLog = 0;
--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -1,3 +1,4 @@
+import type { CapacityEstimator } from '@cactusstair/routing';
 import { hashFraction } from '@cactusstair/utils';
 
 import type { EngineProfile } from '../config/relayConfig.js';
@@ -21,6 +22,14 @@
   /** Tokens that the request will occupy in memory when it completes. */
   heldTokens: number;
   promptParts: readonly PromptPart[];
+  /** What is learned about the upstreams of the service; absent while nothing is. */
+  capacity?: CapacityEstimator;
+  /** Class of the request by which `capacity` compares times. */
+  workClass?: string;
+  /** Whether the upstreams of a plain service have a bound; otherwise a full one is used as well. */
+  isBounded?: boolean;
+  /** Source of random numbers in [0, 1). Default `Math.random`. */
+  random?: () => number;
 }
 
 /** A chosen upstream with the estimated cost of the request there. */
@@ -36,10 +45,32 @@
   firstEventMs: number;
 }
 
-// Each further request in a batch slows down all the others.
-const RUNNING_COST_MS = 4;
-/** Cost of an upstream of a plain service when all of its slots are occupied. */
-const FULL_SERVICE_COST_MS = 100;
+/** How the expected time at an upstream of a kind is weighed. */
+interface TimeCost {
+  /** Assumed duration of a call before one of its class has completed, in milliseconds. */
+  priorMs: number;
+  /** Weight of the expected time. */
+  time: number;
+  /** Share of the expected time that is added for the load, at the limit of an upstream. */
+  load: number;
+}
+
+// Equally fast upstreams are to be used evenly: the loads known here are old, and each request slows
+// down the others.
+const SERVICE_COST: TimeCost = { priorMs: 50, time: 1, load: 2 };
+// The callers of a stream wait for its first event; its whole duration matters less than that.
+const ENGINE_COST: TimeCost = { priorMs: 1000, time: 0.05, load: 1 };
+/** Requests beyond its slots that a bounded upstream of a plain service holds. */
+const MAX_QUEUED_CALLS = 2;
+/** An upstream that fails a larger share of its requests does not count as having capacity. */
+const MAX_CAPACITY_FAILURE_RATE = 0.3;
+/** An engine with more unread prompts does not count as having capacity. */
+const MAX_CAPACITY_BACKLOG_MS = 1000;
+/** Weight of an upstream of the own zone in samples by throughput. */
+const OWN_ZONE_WEIGHT = 1.5;
+/** Share of the choices at a fully used service that compare two upstreams. */
+const MIN_COMPARED_SHARE = 0.1;
+const MIN_USED_SHARE = 0.01;
 // Traffic between zones is billed, and upstreams in the same zone stay reachable in a partition.
 const OTHER_ZONE_COST_MS = 12;
 const FAILURE_COST_MS = 3000;
@@ -84,15 +115,119 @@
   return preferred;
 }
 
-/** Whether an engine has a free slot and memory for the request. */
+/** Returns the duration of a call that is assumed before one of its class has completed. */
+export function getPriorCallMs(isEngine: boolean): number {
+  return (isEngine ? ENGINE_COST : SERVICE_COST).priorMs;
+}
+
+function estimateLoad(upstream: Upstream, { engine, capacity, workClass = '' }: SelectionRequest) {
+  const priorMs = getPriorCallMs(engine !== undefined);
+  return upstream.estimateLoad(capacity?.estimateCallMs(workClass) ?? priorMs);
+}
+
+/**
+ * Whether an upstream may take the request: an engine with a free slot and memory; an upstream of a
+ * plain service always, or up to a few more requests than its slots if the request is bounded.
+ */
 export function hasRoom(upstream: Upstream, request: SelectionRequest): boolean {
   const { engine } = request;
-  if (!engine) return true;
-  if (upstream.running >= upstream.record.slots) return false;
+  const { slots } = upstream.record;
+  if (slots < 1) return false;
+  if (!engine) {
+    const { running } = estimateLoad(upstream, request);
+    return !request.isBounded || Math.round(running) < slots + MAX_QUEUED_CALLS;
+  }
+  if (upstream.running >= slots) return false;
   const memory = engine.memoryTokens * USABLE_MEMORY_SHARE;
   return memory <= 0 || upstream.heldTokens + request.heldTokens <= memory;
 }
 
+function isHealthy(upstream: Upstream, request: SelectionRequest): boolean {
+  const { record } = upstream;
+  if (upstream.isDown || request.isZoneUnreachable(record.zone)) return false;
+  return (
+    record.warmupLeftMs <= 0 &&
+    upstream.failureRate <= MAX_CAPACITY_FAILURE_RATE &&
+    hasRoom(upstream, request)
+  );
+}
+
+/**
+ * Whether an upstream has room and is below the concurrency that it handles well. One that is down,
+ * failing, cold or behind with its prompts does not keep others from being loaded further.
+ */
+export function hasCapacity(upstream: Upstream, request: SelectionRequest): boolean {
+  if (!isHealthy(upstream, request) || upstream.backlogMs > MAX_CAPACITY_BACKLOG_MS) return false;
+  return Math.round(estimateLoad(upstream, request).running) < getLimit(upstream, request);
+}
+
+/** Returns the cost of the expected time at an upstream. */
+function computeTimeCost(upstream: Upstream, request: SelectionRequest): number {
+  const { engine, capacity, workClass = '' } = request;
+  const cost = engine ? ENGINE_COST : SERVICE_COST;
+  const { running } = estimateLoad(upstream, request);
+  const timeMs = capacity?.estimateMs(upstream.record, workClass, running + 1) ?? cost.priorMs;
+  return timeMs * cost.time * (1 + (cost.load * running) / getLimit(upstream, request));
+}
+
+function getLimit({ record }: Upstream, { capacity }: SelectionRequest): number {
+  return capacity?.getLimit(record) ?? Math.max(1, record.slots);
+}
+
+/** Removes a random item from `items`, with a probability in proportion to its throughput. */
+function takeByThroughput(items: Upstream[], request: SelectionRequest): Upstream {
+  const { capacity, random = Math.random, zone } = request;
+  const weights = items.map(
+    ({ record }) =>
+      (capacity?.getThroughput(record) ?? record.slots) *
+      (record.zone === zone ? OWN_ZONE_WEIGHT : 1),
+  );
+  let left = random() * weights.reduce((sum, weight) => sum + weight, 0);
+  const index = weights.findIndex((weight) => {
+    left -= weight;
+    return left < 0;
+  });
+  return items.splice(Math.max(0, index), 1)[0]!;
+}
+
+/**
+ * Returns the upstreams to compare where the known loads say little about the calls that run now.
+ * All instances see the same loads and would choose the same upstream until the next report. Of two
+ * that are drawn in proportion to their throughput none gets more than twice its share, and less
+ * than that where more of the service's capacity is in use. Among three or more, or with a strict
+ * preference for upstreams below their limit, the loads swing between the reports.
+ *
+ * @returns undefined where the loads are known, as with few instances
+ */
+function sampleByThroughput(
+  candidates: readonly Upstream[],
+  request: SelectionRequest,
+): Upstream[] | undefined {
+  const { random = Math.random } = request;
+  const healthy = candidates.filter((upstream) => isHealthy(upstream, request));
+  const total = { own: 0, unknown: 0, running: 0, limit: 0 };
+  for (const upstream of healthy) {
+    const { running, unknown } = estimateLoad(upstream, request);
+    total.own += upstream.calls.size;
+    total.unknown += unknown;
+    const limit = getLimit(upstream, request);
+    // The queue of one upstream doesn't occupy the others.
+    total.running += Math.min(running, limit);
+    total.limit += limit;
+  }
+  const unknownShare = total.unknown / (total.unknown + total.own + 1);
+  if (healthy.length < 2 || random() >= unknownShare) return undefined;
+  const first = takeByThroughput(healthy, request);
+  // An upstream that all pairs prefer gets at most what it can take: twice its share of a service
+  // of which half is in use, and no more than its share of one that is full.
+  const usedShare = Math.max(MIN_USED_SHARE, total.running / total.limit);
+  const comparedShare = Math.max(MIN_COMPARED_SHARE, 1 / usedShare - 1);
+  if (random() >= comparedShare) return [first];
+  const pair = [first, takeByThroughput(healthy, request)];
+  const unloaded = pair.filter((upstream) => hasCapacity(upstream, request));
+  return unloaded.length > 0 ? unloaded : pair;
+}
+
 function computeSharedCosts(upstream: Upstream, request: SelectionRequest): number {
   const { zone } = upstream.record;
   return (
@@ -100,14 +235,14 @@
     (upstream.isDown || request.isZoneUnreachable(zone) ? DOWN_COST_MS : 0) +
     upstream.failureRate * FAILURE_COST_MS +
     (upstream.record.warmupLeftMs > 0 ? WARMUP_COST_MS : 0) +
-    Math.random() * JITTER_MS
+    (request.random ?? Math.random)() * JITTER_MS
   );
 }
 
 /** Returns `count` random items, or all of them when there are fewer; reorders `items`. */
-function takeSample<T>(items: T[], count: number): T[] {
+function takeSample<T>(items: T[], count: number, random: () => number): T[] {
   for (let index = 0; index < Math.min(count, items.length); index += 1) {
-    const other = index + Math.floor(Math.random() * (items.length - index));
+    const other = index + Math.floor(random() * (items.length - index));
     [items[index], items[other]] = [items[other]!, items[index]!];
   }
   return items.slice(0, count);
@@ -120,6 +255,7 @@
   preferred: Upstream | undefined,
 ): readonly Upstream[] {
   if (candidates.length <= MAX_COMPARED) return candidates;
+  const { random = Math.random } = request;
   const available = candidates.filter(
     (upstream) =>
       !upstream.isDown &&
@@ -128,10 +264,11 @@
   );
   const isOwnZone = (upstream: Upstream) => upstream.record.zone === request.zone;
   const sample = [
-    ...takeSample(available.filter(isOwnZone), SAMPLED_OWN_ZONE),
+    ...takeSample(available.filter(isOwnZone), SAMPLED_OWN_ZONE, random),
     ...takeSample(
       available.filter((upstream) => !isOwnZone(upstream)),
       SAMPLED_OTHER_ZONES,
+      random,
     ),
   ];
   if (sample.length === 0) return candidates;
@@ -139,8 +276,10 @@
 }
 
 /**
- * Chooses the upstream with the lowest cost for a request. The cost covers the backlog, prompt
- * tokens that are not cached, concurrent requests, traffic between zones and recent failures.
+ * Chooses the upstream with the lowest cost for a request among those that are below the
+ * concurrency that they handle well; if there are none, among those that have room. The cost covers
+ * the backlog, prompt tokens that are not cached, the expected time at the upstream, traffic between
+ * zones and recent failures.
  *
  * @returns undefined when no candidate has room.
  */
@@ -158,11 +297,16 @@
       : findPreferredUpstream(candidates, `${model}/${preferredKey}`);
   let best: Selection | undefined;
   let bestCost = Infinity;
-  for (const upstream of sampleCandidates(candidates, request, preferred)) {
+  const unloaded = candidates.filter((upstream) => hasCapacity(upstream, request));
+  const usable = unloaded.length > 0 ? unloaded : candidates;
+  const sample = sampleByThroughput(candidates, request);
+  if (sample && preferred && hasCapacity(preferred, request)) sample.push(preferred);
+  const compared = sample ?? sampleCandidates(usable, request, preferred);
+  for (const upstream of compared) {
     if (!hasRoom(upstream, request)) continue;
     let uncachedTokens = 0;
     let backlogMs = 0;
-    let cost = computeSharedCosts(upstream, request);
+    let cost = computeSharedCosts(upstream, request) + computeTimeCost(upstream, request);
     if (engine) {
       const known = countCachedTokens(upstream, model, promptParts);
       const expected = upstream === preferred ? sharedTokens * EXPECTED_CACHED_SHARE : 0;
@@ -173,10 +317,7 @@
         upstream.backlogMs +
         request.getQueueBiasMs(upstream.record.zone) +
         backlogMs +
-        upstream.running * RUNNING_COST_MS +
         Math.max(0, sharedTokens - cached) * REREAD_COST_MS_PER_TOKEN;
-    } else {
-      cost += (upstream.running / upstream.record.slots) * FULL_SERVICE_COST_MS;
     }
     if (cost < bestCost) {
       bestCost = cost;
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -7,6 +7,7 @@
   EngineEstimators,
   PeerExchange,
   RolloutRouter,
+  UpstreamCapacities,
   UpstreamDirectory,
 } from '@cactusstair/relay';
 import { CrashAttribution, UpstreamLimits } from '@cactusstair/routing';
@@ -21,6 +22,7 @@
   crashes: CrashAttribution;
   limits: UpstreamLimits;
   engines: EngineEstimators;
+  capacities: UpstreamCapacities;
   rollouts: RolloutRouter;
   views: Partial<Record<ViewName, ViewState>>;
   receivedViews: { name: ViewName; state: string; since: ClockReading }[];
@@ -59,12 +61,13 @@
     const rollouts = new RolloutRouter({ clock, sessionTtlMs: 5000, canaryShare: 0.15 });
     const port = await findPort();
     const engines = new EngineEstimators();
+    const capacities = new UpstreamCapacities({ clock, listUpstreams: () => directory.listAll() });
     const limits = new UpstreamLimits({
       clock,
       getGroup: () => typed.exchange.describeGroup(),
       findUpstream: () => ({ pool: 'app v1', zone }),
     });
-    const parts = { directory, crashes, limits, engines, rollouts };
+    const parts = { directory, crashes, limits, engines, capacities, rollouts };
     const instance = { ...parts, views: {}, receivedViews: [], port };
     const typed = instance as unknown as Instance;
     typed.exchange = new PeerExchange({
