Test and document the samples and the exchange of learned capacity

The duration of a call was recorded with each pace, so a stream without an engine profile counted twice; it is now recorded once, after the whole answer. Error answers, slow callers, cold upstreams and other runs of an upstream are left out in one place.

RelayFixture.open takes the peers that the store lists at the start, by which a test reads the messages of a relay.

--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -205,26 +205,27 @@
 
   /** Records the time of the whole call after its answer is complete. */
   recordDuration(): void {
-    if (this.upstream.record.warmupLeftMs > 0) return;
     const durationMs = this.context.clock.monotonicMs() - this.startedMs;
-    this.capacity.recordCall(this.workClass, durationMs);
+    if (this.isCapacityEvidence) this.capacity.recordCall(this.workClass, durationMs);
   }
 
   /** Records the time of the call, or of its events, as evidence about the upstream's capacity. */
   private recordCapacity(timeMs: number): void {
-    // An error answer says nothing about the time that the work takes. Another run of the upstream
-    // may have been listed under its id meanwhile.
-    const isError = this.answerStatus >= MIN_ERROR_STATUS;
-    if (
-      isError ||
-      this.isCallerSlow ||
-      this.upstream.record.startedAtMs !== this.record.startedAtMs
-    )
-      return;
+    if (!this.isCapacityEvidence) return;
     const running = (this.startLoad + (this.endLoad ?? this.estimateLoad())) / 2;
     const { record: upstream, workClass } = this;
     this.capacity.record({ upstream, workClass, running: Math.max(1, running), timeMs });
-    if (!this.job.engine) this.recordDuration();
+  }
+
+  /**
+   * Whether the times of this attempt tell how fast the upstream works: not after an error answer or
+   * with a slow caller, nor when the upstream is cold or another run of it is listed by now.
+   */
+  private get isCapacityEvidence(): boolean {
+    const { warmupLeftMs, startedAtMs } = this.upstream.record;
+    const isSameRun = startedAtMs === this.record.startedAtMs;
+    const isCold = warmupLeftMs > 0 || this.record.warmupLeftMs > 0;
+    return isSameRun && !isCold && !this.isCallerSlow && this.answerStatus < MIN_ERROR_STATUS;
   }
 
   private get capacity(): CapacityEstimator {
--- a/packages/relay/src/requests/bufferedRelay.ts
+++ b/packages/relay/src/requests/bufferedRelay.ts
@@ -67,6 +67,7 @@
   const latencyMs = context.clock.monotonicMs() - attempt.startedMs;
   context.rollouts.recordOutcome(job.service, upstream.record.version, { isBad, latencyMs });
   if (!isBad) attempt.recordPace(latencyMs);
+  attempt.recordDuration();
   attempt.recordProgress();
 }
 
--- a/tests/relay/status.test.ts
+++ b/tests/relay/status.test.ts
@@ -33,6 +33,7 @@
     assert.match(text, /requests_total\{workspace="",route="route",end="unauthenticated"\} 1/);
     assert.match(text, new RegExp(`first_byte_seconds_bucket\\{${labels},le="\\+Inf"\\} 1`));
     assert.match(text, /cactusstair_relay_config_version 1/);
+    assert.match(text, /cactusstair_relay_upstream_capacity\{upstream="a"\} 8/);
   });
 
   it('answers 200 for readiness and 404 for unknown paths', async () => {
--- a/tests/relay/support/relayFixture.ts
+++ b/tests/relay/support/relayFixture.ts
@@ -123,11 +123,17 @@
     readonly readinessPort: number,
   ) {}
 
-  static async open(routes: Route[], clock?: Clock): Promise<RelayFixture> {
+  /** @param peers other instances that the store lists at the start */
+  static async open(
+    routes: Route[],
+    clock?: Clock,
+    peers: readonly PeerRecord[] = [],
+  ): Promise<RelayFixture> {
     const [callerPort, readinessPort] = (await findFreePorts(2)) as [number, number];
     const host = '127.0.0.1';
     const store = new MemoryStore();
     store.config.put('main', createConfig(1, routes));
+    for (const peer of peers) store.peers.put(peer.name, peer);
     const lines: string[] = [];
     const sink = { write: (text: string) => lines.push(text) > 0, once: () => undefined };
     const node = new RelayNode({
