--- a/packages/routing/src/capacity/capacityEstimator.ts
+++ b/packages/routing/src/capacity/capacityEstimator.ts
@@ -92,6 +92,8 @@
 
   private readonly derived = new Map<string, Derived>();
 
+  private readonly callTimes = new Map<string, { ms: number; atMs: number }>();
+
   /** @param priorCallMs assumed duration of a call before the first one has completed */
   constructor(
     private readonly clock: Clock,
@@ -132,8 +134,16 @@
 
   /** Returns the typical duration of a call of a class, in milliseconds. */
   estimateCallMs(workClass: string): number {
+    const nowMs = this.clock.monotonicMs();
+    const known = this.callTimes.get(workClass);
+    // A choice asks once for each upstream.
+    if (known && nowMs - known.atMs < DERIVE_INTERVAL_MS) return known.ms;
     const [, , calls, callLogs] = this.sumClass(workClass);
-    return calls > 0 ? Math.exp(callLogs / calls) : this.priorCallMs;
+    if (calls <= 0) return this.priorCallMs;
+    const ms = Math.exp(callLogs / calls);
+    if (this.callTimes.size >= MAX_CLASSES) this.callTimes.clear();
+    this.callTimes.set(workClass, { ms, atMs: nowMs });
+    return ms;
   }
 
   /** Returns the expected duration of a call at an upstream with `running` requests. */
--- a/packages/routing/src/capacity/capacitySums.ts
+++ b/packages/routing/src/capacity/capacitySums.ts
@@ -86,7 +86,9 @@
     const weight = sums[index - (index % BAND_LENGTH)]!;
     // Sums without their weight would be means out of range.
     if (Math.round(weight * WEIGHT_UNITS) === 0) return 0;
-    const units = index % BAND_LENGTH === 0 ? WEIGHT_UNITS : LOG_UNITS;
+    // Sums of many samples need fewer digits for the same mean.
+    const scale = 10 ** Math.min(2, Math.floor(Math.log10(Math.max(1, weight))));
+    const units = (index % BAND_LENGTH === 0 ? WEIGHT_UNITS : LOG_UNITS) / scale;
     return Math.round(value * units) / units;
   });
   while (rounded.length > 0 && rounded.at(-1) === 0 && rounded.at(-BAND_LENGTH) === 0) {
