--- a/packages/relay/src/observe/requestMetrics.ts
+++ b/packages/relay/src/observe/requestMetrics.ts
@@ -45,6 +45,8 @@
   coldUpstreams: number;
   /** Zones whose upstreams get no new requests. */
   evacuatedZones: readonly string[];
+  /** Concurrency that each upstream handles well, by upstream id. */
+  capacityByUpstream: [upstream: string, limit: number][];
   peers: number;
   droppedLogLines: number;
   /** Errors that no part of the program expected. */
@@ -138,6 +140,8 @@
     create('cold_upstreams', 'Upstreams that warm up.', []).set(readings.coldUpstreams);
     const evacuated = create('evacuated_zone', 'Zone without new requests.', ['zone']);
     for (const zone of readings.evacuatedZones) evacuated.set({ zone }, 1);
+    const capacity = create('upstream_capacity', 'Requests that it handles well.', ['upstream']);
+    for (const [upstream, limit] of readings.capacityByUpstream) capacity.set({ upstream }, limit);
     create('living_instances', 'Instances heard from, this one included.', []).set(readings.peers);
     create('log_lines_dropped_total', 'Lines that a slow reader did not take.', []).set(
       readings.droppedLogLines,
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -27,6 +27,7 @@
 import { CrashDetector } from './upstreams/crashDetector.js';
 import type { Upstream } from './upstreams/upstream.js';
 import { UpstreamAccess } from './upstreams/upstreamAccess.js';
+import type { UpstreamCapacities } from './upstreams/upstreamCapacities.js';
 import type { UpstreamDirectory } from './upstreams/upstreamDirectory.js';
 import { ZoneReachability } from './upstreams/zoneReachability.js';
 
@@ -52,6 +53,8 @@
 
   private readonly context: RelayContext;
 
+  private readonly capacities: UpstreamCapacities;
+
   private readonly rollouts: RolloutRouter;
 
   private readonly crashes: CrashAttribution;
@@ -107,6 +110,7 @@
       onListChange: (service) => this.context.queues.handleListChange(service),
     });
     this.directory = this.access.directory;
+    this.capacities = this.access.capacities;
     this.rollouts = new RolloutRouter({
       clock: this.clock,
       sessionTtlMs: bounds.sessionTtlMs,
@@ -117,6 +121,7 @@
       self: this.self,
       directory: this.directory,
       engines: this.engines,
+      capacities: this.capacities,
       rollouts: this.rollouts,
       crashes: this.crashes,
       limits: this.access.limits,
@@ -212,6 +217,7 @@
       ),
     );
     lifecycle.startLastingTask('follow cold upstreams', (signal) => this.access.run(signal));
+    lifecycle.startLastingTask('watch capacities', (signal) => this.capacities.watch(signal));
     lifecycle.startLastingTask('drive rollouts', (signal) =>
       createRolloutController({
         clock: this.clock,
@@ -295,6 +301,7 @@
       dialect: this.options.dialect,
       metrics: this.metrics,
       engines: this.engines,
+      capacities: this.capacities,
       rollouts: this.rollouts,
       crashes: this.crashes,
       ...createAnswerParts(this.clock),
@@ -351,6 +358,7 @@
       upstreams: this.directory.listAll().length,
       coldUpstreams: this.access.cold.count,
       evacuatedZones: this.access.evacuations.listZones(),
+      capacityByUpstream: this.capacities.listLimits(),
       peers: this.peers.listLiveInstances().length,
       droppedLogLines: this.options.log.dropped,
       faults: this.faults,
--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { computeUrgency } from '@cactusstair/routing';
-import type { RunTimeEstimator, SuspectRun } from '@cactusstair/routing';
+import type { CapacityEstimator, RunTimeEstimator, SuspectRun } from '@cactusstair/routing';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
@@ -23,6 +23,7 @@
   estimateJobNominalMs,
   estimateWorkMs,
   getModel,
+  getWorkClass,
 } from './upstreamChoice.js';
 
 // A connection between zones opens in about 3 ms. A lost SYN is retransmitted only after a second,
@@ -33,6 +34,9 @@
 /** An upstream that crashes on a request may have begun to write its first event. */
 const MIN_PROGRESS_EVENTS = 2;
 
+/** Answers with this status or a higher one report an error. */
+const MIN_ERROR_STATUS = 400;
+
 /** Misdirected Request: another upstream than the expected one listens at the address. */
 export const MISDIRECTED_STATUS = 421;
 
@@ -64,6 +68,17 @@
 
   private readonly running: RunningCall;
 
+  /** Whether the caller was too slow for the answer, so that its time says nothing of the upstream. */
+  isCallerSlow = false;
+
+  /** Status of the answer; 0 until its head arrives. */
+  answerStatus = 0;
+
+  /** Load of the upstream when the attempt started, and when it ended. */
+  private readonly startLoad: number;
+
+  private endLoad: number | undefined;
+
   private readonly cancelListener = () => this.call.cancel('the request has ended');
 
   constructor(
@@ -83,6 +98,7 @@
       heldTokens: engine ? request.promptTokens + estimateOutputTokens(request) : 0,
     };
     upstream.calls.add(this.running);
+    this.startLoad = this.estimateLoad();
     context.notices.recordSent(upstream.record);
     if (engine)
       context.engines.get(job.service).work.record(estimateWorkMs(job, options.sizeIndex));
@@ -205,6 +221,7 @@
     const { context, job, upstream } = this;
     // An upstream that has just started is slow, whichever version it has.
     if (upstream.warmupLeftMs > 0 || context.notices.isCold(this.record)) return;
+    this.recordCapacity(paceMs);
     context.rollouts.recordPace(job.service, upstream.record.version, paceMs);
     this.runTimes.recordPace(this.model ?? '', this.fullness, paceMs);
     if (isLong && this.model !== undefined) {
@@ -235,6 +252,42 @@
     this.runTimes.recordWait(this.computeWaitRatio());
   }
 
+  /** Records the time of the whole call after its answer is complete. */
+  recordDuration(): void {
+    const durationMs = this.context.clock.monotonicMs() - this.startedMs;
+    if (this.isCapacityEvidence) this.capacity.recordCall(this.workClass, durationMs);
+  }
+
+  /** Records the time of the call, or of its events, as evidence about the upstream's capacity. */
+  private recordCapacity(timeMs: number): void {
+    if (!this.isCapacityEvidence) return;
+    const running = (this.startLoad + (this.endLoad ?? this.estimateLoad())) / 2;
+    const { record: upstream, workClass } = this;
+    this.capacity.record({ upstream, workClass, running: Math.max(1, running), timeMs });
+  }
+
+  /**
+   * Whether the times of this attempt tell how fast the upstream works: not after an error answer or
+   * with a slow caller, nor when the upstream is cold or another run of it is listed by now.
+   */
+  private get isCapacityEvidence(): boolean {
+    const isSameRun = this.upstream.record.startedAtMs === this.record.startedAtMs;
+    const isCold = this.upstream.warmupLeftMs > 0 || this.context.notices.isCold(this.record);
+    return isSameRun && !isCold && !this.isCallerSlow && this.answerStatus < MIN_ERROR_STATUS;
+  }
+
+  private get capacity(): CapacityEstimator {
+    return this.context.capacities.get(this.job.service, this.job.engine !== undefined);
+  }
+
+  private get workClass(): string {
+    return getWorkClass(this.job, this.model);
+  }
+
+  private estimateLoad(): number {
+    return this.upstream.estimateLoad(this.capacity.estimateCallMs(this.workClass)).running;
+  }
+
   private recordSent(): void {
     const { context, job, upstream } = this;
     context.reachability.recordReached(upstream.record.zone);
@@ -259,6 +312,7 @@
 
   /** Removes the attempt from the upstream's load, offers its place and closes its connection. */
   close(): void {
+    this.endLoad ??= this.estimateLoad();
     const isFirst = this.upstream.calls.delete(this.running);
     if (isFirst) this.context.queues.get(this.job.service).offerOwnPlace();
     this.suspectRun?.end();
@@ -314,6 +368,7 @@
   const { dialect, notices } = attempt.context;
   const status = answer.statusCode ?? 0;
   const head = dialect.decodeAnswer(status, answer.headers);
+  attempt.answerStatus = status;
   const mismatch = checkAnswer(attempt, head);
   if (mismatch) return err(mismatch);
   // Another upstream than the one that was called answers with this status.
--- a/packages/relay/src/requests/streamRelay.ts
+++ b/packages/relay/src/requests/streamRelay.ts
@@ -83,6 +83,7 @@
       if (exchange.isOver) return;
       if (result.type === 'complete') {
         attempt.recordProgress();
+        attempt.recordDuration();
         attempt.upstream.recordSuccess();
         attempt.recordComplete();
         exchange.endStream();
@@ -209,7 +210,7 @@
           if (kind === 'repeated') continue;
           this.forwardEvent(attempt, answer, event, progress);
         }
-        await this.waitForCaller(progress);
+        await this.waitForCaller(attempt, progress);
         if (this.job.exchange.isOver) return attempt.createFailure('the request has ended');
       }
     } catch {
@@ -245,9 +246,10 @@
     exchange.writeStream(event.bytes);
   }
 
-  private async waitForCaller(progress: StreamProgress): Promise<void> {
+  private async waitForCaller(attempt: Attempt, progress: StreamProgress): Promise<void> {
     const { exchange } = this.job;
     if (!exchange.outgoing.writableNeedDrain) return;
+    attempt.isCallerSlow = true;
     progress.startWaitingForCaller();
     await exchange.waitForDrain();
     progress.stopWaitingForCaller();
--- a/packages/relay/src/upstreams/upstreamAccess.ts
+++ b/packages/relay/src/upstreams/upstreamAccess.ts
@@ -7,6 +7,7 @@
 import type { RelayBounds } from '../relayOptions.js';
 import { formatVersionKey } from '../rollouts/rolloutRouter.js';
 import { ColdUpstreams } from './coldUpstreams.js';
+import { UpstreamCapacities } from './upstreamCapacities.js';
 import type { UpstreamDirectoryOptions, UpstreamEvent } from './upstreamDirectory.js';
 import { UpstreamDirectory } from './upstreamDirectory.js';
 import { UpstreamNotices } from './upstreamNotices.js';
@@ -40,6 +41,8 @@
 
   readonly directory: UpstreamDirectory;
 
+  readonly capacities: UpstreamCapacities;
+
   readonly limits: UpstreamLimits;
 
   readonly notices: UpstreamNotices;
@@ -61,6 +64,11 @@
       isZoneEvacuated: (zone) => this.evacuations.isEvacuated(zone),
       onEvent: (event, record) => this.handleUpstreamEvent(event, record),
     });
+    this.capacities = new UpstreamCapacities({
+      clock,
+      listUpstreams: () => this.directory.listAll(),
+      onChange: (change) => log.write('upstream_capacity', { ...change }),
+    });
     this.limits = new UpstreamLimits({
       clock,
       getGroup: options.getGroup,
@@ -103,6 +111,7 @@
     const { id, service, version, zone } = record;
     this.options.log.write(`upstream_${event}`, { upstream: id, service, version, zone });
     if (event === 'restarted') this.notices.forget(record);
+    if (event === 'restarted' || event === 'gone') this.capacities.forget(record);
     this.updateCold(event, record);
     this.limits.refresh();
     this.options.onListChange(service);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -24,6 +24,12 @@
 export type { WaitingRequest } from './admission/waitingRequest.js';
 export { DEFAULT_PRIORITY, MAX_PRIORITY, toPriority } from './admission/waitingRequest.js';
 export { WorkspaceUsage } from './admission/workspaceUsage.js';
+export type { CapacitySample, CapacityTarget } from './capacity/capacityEstimator.js';
+export { CapacityEstimator } from './capacity/capacityEstimator.js';
+export type { CapacitySums, ClassSums, UpstreamSums } from './capacity/capacitySums.js';
+export { addCapacitySums, isCapacitySums, roundCapacitySums } from './capacity/capacitySums.js';
+export type { LoadEstimate } from './capacity/peerLoadEstimate.js';
+export { PeerLoadEstimate } from './capacity/peerLoadEstimate.js';
 export type { ConcurrencyLimitOptions, LatencySample } from './concurrencyLimit.js';
 export { ConcurrencyLimit } from './concurrencyLimit.js';
 export type {
--- a/tests/relay/support/peerInstance.ts
+++ b/tests/relay/support/peerInstance.ts
@@ -5,6 +5,7 @@
   EngineEstimators,
   PeerExchange,
   RolloutRouter,
+  UpstreamCapacities,
   UpstreamDirectory,
 } from '@cactusstair/relay';
 import { CrashAttribution, UpstreamLimits } from '@cactusstair/routing';
@@ -20,6 +21,7 @@
   crashes: CrashAttribution;
   limits: UpstreamLimits;
   engines: EngineEstimators;
+  capacities: UpstreamCapacities;
   rollouts: RolloutRouter;
   views: Partial<Record<ViewName, ViewState>>;
   receivedViews: { name: ViewName; state: string; since: ClockReading }[];
@@ -56,12 +58,13 @@
   const rollouts = new RolloutRouter({ clock, sessionTtlMs: 5000, canaryShare: 0.15 });
   const port = await findPort();
   const engines = new EngineEstimators();
+  const capacities = new UpstreamCapacities({ clock, listUpstreams: () => directory.listAll() });
   const limits = new UpstreamLimits({
     clock,
     getGroup: () => typed.exchange.describeGroup(),
     findUpstream: () => ({ pool: 'app v1', zone }),
   });
-  const parts = { directory, crashes, limits, engines, rollouts };
+  const parts = { directory, crashes, limits, engines, capacities, rollouts };
   const instance = { ...parts, views: {}, receivedViews: [], port };
   const typed = instance as unknown as Instance;
   typed.exchange = new PeerExchange({
