Prefer the own zone in draws while the service has free capacity

A draw by throughput with a fixed weight of 1.5 for the own zone sent more than half of the requests of a lightly used pool to other zones, where traffic is billed. The weight is now 4 for an idle service and falls to 1 as its capacity is used up, so that a zone with more callers than upstreams is not overloaded.

--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -66,8 +66,11 @@
 const MAX_CAPACITY_FAILURE_RATE = 0.3;
 /** An engine with more unread prompts does not count as having capacity. */
 const MAX_CAPACITY_BACKLOG_MS = 1000;
-/** Weight of an upstream of the own zone in samples by throughput. */
-const OWN_ZONE_WEIGHT = 1.5;
+/**
+ * Weight of an upstream of the own zone in samples of an idle service; it falls to 1 as the capacity
+ * of the service is used up, since the zones of instances and upstreams may differ in size.
+ */
+const OWN_ZONE_WEIGHT = 4;
 /** Share of the choices at a fully used service that compare two upstreams. */
 const MIN_COMPARED_SHARE = 0.1;
 const MIN_USED_SHARE = 0.01;
@@ -175,12 +178,16 @@
 }
 
 /** Removes a random item from `items`, with a probability in proportion to its throughput. */
-function takeByThroughput(items: Upstream[], request: SelectionRequest): Upstream {
+function takeByThroughput(
+  items: Upstream[],
+  request: SelectionRequest,
+  ownZoneWeight: number,
+): Upstream {
   const { capacity, random = Math.random, zone } = request;
   const weights = items.map(
     ({ record }) =>
       (capacity?.getThroughput(record) ?? record.slots) *
-      (record.zone === zone ? OWN_ZONE_WEIGHT : 1),
+      (record.zone === zone ? ownZoneWeight : 1),
   );
   let left = random() * weights.reduce((sum, weight) => sum + weight, 0);
   const index = weights.findIndex((weight) => {
@@ -217,13 +224,14 @@
   }
   const unknownShare = total.unknown / (total.unknown + total.own + 1);
   if (healthy.length < 2 || random() >= unknownShare) return undefined;
-  const first = takeByThroughput(healthy, request);
   // An upstream that all pairs prefer gets at most what it can take: twice its share of a service
   // of which half is in use, and no more than its share of one that is full.
   const usedShare = Math.max(MIN_USED_SHARE, total.running / total.limit);
+  const ownZoneWeight = 1 + (OWN_ZONE_WEIGHT - 1) * Math.max(0, 1 - usedShare);
+  const first = takeByThroughput(healthy, request, ownZoneWeight);
   const comparedShare = Math.max(MIN_COMPARED_SHARE, 1 / usedShare - 1);
   if (random() >= comparedShare) return [first];
-  const pair = [first, takeByThroughput(healthy, request)];
+  const pair = [first, takeByThroughput(healthy, request, ownZoneWeight)];
   const unloaded = pair.filter((upstream) => hasCapacity(upstream, request));
   return unloaded.length > 0 ? unloaded : pair;
 }
