List the upstreams of a request once for all model sizes

Choosing among three sizes listed and filtered all upstreams for each of them, and a choice by throughput also looked for upstreams with capacity that it did not compare. Behaviour is the same.

--- a/packages/relay/src/requests/sizeDecision.ts
+++ b/packages/relay/src/requests/sizeDecision.ts
@@ -13,7 +13,7 @@
 import type { RelayJob } from './relayJob.js';
 import { estimateEvents, estimatePace, estimateUpstreamRun } from './runEstimate.js';
 import { estimateOutputTokens, estimatePressure, estimateTimeFactor } from './sizePolicy.js';
-import { chooseUpstream, estimateWorkMs, listAcceptingUpstreams } from './upstreamChoice.js';
+import { createChooser, estimateWorkMs, listAcceptingUpstreams } from './upstreamChoice.js';
 
 /** A size with the estimate of a run of it that starts now. */
 interface EstimatedSize {
@@ -55,7 +55,8 @@
 
   /** Chooses the size to start with. */
   chooseStart(excluded: ReadonlySet<string>, canEscalate: boolean): number {
-    const sizes = this.models.map((_, index) => this.estimateSize(index, excluded));
+    const choose = createChooser(this.context, this.job, excluded);
+    const sizes = this.models.map((_, index) => this.estimateSize(index, choose));
     const request = this.createRequest(sizes, canEscalate);
     const choice = chooseStartSize(request);
     this.record(choice, request, sizes);
@@ -74,8 +75,9 @@
     confidence: number,
     tryReserve: () => boolean,
   ): number | undefined {
+    const choose = createChooser(this.context, this.job, NO_EXCLUDED);
     const sizes = this.models.map((_, index) =>
-      index > sizeIndex ? this.estimateSize(index, NO_EXCLUDED) : undefined,
+      index > sizeIndex ? this.estimateSize(index, choose) : undefined,
     );
     const request = this.createRequest(sizes, true);
     const rest = this.estimateRest(attempt, sizeIndex);
@@ -87,11 +89,11 @@
 
   private estimateSize(
     sizeIndex: number,
-    excluded: ReadonlySet<string>,
+    choose: ReturnType<typeof createChooser>,
   ): EstimatedSize | undefined {
     const { context, job } = this;
     if (!isServed(job, this.models[sizeIndex]!)) return undefined;
-    const selection = chooseUpstream(context, job, sizeIndex, excluded);
+    const selection = choose(sizeIndex);
     if (!selection) return undefined;
     const estimate = estimateUpstreamRun(context, job, sizeIndex, selection);
     const price = computeRunPrice(this.prices[sizeIndex]!, {
--- a/packages/relay/src/requests/upstreamChoice.ts
+++ b/packages/relay/src/requests/upstreamChoice.ts
@@ -116,17 +116,28 @@
   sizeIndex: number | undefined,
   excluded: ReadonlySet<string>,
 ): Selection | undefined {
+  return createChooser(context, job, excluded)(sizeIndex);
+}
+
+/**
+ * Returns a function that chooses as `chooseUpstream` does, for several sizes at the same moment:
+ * the upstreams that accept a request are the same for all of them.
+ */
+export function createChooser(
+  context: RelayContext,
+  job: RelayJob,
+  excluded: ReadonlySet<string>,
+): (sizeIndex: number | undefined) => Selection | undefined {
   const accepting = listReachable(
     context,
     listCandidates(context, job, excluded).filter(
       ({ record }) => context.notices.getWaitMs(record) <= 0,
     ),
   );
-  if (context.notices.hasCold) {
-    const selection = chooseAccepting(context, job, sizeIndex, filterWarm(context, accepting));
-    if (selection) return selection;
-  }
-  return chooseAccepting(context, job, sizeIndex, accepting);
+  const warm = context.notices.hasCold ? filterWarm(context, accepting) : undefined;
+  return (sizeIndex) =>
+    (warm && chooseAccepting(context, job, sizeIndex, warm)) ??
+    chooseAccepting(context, job, sizeIndex, accepting);
 }
 
 /**
--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -169,6 +169,15 @@
   return Math.round(estimateLoad(upstream, request).running) < getLimit(upstream, request);
 }
 
+/** Returns the upstreams with capacity, or all if there are none. */
+function filterUnloaded(
+  candidates: readonly Upstream[],
+  request: SelectionRequest,
+): readonly Upstream[] {
+  const unloaded = candidates.filter((upstream) => hasCapacity(upstream, request));
+  return unloaded.length > 0 ? unloaded : candidates;
+}
+
 /** Returns the cost of the expected time at an upstream. */
 function computeTimeCost(upstream: Upstream, request: SelectionRequest): number {
   const { engine, capacity, workClass = '' } = request;
@@ -310,11 +319,10 @@
       : findPreferredUpstream(candidates, `${model}/${preferredKey}`);
   let best: Selection | undefined;
   let bestCost = Infinity;
-  const unloaded = candidates.filter((upstream) => hasCapacity(upstream, request));
-  const usable = unloaded.length > 0 ? unloaded : candidates;
   const sample = sampleByThroughput(candidates, request);
   if (sample && preferred && hasCapacity(preferred, request)) sample.push(preferred);
-  const compared = sample ?? sampleCandidates(usable, request, preferred);
+  const compared =
+    sample ?? sampleCandidates(filterUnloaded(candidates, request), request, preferred);
   for (const upstream of compared) {
     if (!hasRoom(upstream, request)) continue;
     let uncachedTokens = 0;
