Use the learned capacity for plain services only

The sums of some 50 engines make each message of an instance and of a reporter long, on links of 7 Mbit/s, and each choice among engines reads them.

Engines keep the former cost of a running request.

--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -98,7 +98,7 @@
       heldTokens: engine ? request.promptTokens + estimateOutputTokens(request) : 0,
     };
     upstream.calls.add(this.running);
-    this.startLoad = this.estimateLoad();
+    this.startLoad = engine ? 0 : this.estimateLoad();
     context.notices.recordSent(upstream.record);
     if (engine)
       context.engines.get(job.service).work.record(estimateWorkMs(job, options.sizeIndex));
@@ -267,17 +267,18 @@
   }
 
   /**
-   * Whether the times of this attempt tell how fast the upstream works: not after an error answer or
+   * Whether the times of this attempt tell how fast a plain upstream works: not after an error answer or
    * with a slow caller, nor when the upstream is cold or another run of it is listed by now.
    */
   private get isCapacityEvidence(): boolean {
     const isSameRun = this.upstream.record.startedAtMs === this.record.startedAtMs;
     const isCold = this.upstream.warmupLeftMs > 0 || this.context.notices.isCold(this.record);
-    return isSameRun && !isCold && !this.isCallerSlow && this.answerStatus < MIN_ERROR_STATUS;
+    const isSound = !this.isCallerSlow && this.answerStatus < MIN_ERROR_STATUS;
+    return !this.job.engine && isSameRun && !isCold && isSound;
   }
 
   private get capacity(): CapacityEstimator {
-    return this.context.capacities.get(this.job.service, this.job.engine !== undefined);
+    return this.context.capacities.get(this.job.service, false);
   }
 
   private get workClass(): string {
@@ -312,7 +313,7 @@
 
   /** Removes the attempt from the upstream's load, offers its place and closes its connection. */
   close(): void {
-    this.endLoad ??= this.estimateLoad();
+    if (!this.job.engine) this.endLoad ??= this.estimateLoad();
     const isFirst = this.upstream.calls.delete(this.running);
     if (isFirst) this.context.queues.get(this.job.service).offerOwnPlace();
     this.suspectRun?.end();
--- a/packages/relay/src/requests/upstreamChoice.ts
+++ b/packages/relay/src/requests/upstreamChoice.ts
@@ -77,8 +77,10 @@
   const model = getModel(job, sizeIndex);
   const { prefill, queueBias } = context.engines.get(service);
   return {
-    capacity: context.capacities.get(service, engine !== undefined),
-    workClass: getWorkClass(job, model),
+    // The learned capacity of engines is not used: sharing it fills the links of small machines.
+    ...(engine
+      ? {}
+      : { capacity: context.capacities.get(service, false), workClass: getWorkClass(job, model) }),
     zone: context.zone,
     isZoneUnreachable: (zone) => context.reachability.isUnreachable(zone),
     ...(engine ? { engine } : {}),
--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -58,6 +58,8 @@
 const SERVICE_COST: TimeCost = { priorMs: 50, time: 1, load: 2 };
 // The callers of a stream wait for its first event; its whole duration matters less than that.
 const ENGINE_COST: TimeCost = { priorMs: 1000, time: 0.05, load: 1 };
+// Without a learned capacity, each further request in a batch counts as this much of a wait.
+const RUNNING_COST_MS = 4;
 /** An upstream that fails a larger share of its requests does not count as having capacity. */
 const MAX_CAPACITY_FAILURE_RATE = 0.3;
 /** An engine with more unread prompts does not count as having capacity. */
@@ -181,6 +183,7 @@
 /** Returns the cost of the expected time at an upstream. */
 function computeTimeCost(upstream: Upstream, request: SelectionRequest): number {
   const { engine, capacity, workClass = '' } = request;
+  if (engine && !capacity) return upstream.running * RUNNING_COST_MS;
   const cost = engine ? ENGINE_COST : SERVICE_COST;
   const { running } = estimateLoad(upstream, request);
   const timeMs = capacity?.estimateMs(upstream.record, workClass, running + 1) ?? cost.priorMs;
@@ -319,10 +322,11 @@
       : findPreferredUpstream(candidates, `${model}/${preferredKey}`);
   let best: Selection | undefined;
   let bestCost = Infinity;
-  const sample = sampleByThroughput(candidates, request);
+  const isCapacityUsed = request.capacity !== undefined || !engine;
+  const sample = isCapacityUsed ? sampleByThroughput(candidates, request) : undefined;
   if (sample && preferred && hasCapacity(preferred, request)) sample.push(preferred);
-  const compared =
-    sample ?? sampleCandidates(filterUnloaded(candidates, request), request, preferred);
+  const usable = isCapacityUsed && !sample ? filterUnloaded(candidates, request) : candidates;
+  const compared = sample ?? sampleCandidates(usable, request, preferred);
   for (const upstream of compared) {
     if (!hasRoom(upstream, request)) continue;
     let uncachedTokens = 0;
