--- a/tests/relay/callerBodies.test.ts
+++ b/tests/relay/callerBodies.test.ts
@@ -150,6 +150,34 @@
       assert.match(received.text, /^HTTP\/1\.1 200 /);
     });
 
+    // Callers that send a few bytes at a time would hold the memory for bodies for hours.
+    it('one of a sound caller, when others trickle and hold all memory', async () => {
+      const trickling = Array.from({ length: 10 }, open);
+      for (const { socket } of trickling) {
+        socket.write(formatHead(CHUNKED) + formatChunk(65_536));
+      }
+      const timer = setInterval(() => {
+        for (const { socket } of trickling) socket.write(formatChunk(100));
+      }, 100);
+      try {
+        await sleep(500);
+        const { status } = await sendRequest(fixture.callerPort, {
+          body: 'x'.repeat(MAX_BODY_BYTES),
+          headers: { 'x-deadline-ms': '20000' },
+        });
+        assert.equal(status, 200);
+        const refused = trickling.filter(({ received }) => received.text !== '');
+        assert.ok(refused.length > 0);
+        for (const { received } of refused) {
+          assert.match(received.text, /^HTTP\/1\.1 503 /);
+          assert.match(received.text, /x-cactusstair-ran: no/);
+          assert.match(received.text, /retry-after: /);
+        }
+      } finally {
+        clearInterval(timer);
+      }
+    });
+
     it('a burst of large ones at a start', async () => {
       const body = 'x'.repeat(MAX_BODY_BYTES);
       const headers = { 'x-deadline-ms': '20000' };
