Routing: move readBody here, where the entry instance may import it

readBody reads a caller's body no faster than BodyBudget has memory for it. Only the relay could import it. No change of behaviour.

--- a/packages/relay/src/requests/requestHandler.ts
+++ b/packages/relay/src/requests/requestHandler.ts
@@ -1,13 +1,12 @@
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { BodyBudget } from '@cactusstair/routing';
+import type { BodyResult } from '@cactusstair/routing';
+import { BodyBudget, readBody } from '@cactusstair/routing';
 
 import type { ConfigIndex } from '../config/configIndex.js';
 import type { Route } from '../config/relayConfig.js';
 import { describeInvalidHeaders } from '../messageHead.js';
-import type { BodyResult } from './bodyReader.js';
-import { readBody } from './bodyReader.js';
 import { relayBuffered } from './bufferedRelay.js';
 import { Exchange } from './exchange.js';
 import type { RelayContext } from './relayContext.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -61,6 +61,8 @@
 export { ColdLimits, computeColdQuota } from './limits/coldLimits.js';
 export type { ArrivingBody, BodyListener, BodyOptions, BodyRefusal } from './limits/bodyBudget.js';
 export { BodyBudget, BodyLease, chooseBodyToEnd } from './limits/bodyBudget.js';
+export type { BodyResult, ReadBodyOptions, ReceivedBody } from './limits/bodyReader.js';
+export { readBody } from './limits/bodyReader.js';
 export type { MemoryGrant } from './limits/memoryShares.js';
 export { MemoryShares } from './limits/memoryShares.js';
 export { RateAllowance } from './limits/rateAllowance.js';
--- a/packages/relay/src/requests/bodyReader.ts
+++ b/packages/routing/src/limits/bodyReader.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage } from 'node:http';
 
-import type { BodyBudget, BodyLease, BodyRefusal } from '@cactusstair/routing';
 import { ByteCollector, findConnection, refuseBody } from '@cactusstair/utils';
 
+import type { BodyBudget, BodyLease, BodyRefusal } from './bodyBudget.js';
+
 /** Bytes of framing that any body in chunks may have: 4096 chunks of the smallest kind. */
 const FREE_FRAMING_BYTES = 24 * 1024;
 /** Framing of a larger body per byte of it; chunks of 60 bytes are within it. */
