Server: bound the connections of callers and of the metrics port

Both Fastify servers are guarded by guardConnections: one request of a connection at a time, and at most limits.callerConnections (5000) and limits.metricsConnections (256) connections. A body at the metrics port may have 1 KiB.

--- a/packages/server/src/callers/callerServer.ts
+++ b/packages/server/src/callers/callerServer.ts
@@ -4,6 +4,7 @@
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
+import { guardConnections } from '@cactusstair/utils';
 import type { FastifyInstance, FastifyReply } from 'fastify';
 
 import type { CallerContext } from './callerContext.js';
@@ -19,6 +20,8 @@
   context: CallerContext;
   /** Maximum size of a request body in bytes. */
   maxBodyBytes: number;
+  /** Maximum number of connections. */
+  maxConnections: number;
   /** Maximum total size of the request headers in bytes. */
   maxHeaderBytes: number;
   /** Time limit for receiving a whole request, so that slow senders cannot hold sockets. */
@@ -70,7 +73,7 @@
       { bodyParser: false, logger: false, abortOnError: false },
     );
     app.useGlobalFilters(new FailureFilter(options.onError));
-    configureFastify(adapter.getInstance<FastifyInstance>(), options.context);
+    configureFastify(adapter.getInstance<FastifyInstance>(), options);
     return new CallerServer(app);
   }
 
@@ -86,7 +89,8 @@
   }
 }
 
-function configureFastify(fastify: FastifyInstance, context: CallerContext): void {
+function configureFastify(fastify: FastifyInstance, options: CallerServerOptions): void {
+  const { context, maxConnections } = options;
   fastify.addHook('onRequest', checkHost);
   // Closing a keep-alive connection at the end of the shutdown could reset a request that the caller
   // sends on it at the same moment, so callers are asked to close it earlier.
@@ -101,4 +105,5 @@
   fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
     done(null, body);
   });
+  guardConnections(fastify.server, { maxConnections });
 }
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -161,8 +161,12 @@
 
   /** Starts listening on all ports. Rejects when a port is in use. */
   async start(): Promise<void> {
-    const { listen } = this.settings;
-    const monitoring = new MonitoringServer(this.registry, () => this.checkReadiness());
+    const { listen, limits } = this.settings;
+    const monitoring = new MonitoringServer({
+      registry: this.registry,
+      maxConnections: limits.metricsConnections,
+      checkReadiness: () => this.checkReadiness(),
+    });
     this.lifecycle.addCleanup('monitoring server', () => monitoring.close());
     await monitoring.listen(listen.metrics);
     await this.startGrpcServers();
@@ -343,6 +347,7 @@
         isStopping: () => this.state === 'stopping',
       },
       maxBodyBytes: limits.bodyBytes,
+      maxConnections: limits.callerConnections,
       maxHeaderBytes: limits.headerBytes,
       receiveTimeoutMs: limits.receiveMs,
       onError: (error) => this.logger.error('request failed', { error: String(error) }),
--- a/packages/server/src/monitoring/monitoringServer.ts
+++ b/packages/server/src/monitoring/monitoringServer.ts
@@ -1,3 +1,4 @@
+import { guardConnections } from '@cactusstair/utils';
 import type { FastifyInstance } from 'fastify';
 import { fastify } from 'fastify';
 import type { Registry } from 'prom-client';
@@ -5,12 +6,24 @@
 /** Returns why the instance is not ready, or undefined if it is. */
 export type ReadinessCheck = () => string | undefined;
 
+/** Options of `MonitoringServer`. */
+export interface MonitoringServerOptions {
+  registry: Registry;
+  /** Maximum number of connections. */
+  maxConnections: number;
+  checkReadiness: ReadinessCheck;
+}
+
+/** Largest body that is read before a request is refused; no path of this server has a body. */
+const MAX_BODY_BYTES = 1024;
+
 /** Serves `/metrics`, `/healthz` and `/readyz` for operators and the load balancer. */
 export class MonitoringServer {
   private readonly app: FastifyInstance;
 
-  constructor(registry: Registry, checkReadiness: ReadinessCheck) {
-    this.app = fastify({ forceCloseConnections: true });
+  constructor({ registry, maxConnections, checkReadiness }: MonitoringServerOptions) {
+    this.app = fastify({ forceCloseConnections: true, bodyLimit: MAX_BODY_BYTES });
+    guardConnections(this.app.server, { maxConnections });
     this.app.get('/metrics', async (_request, reply) => {
       reply.type(registry.contentType);
       return registry.metrics();
--- a/packages/server/src/settings.ts
+++ b/packages/server/src/settings.ts
@@ -76,6 +76,8 @@
     limits: z
       .strictObject({
         bodyBytes: z.number().int().positive().default(1_048_576),
+        callerConnections: z.number().int().positive().default(5000),
+        metricsConnections: z.number().int().positive().default(256),
         headerBytes: z.number().int().positive().default(16_384),
         promptCharacters: z.number().int().positive().default(400_000),
         completionTokens: z.number().int().positive().default(16_384),
