Server: bound the memory for the bodies of all callers

Bodies were bounded for each request only: 100 uploads of 4 MiB that stop 64 KiB short of their end took an instance from 147 to 536 MB of resident memory.

Bodies are read by readBody within a BodyBudget of limits.bodyMemoryBytes (64 MiB; half of it for one workspace, or one address without a valid key). A body waits at most half of limits.receiveMs, so that it has time to arrive before Node.js ends the request.

--- a/packages/server/src/callers/callerServer.ts
+++ b/packages/server/src/callers/callerServer.ts
@@ -4,9 +4,11 @@
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
-import { guardConnections } from '@cactusstair/utils';
+import { BodyBudget } from '@cactusstair/routing';
+import { guardConnections, systemClock } from '@cactusstair/utils';
 import type { FastifyInstance, FastifyReply } from 'fastify';
 
+import { addBodyParser } from './callerBodies.js';
 import type { CallerContext } from './callerContext.js';
 import { CALLER_CONTEXT } from './callerContext.js';
 import { answerClientError, answerExpectation, checkHost } from './clientErrors.js';
@@ -20,6 +22,8 @@
   context: CallerContext;
   /** Maximum size of a request body in bytes. */
   maxBodyBytes: number;
+  /** Memory for the request bodies of all callers together, in bytes. */
+  bodyMemoryBytes: number;
   /** Maximum number of connections. */
   maxConnections: number;
   /** Maximum total size of the request headers in bytes. */
@@ -49,7 +53,6 @@
 
   static async create(options: CallerServerOptions): Promise<CallerServer> {
     const adapter = new FastifyAdapter({
-      bodyLimit: options.maxBodyBytes,
       requestTimeout: options.receiveTimeoutMs,
       keepAliveTimeout: IDLE_CONNECTION_TIMEOUT_MS,
       http: {
@@ -90,7 +93,7 @@
 }
 
 function configureFastify(fastify: FastifyInstance, options: CallerServerOptions): void {
-  const { context, maxConnections } = options;
+  const { context, maxConnections, bodyMemoryBytes } = options;
   fastify.addHook('onRequest', checkHost);
   // Closing a keep-alive connection at the end of the shutdown could reset a request that the caller
   // sends on it at the same moment, so callers are asked to close it earlier.
@@ -99,11 +102,13 @@
     done();
   });
   fastify.server.on('checkExpectation', answerExpectation);
-  fastify.removeAllContentTypeParsers();
   // Bodies are not parsed here: services receive the bytes unchanged, and chat bodies are validated
   // by `parseChatBody`.
-  fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
-    done(null, body);
+  addBodyParser(fastify, {
+    budget: new BodyBudget({ clock: systemClock, maxBytes: bodyMemoryBytes }),
+    maxBodyBytes: options.maxBodyBytes,
+    receiveTimeoutMs: options.receiveTimeoutMs,
+    replica: context.replica,
   });
   guardConnections(fastify.server, { maxConnections });
 }
--- a/packages/server/src/callers/failureFilter.ts
+++ b/packages/server/src/callers/failureFilter.ts
@@ -4,6 +4,7 @@
 import { Catch, HttpException } from '@nestjs/common';
 import type { FastifyReply } from 'fastify';
 
+import { BodyError } from './callerBodies.js';
 import { sendFailure } from './authenticateRequest.js';
 
 /** Failures for HTTP errors, by Fastify error code. */
@@ -25,6 +26,7 @@
 
 /** Maps an error of the HTTP layer to a failure with a result code. */
 export function describeError(error: unknown): Failure {
+  if (error instanceof BodyError) return error.failure;
   const { code, statusCode } = error as { code?: string; statusCode?: number };
   const status = error instanceof HttpException ? error.getStatus() : statusCode;
   const create = failureByErrorCode[code ?? ''] ?? failureByStatus[status ?? 0];
--- a/packages/server/src/entryInstance.ts
+++ b/packages/server/src/entryInstance.ts
@@ -347,6 +347,7 @@
         isStopping: () => this.state === 'stopping',
       },
       maxBodyBytes: limits.bodyBytes,
+      bodyMemoryBytes: limits.bodyMemoryBytes,
       maxConnections: limits.callerConnections,
       maxHeaderBytes: limits.headerBytes,
       receiveTimeoutMs: limits.receiveMs,
--- a/packages/server/src/settings.ts
+++ b/packages/server/src/settings.ts
@@ -76,6 +76,8 @@
     limits: z
       .strictObject({
         bodyBytes: z.number().int().positive().default(1_048_576),
+        // Memory for the bodies of all callers together, half of it for one workspace.
+        bodyMemoryBytes: z.number().int().positive().default(67_108_864),
         callerConnections: z.number().int().positive().default(5000),
         metricsConnections: z.number().int().positive().default(256),
         headerBytes: z.number().int().positive().default(16_384),
