--- a/packages/relay/src/peers/instanceRoster.ts
+++ b/packages/relay/src/peers/instanceRoster.ts
@@ -4,7 +4,7 @@
 import type { PeerTable } from './peerTable.js';
 
 /**
- * Time in which all instances in touch hear of one that has started: three messages, of which two may
+ * Time in which all reachable instances hear of one that has started: three messages, of which two may
  * be lost.
  */
 const INTRODUCTION_MS = 3000;
--- a/packages/routing/src/cascade/answerValue.ts
+++ b/packages/routing/src/cascade/answerValue.ts
@@ -8,9 +8,8 @@
 
 /** Price of a prompt token relative to a generated token. */
 const PROMPT_TOKEN_PRICE_RATIO = 0.25;
-// The value of an answer is not in the configuration. Relative to the price of the largest model it
-// is 2.0 to 5.8 for answers that are mostly prompt and 17.7 to 21.7 for those that are mostly
-// generated text, over twelve kinds of requests on the sheets of four deployments.
+// The value of an answer is not in the configuration, so it is derived from the price of the largest
+// model: a prompt that is only read is worth a few times its price, generated text many times.
 const BASE_VALUE = 1.5;
 const OUTPUT_VALUE = 28;
 const TOKENS_PER_PRICE = 1000;
--- a/tests/relay/modelSizes.test.ts
+++ b/tests/relay/modelSizes.test.ts
@@ -58,7 +58,7 @@
     await Promise.all(calls);
   }
 
-  // 228 streams of one large deployment and 38 of another were cut off at their deadline (gap 4).
+  // Streams that could not be complete in time were begun, and cut off at their deadline.
   it('do not replace an answer by one that cannot be complete in time', async () => {
     const listReceived = await openFixture(answerAtPace('10'));
     await teachLarge();
--- a/tests/relay/silentStreams.test.ts
+++ b/tests/relay/silentStreams.test.ts
@@ -37,7 +37,7 @@
     await fixture.close();
   });
 
-  // 403 sound streams of one large deployment and 688 of another were given up (gap 4).
+  // Sound streams were given up in a pause of 700 ms, and their retries were then missing.
   it('are not given up in a pause that their route allows', async () => {
     const pair = await RelayFixture.openPair([route], pauseAfterEvents);
     fixture = pair.fixture;
--- a/tests/routing/coldLimits.test.ts
+++ b/tests/routing/coldLimits.test.ts
@@ -10,7 +10,7 @@
 const SEED = 41;
 const WINDOW_MS = 1000;
 const STEP_MS = 25;
-/** Time in which instances in touch hear of one that has started. */
+/** Time in which reachable instances hear of one that has started. */
 const HEARD_MS = 2000;
 /** Time after which an instance that has started counts as introduced. */
 const INTRODUCED_MS = 3000;
@@ -22,7 +22,7 @@
   return { requestsPerSecond, maxRequests: requestsPerSecond * overage + slack };
 }
 
-/** Bound of the settings of both customers: one and a half times the rate, and 5. */
+/** Bound of a deployment's settings: one and a half times the rate, and 5. */
 const bound = createBound(3, 1.5, 5);
 
 /** An instance that sends to each cold upstream whenever its share allows it. */
--- a/tests/routing/silenceLimits.test.ts
+++ b/tests/routing/silenceLimits.test.ts
@@ -20,7 +20,7 @@
   computeSilenceLimits({ ...stream, ...overrides });
 
 describe('computeSilenceLimits', () => {
-  // Streams were given up after 700 ms although the engine was reading prompts (gap 4).
+  // Streams were given up after 700 ms although the engine was reading prompts.
   it('waits for the prompts that wait at the upstream', () => {
     const queued = compute({ promptQueueMs: 1500 });
     assert.ok(queued.upstreamMs > 2 * 1500, `${queued.upstreamMs}`);
