Replace answers by the thresholds of the confidence again

Replacements are decided by the thresholds as before this work, with the bound that an answer that can be complete in time is not dropped for one that can't.

--- a/packages/relay/src/requests/sizeDecision.ts
+++ b/packages/relay/src/requests/sizeDecision.ts
@@ -2,6 +2,7 @@
   chooseReplacement,
   chooseStartSize,
   completePrices,
+  computeAcceptConfidence,
   computeRunPrice,
   createRunEstimate,
   estimateAnswerValue,
@@ -64,7 +65,9 @@
   }
 
   /**
-   * Chooses the size whose answer replaces the one at hand.
+   * Chooses the size whose answer replaces the one at hand: the largest below the threshold of the
+   * confidence, unless it cannot be complete in time and the answer at hand can. By expected value
+   * alone, the largest requests kept answers of the smallest size too often on calm days.
    *
    * @param tryReserve reserves the run that the replacement needs
    * @returns undefined to keep the answer
@@ -81,10 +84,22 @@
     );
     const request = this.createRequest(sizes, true);
     const rest = this.estimateRest(attempt, sizeIndex);
-    const choice = chooseReplacement(request, { sizeIndex, confidence, chances: rest });
-    if (choice.sizeIndex === sizeIndex || !tryReserve()) return undefined;
-    this.record(choice, request, sizes);
-    return choice.sizeIndex;
+    const { values } = chooseReplacement(request, { sizeIndex, confidence, chances: rest });
+    const largest = this.models.length - 1;
+    const estimate = sizes[largest]?.estimate;
+    if (!estimate || values[largest] === undefined) return undefined;
+    if (confidence >= this.computeThreshold(request.pressure, estimate)) return undefined;
+    if (!tryReserve()) return undefined;
+    this.record({ sizeIndex: largest, values }, request, sizes);
+    return largest;
+  }
+
+  private computeThreshold(pressure: number, { firstEventMs }: RunEstimate): number {
+    const { exchange, request } = this.job;
+    const isLate = exchange.elapsedMs + firstEventMs > exchange.route!.latencyGoalMs;
+    const { promptTokens } = request;
+    const tokens = { promptTokens, outputTokens: estimateOutputTokens(request) };
+    return computeAcceptConfidence(tokens, pressure, isLate);
   }
 
   private estimateSize(
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -109,6 +109,8 @@
   SizeOption,
 } from './cascade/sizeChoice.js';
 export { chooseReplacement, chooseStartSize } from './cascade/sizeChoice.js';
+export type { ThresholdRequest } from './cascade/confidenceThresholds.js';
+export { computeAcceptConfidence } from './cascade/confidenceThresholds.js';
 
 // Cascade policy, sequential test and rollout policy.
 export type {
--- a/tests/routing/sizeChoice.test.ts
+++ b/tests/routing/sizeChoice.test.ts
@@ -5,6 +5,7 @@
   chooseReplacement,
   chooseStartSize,
   completePrices,
+  computeAcceptConfidence,
   computeRunPrice,
   createRunEstimate,
   estimateAdequacy,
@@ -13,8 +14,6 @@
 } from '@cactusstair/routing';
 import type { RunEstimate, SizeChoiceRequest, SizeOption } from '@cactusstair/routing';
 
-import { computeAcceptConfidence } from './support/confidenceThresholds.js';
-
 const prices = [0.018, 0.13, 0.27];
 const timeFactors = [0.3, 0.8, 3];
 
--- a/tests/routing/support/sizeRules.ts
+++ b/tests/routing/support/sizeRules.ts
@@ -2,12 +2,12 @@
   chooseReplacement,
   chooseStartSize,
   completePrices,
+  computeAcceptConfidence,
   computeRunPrice,
   estimateAnswerValue,
 } from '@cactusstair/routing';
 import type { SizeChoiceRequest } from '@cactusstair/routing';
 
-import { computeAcceptConfidence } from './confidenceThresholds.js';
 import type { RuleView, SizeRule } from './sizeSimulation.js';
 
 const isServed = ({ deployment }: RuleView, sizeIndex: number) =>
