Share learned times only where instances send to all others

Cause: the sums double the messages of instances and reporters, which come late over small links; the confirmations in them age, and instances read the store themselves. In a fleet with reporters each instance now learns run times and capacities alone. relay/peers has a test of it.

--- a/packages/relay/src/peers/peerExchange.ts
+++ b/packages/relay/src/peers/peerExchange.ts
@@ -331,7 +331,9 @@
     const loads = this.loads.createOwnLoads();
     // Reporters pass on what the instances of their zone saw.
     const scope = this.role === 'reporter' ? 'all' : 'own';
-    const store = this.options.getStoreEra?.();
+    // In a large fleet these sums double the messages, and reports then come late over small links:
+    // confirmations age and instances read the store themselves. Each instance learns alone there.
+    const sharesTimes = !this.hasReporters;
     this.sequence += 1;
     this.sentMessages.set(this.sequence, { sentAt: readClocks(clock), loads });
     this.sentMessages.delete(this.sequence - MAX_SENT_MESSAGES);
@@ -344,13 +346,13 @@
       isLeaving: this.isLeaving,
       loads,
       evidence: rollouts.exportEvidence(),
-      engines: engines.exportSums(),
-      capacities: capacities.exportSums(),
+      engines: engines.exportSums(sharesTimes),
+      ...(sharesTimes ? { capacities: capacities.exportSums() } : {}),
       crashes: crashes.exportReports(scope),
       limits: limits.exportReports(scope),
       pins: rollouts.exportPins(),
       views: listViews(),
-      ...(store ? { store } : {}),
+      store: this.options.getStoreEra?.(),
       echoes: this.listEchoes(),
     };
   }
--- a/packages/relay/src/upstreams/engineEstimators.ts
+++ b/packages/relay/src/upstreams/engineEstimators.ts
@@ -59,11 +59,16 @@
     return estimators;
   }
 
-  /** Returns the sums of this instance, rounded for sending. */
-  exportSums(): EngineSums {
+  /**
+   * Returns the sums of this instance, rounded for sending.
+   *
+   * @param withRunTimes whether to add the run times, which take most of the space
+   */
+  exportSums(withRunTimes = true): EngineSums {
     const all = createEngineSums();
     for (const [service, { prefill, runTimes }] of this.byService) {
       all[service] = mapValues(prefill.exportSums(), roundSums);
+      if (!withRunTimes) continue;
       all[service + RUN_TIMES_SUFFIX] = mapValues(runTimes.exportSums(), toWireSums);
     }
     return all;
--- a/tests/relay/peers.test.ts
+++ b/tests/relay/peers.test.ts
@@ -220,6 +220,19 @@
       return fleet;
     }
 
+    // Messages twice as long came late over small links, and instances read the store themselves.
+    it('shares loads but no run times', async () => {
+      const fleet = await openFleet();
+      const [first, second] = fleet;
+      first!.engines.get('service').runTimes.recordPace('large', 0.5, 400);
+      first!.directory.find('upstream')!.calls.add({ backlogMs: 0, heldTokens: 0 });
+      await waitFor(() => second!.directory.find('upstream')!.running === 1, {
+        what: 'the load of the other instance',
+        timeoutMs: WAIT_MS,
+      });
+      assert.equal(second!.engines.get('service').runTimes.hasPace('large'), false);
+    });
+
     it('finds the cause of crashes that were seen in two zones', async () => {
       const fleet = await openFleet();
       recordCrash(fleet[0]!, 'a');
