--- a/packages/routing/src/cascade/adequacy.ts
+++ b/packages/routing/src/cascade/adequacy.ts
@@ -9,8 +9,8 @@
   { position: 0.5, share: 0.65 },
   { position: 1, share: 1 },
 ] as const;
-// Fitted to the shares of the value earned with thresholds of 0.4, 0.5 and 0.6 (docs/cascades.md):
-// an answer of the smallest size is good enough in half of the cases at the first value.
+// An answer of the smallest size is good enough in half of the cases at the first value; how fast the
+// chance rises around it is the second.
 const MIDDLE_CONFIDENCE = 0.45;
 const CONFIDENCE_SLOPE = 10;
 
