--- a/packages/relay/src/requests/upstreamChoice.ts
+++ b/packages/relay/src/requests/upstreamChoice.ts
@@ -164,15 +164,6 @@
   return selectUpstream(accepting, request);
 }
 
-/** Estimates the time to the first event of a model size; Infinity when no engine has room. */
-export function estimateFirstEventMs(
-  context: RelayContext,
-  job: RelayJob,
-  sizeIndex: number,
-): number {
-  return chooseUpstream(context, job, sizeIndex, new Set())?.firstEventMs ?? Infinity;
-}
-
 /** Whether an upstream that is not excluded has room for the request. */
 export function hasUpstreamWithRoom(
   context: RelayContext,
