Check the keys of waiting requests by the same age as those of new ones

A request that had waited in a queue was checked against the age of the last read alone. After a restore of the store, new requests are refused while a live peer has a newer configuration in force; one that waited could run with a key that this version has withdrawn. It now uses getConfigAgeMs of the views, as new requests do. No test shows the fault on its own; relay/restored 34, serviceQueue 9, requestAdmission 14 and modelSizes 4 passed.

--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -307,7 +307,7 @@
       ...createAnswerParts(this.clock),
       crashDetector: new CrashDetector(this.clock, (upstream) => this.recordCrash(upstream)),
       onLoadGrowth: (upstream) => this.peers.notifyLoadGrowth(upstream),
-      areKeysConfirmed: () => this.views.config.getAgeMs() <= this.maxKeyAgeMs,
+      areKeysConfirmed: () => this.views.getConfigAgeMs() <= this.maxKeyAgeMs,
       getBudget: (service) => this.budgets.get(service),
     };
   }
