--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -20,7 +20,7 @@
 const DOWN_MS = 4500;
 const SLOTS = 128;
 /** Time in which a server reads the long prompts of the new part, before the first event. */
-const READ_MS = 2000;
+const READ_MS = 1500;
 const COMMON_READ_MS = 40;
 const NEW_PART = 'e4402b7d';
 /** A third of the site's requests are about the new document (`hot_key`). */
--- a/review/support-2/deployment.mjs
+++ b/review/support-2/deployment.mjs
@@ -1,5 +1,6 @@
 // A small deployment on loopback addresses: the program of the deploy file as separate processes, and
 // stand-ins of the platform's store, the servers and the clients. Only modules of Node.js are used.
+import { randomBytes } from 'node:crypto';
 import { once } from 'node:events';
 import { mkdtempSync, rmSync } from 'node:fs';
 import { createServer } from 'node:net';
@@ -38,6 +39,7 @@
     this.record = record;
     this.folder = mkdtempSync(join(tmpdir(), 'cactusstair-review-'));
     this.store = new Store(record);
+    this.tag = randomBytes(4).toString('hex');
     this.machines = [];
     this.servers = [];
     // Ends what it started, also when the case is cut off.
--- a/review/support-2/server.mjs
+++ b/review/support-2/server.mjs
@@ -1,6 +1,7 @@
 // Stand-in of a server. It follows PROTOCOL.md; what it answers is up to the case.
 import { once } from 'node:events';
 import { createServer } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 const IP = '127.0.0.1';
 
@@ -12,7 +13,9 @@
 /** A server: each request is passed to `answer`, and its entry stands in the store. */
 export class Server {
   constructor(deployment, { id, service, version = '1', slots = 64, zone = 'zone-1', answer }) {
-    Object.assign(this, { deployment, id, service, version, slots, zone, answer });
+    Object.assign(this, { deployment, service, version, slots, zone, answer });
+    // No other script's servers have the same ids.
+    this.id = `${id}-${deployment.tag}`;
     this.bornMs = Date.now();
     this.sequence = 0;
     this.runs = [];
@@ -73,10 +76,18 @@
   async restart() {
     this.bornMs = Date.now();
     this.sequence = 0;
-    await this.open(this.port);
+    // A connection of this machine may have the port for a moment.
+    while (!(await this.tryOpen(this.port))) await sleep(50);
     this.register();
   }
 
+  tryOpen(port) {
+    return new Promise((done) => {
+      this.server.once('error', () => done(false));
+      this.server.listen(port, IP, () => done(true));
+    });
+  }
+
   /** Answers with a signed body. */
   reply(incoming, outgoing, status, body, headers = {}) {
     outgoing.writeHead(status, {
