Bound what keys of a client's choice may cost

Clients choose the ids of sessions and prompt parts, the model and the request id. Reports of crashes with a trait above 64 characters were dropped by peers.

- `createClientKey` gives a text of up to 64 characters as it is, and a digest of a longer one; it is the same at all instances.
Sessions, prompt parts and traits are such keys from the decoded request on.
- The times of a model are kept under the configuration's name; models that it does not list share one, or have one of 16 names if it lists none.
- Upstreams remember prompt parts as 32-bit hashes, at most 2000 each.
- A prompt has at most 64 parts for the choice of an upstream and for crash attribution; the last part stands for the others.
- A run that has ended keeps its request in memory no longer.
- Ids of requests and models are cut in the log.

--- a/packages/relay/src/requests/attempt.ts
+++ b/packages/relay/src/requests/attempt.ts
@@ -2,9 +2,11 @@
 
 import { computeUrgency } from '@cactusstair/routing';
 import type { CapacityEstimator, RunTimeEstimator, SuspectRun } from '@cactusstair/routing';
+import { createClientKey } from '@cactusstair/utils';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
+import { computePartKey } from '../upstreams/cachedParts.js';
 import type { BodyListener } from '../upstreams/answerBody.js';
 import type { RunningCall, Upstream } from '../upstreams/upstream.js';
 import type { UpstreamRecord } from '../upstreams/upstreamRecord.js';
@@ -23,6 +25,7 @@
   estimateJobNominalMs,
   estimateWorkMs,
   getModel,
+  getModelKey,
   getWorkClass,
 } from './upstreamChoice.js';
 
@@ -61,6 +64,9 @@
 
   private readonly sizeIndex: number | undefined;
 
+  /** Name by which what is learned of the model is remembered. */
+  private readonly modelKey: string | undefined;
+
   private readonly call: UpstreamCall;
 
   /** Undefined until the request is sent. */
@@ -86,13 +92,15 @@
     readonly job: RelayJob,
     private readonly selection: Selection,
     options: AttemptOptions,
-    private readonly model: string | undefined,
+    /** Name of the model to ask for. */
+    model: string | undefined,
   ) {
     const { exchange, request, engine } = job;
     const { upstream } = selection;
     this.startedMs = context.clock.monotonicMs();
     this.record = upstream.record;
     this.sizeIndex = options.sizeIndex;
+    this.modelKey = getModelKey(context, job, options.sizeIndex);
     this.running = {
       backlogMs: engine ? selection.backlogMs : 0,
       heldTokens: engine ? request.promptTokens + estimateOutputTokens(request) : 0,
@@ -134,8 +142,14 @@
     });
     exchange.attempt = this;
     exchange.onCancel(this.cancelListener);
-    if (model !== undefined) {
-      for (const part of request.promptParts) upstream.recordCachedPart(model, part.id);
+    this.recordCachedParts();
+  }
+
+  private recordCachedParts(): void {
+    const { job, modelKey, upstream } = this;
+    if (modelKey === undefined) return;
+    for (const { id } of job.request.promptParts) {
+      upstream.cachedParts.record(computePartKey(modelKey, id));
     }
   }
 
@@ -179,7 +193,7 @@
     this.running.backlogMs = 0;
     this.recordFirstAnswer();
     this.recordWaitRatio();
-    if (this.model !== undefined && this.job.engine) this.recordWait(this.model);
+    if (this.modelKey !== undefined && this.job.engine) this.recordWait(this.modelKey);
   }
 
   /** Records a complete answer, to learn how long requests of its kind take. */
@@ -198,7 +212,7 @@
 
   /** Records a pause between two events. */
   recordGap(gapMs: number): void {
-    this.runTimes.recordGap(this.model ?? '', this.fullness, gapMs);
+    this.runTimes.recordGap(this.modelKey ?? '', this.fullness, gapMs);
   }
 
   /** Records that the run was given up before its first event, which takes longer than that. */
@@ -223,9 +237,9 @@
     if (upstream.warmupLeftMs > 0 || context.notices.isCold(this.record)) return;
     this.recordCapacity(paceMs);
     context.rollouts.recordPace(job.service, upstream.record.version, paceMs);
-    this.runTimes.recordPace(this.model ?? '', this.fullness, paceMs);
-    if (isLong && this.model !== undefined) {
-      context.rollouts.recordLoadedPace(this.record, this.model, upstream.running, paceMs);
+    this.runTimes.recordPace(this.modelKey ?? '', this.fullness, paceMs);
+    if (isLong && this.modelKey !== undefined) {
+      context.rollouts.recordLoadedPace(this.record, this.modelKey, upstream.running, paceMs);
     }
   }
 
@@ -282,7 +296,7 @@
   }
 
   private get workClass(): string {
-    return getWorkClass(this.job, this.model);
+    return getWorkClass(this.job, this.modelKey);
   }
 
   private estimateLoad(): number {
@@ -349,7 +363,7 @@
     ...(model === undefined
       ? {}
       : {
-          model,
+          model: createClientKey(model),
           queuedMs: Math.round(selection.queuedMs),
           prefillMs: Math.round(selection.backlogMs),
           running: upstream.running,
--- a/packages/relay/src/requests/exchange.ts
+++ b/packages/relay/src/requests/exchange.ts
@@ -7,6 +7,8 @@
 import type { RelayRequest } from './relayRequest.js';
 
 const MS_PER_SECOND = 1000;
+/** Longer ids, which callers choose, are cut in the log. */
+const MAX_LOGGED_ID_LENGTH = 128;
 
 /** How a request ended, as counted and logged. */
 export type ExchangeEnd = 'answered' | 'refused' | 'failed' | 'cancelled';
@@ -232,7 +234,7 @@
   /** Returns what the log says of the request. */
   describe(): Record<string, unknown> {
     return {
-      id: this.request?.id,
+      id: this.request?.id.slice(0, MAX_LOGGED_ID_LENGTH),
       route: this.route?.name,
       workspace: this.workspace?.name,
       end: this.end ?? 'cancelled',
--- a/packages/relay/src/requests/requestHandler.ts
+++ b/packages/relay/src/requests/requestHandler.ts
@@ -12,6 +12,7 @@
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
 import type { RelayRequest } from './relayRequest.js';
+import { createRequestKeys } from './requestKeys.js';
 import { relayStream } from './streamRelay.js';
 
 /** Options of `RequestHandler`. */
@@ -156,7 +157,7 @@
     if (result.type === 'cut') return;
     if (waitedMs > 0) exchange.addStep('body_waited', { waitMs: Math.round(waitedMs) });
     const body = result.type === 'whole' ? result.body : EMPTY_BODY;
-    const request: RelayRequest = { ...decoded, body };
+    const request: RelayRequest = { ...decoded, ...createRequestKeys(decoded), body };
     exchange.request = request;
     try {
       await this.serveRead(exchange, request, result);
--- a/packages/relay/src/requests/runEstimate.ts
+++ b/packages/relay/src/requests/runEstimate.ts
@@ -5,7 +5,7 @@
 import type { RelayContext } from './relayContext.js';
 import type { RelayJob } from './relayJob.js';
 import { estimateOutputTokens, estimateTimeFactor } from './sizePolicy.js';
-import { chooseUpstream, getModel } from './upstreamChoice.js';
+import { chooseUpstream, getModelKey } from './upstreamChoice.js';
 
 /** Options of `estimateRun`. */
 export interface RunEstimateOptions {
@@ -73,7 +73,7 @@
   sizeIndex: number | undefined,
   fullness: number,
 ): LogNormal {
-  const model = getModel(job, sizeIndex) ?? '';
+  const model = getModelKey(context, job, sizeIndex) ?? '';
   const priorMs = computePacePriorMs(context, job, sizeIndex, fullness);
   return context.engines.get(job.service).runTimes.getPace(model, fullness, priorMs);
 }
@@ -85,7 +85,7 @@
   sizeIndex: number | undefined,
   fullness: number,
 ): LogNormal {
-  const model = getModel(job, sizeIndex) ?? '';
+  const model = getModelKey(context, job, sizeIndex) ?? '';
   const { runTimes } = context.engines.get(job.service);
   const paceMs = estimatePace(context, job, sizeIndex, fullness).median;
   return runTimes.getGap(model, fullness, paceMs);
--- a/packages/relay/src/requests/upstreamChoice.ts
+++ b/packages/relay/src/requests/upstreamChoice.ts
@@ -14,6 +14,22 @@
   return job.exchange.route?.modelSizes[sizeIndex];
 }
 
+/**
+ * Returns the name by which what is learned of the model is remembered; undefined if the caller named
+ * none.
+ */
+export function getModelKey(
+  context: Pick<RelayContext, 'engines'>,
+  { engine, exchange, request, service }: RelayJob,
+  sizeIndex: number | undefined,
+): string | undefined {
+  const sizes = exchange.route?.modelSizes ?? [];
+  if (sizeIndex !== undefined) return sizes[sizeIndex];
+  if (request.model === undefined) return undefined;
+  const listed = [...sizes, ...Object.keys(engine?.priceByModel ?? {})];
+  return context.engines.get(service).modelNames.resolve(request.model, listed);
+}
+
 /** Returns the class of a request whose times at the upstreams of a service are comparable. */
 export function getWorkClass({ engine, exchange }: RelayJob, model: string | undefined): string {
   return (engine ? model : exchange.route?.name) ?? '';
@@ -74,7 +90,7 @@
   sizeIndex: number | undefined,
 ): SelectionRequest {
   const { request, service, engine } = job;
-  const model = getModel(job, sizeIndex);
+  const model = getModelKey(context, job, sizeIndex);
   const { prefill, queueBias } = context.engines.get(service);
   return {
     // The learned capacity of engines is not used: sharing it fills the links of small machines.
--- a/packages/relay/src/upstreams/engineEstimators.ts
+++ b/packages/relay/src/upstreams/engineEstimators.ts
@@ -10,6 +10,8 @@
 import type { Clock } from '@cactusstair/utils';
 import { createDictionary, systemClock } from '@cactusstair/utils';
 
+import { ModelNames } from './modelNames.js';
+
 /** Sums of prefill samples by service and model, as instances exchange them. */
 export type EngineSums = Record<string, Record<string, PrefillSums>>;
 
@@ -37,6 +39,7 @@
   queueBias: QueueBias;
   work: WorkAverage;
   runTimes: RunTimeEstimator;
+  modelNames: ModelNames;
 }
 
 /** What is learned about the engines of all services. */
@@ -53,6 +56,7 @@
         queueBias: new QueueBias(),
         work: new WorkAverage(),
         runTimes: new RunTimeEstimator(() => this.clock.monotonicMs()),
+        modelNames: new ModelNames(),
       };
       this.byService.set(service, estimators);
     }
--- a/packages/relay/src/upstreams/upstream.ts
+++ b/packages/relay/src/upstreams/upstream.ts
@@ -2,6 +2,7 @@
 import { PeerLoadEstimate } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
 
+import { CachedParts } from './cachedParts.js';
 import type { UpstreamRecord } from './upstreamRecord.js';
 
 /** Load that the other instances together put on one upstream. */
@@ -40,8 +41,6 @@
 // answer in between doubles the time.
 const MIN_FULL_MS = 20;
 const MAX_FULL_MS = 1000;
-// Prompt parts remembered per engine; an engine's memory holds a few hundred of the longest.
-const MAX_CACHED_PARTS = 2000;
 
 /** An upstream with its load, health and cached prompt parts as seen by this instance. */
 export class Upstream {
@@ -89,7 +88,8 @@
 
   private waitSamples = 0;
 
-  private readonly cachedParts = new Map<string, number>();
+  /** Prompt parts that were sent to it, each after all parts before it. */
+  readonly cachedParts = new CachedParts();
 
   constructor(
     public record: UpstreamRecord,
@@ -228,20 +228,6 @@
     if (isCertain || isRepeated) this.returnsAtMs = this.downUntilMs;
   }
 
-  /** Whether a prompt part and all parts before it were sent to this upstream for a model. */
-  hasCachedPart(model: string, partId: string): boolean {
-    return this.cachedParts.has(`${model}/${partId}`);
-  }
-
-  recordCachedPart(model: string, partId: string): void {
-    const key = `${model}/${partId}`;
-    this.cachedParts.delete(key);
-    this.cachedParts.set(key, this.clock.monotonicMs());
-    if (this.cachedParts.size <= MAX_CACHED_PARTS) return;
-    const oldest = this.cachedParts.keys().next();
-    if (!oldest.done) this.cachedParts.delete(oldest.value);
-  }
-
   /** Resets the state that belongs to an earlier run under the same id. */
   restart(): void {
     this.cachedParts.clear();
--- a/packages/relay/src/upstreams/upstreamSelector.ts
+++ b/packages/relay/src/upstreams/upstreamSelector.ts
@@ -3,6 +3,8 @@
 
 import type { EngineProfile } from '../config/relayConfig.js';
 import type { PromptPart } from '../requests/relayRequest.js';
+import type { PartKey } from './cachedParts.js';
+import { computePartKey } from './cachedParts.js';
 import type { Upstream } from './upstream.js';
 
 /** Properties of a request on which the choice of upstream depends. */
@@ -99,11 +101,19 @@
 const PLAIN_QUEUE_RUNS = 2;
 const MIN_PLAIN_QUEUE = 8;
 
-/** Sums the tokens of the leading prompt parts that were already sent to an upstream. */
-function countCachedTokens(upstream: Upstream, model: string, parts: readonly PromptPart[]) {
+/**
+ * Sums the tokens of the leading prompt parts that were already sent to an upstream.
+ *
+ * @param keys those of the parts
+ */
+function countCachedTokens(
+  { cachedParts }: Upstream,
+  parts: readonly PromptPart[],
+  keys: readonly PartKey[],
+) {
   let tokens = 0;
-  for (const part of parts) {
-    if (!upstream.hasCachedPart(model, part.id)) break;
+  for (const [index, part] of parts.entries()) {
+    if (!cachedParts.has(keys[index]!)) break;
     tokens += part.tokens;
   }
   return tokens;
@@ -313,6 +323,7 @@
   request: SelectionRequest,
 ): Selection | undefined {
   const { engine, model = '', promptParts } = request;
+  const keys = promptParts.map(({ id }) => computePartKey(model, id));
   const shared = promptParts.slice(0, -1);
   const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
   const preferredKey = shared.at(-1)?.id;
@@ -333,7 +344,7 @@
     let backlogMs = 0;
     let cost = computeSharedCosts(upstream, request) + computeTimeCost(upstream, request);
     if (engine) {
-      const known = countCachedTokens(upstream, model, promptParts);
+      const known = countCachedTokens(upstream, promptParts, keys);
       const expected = upstream === preferred ? sharedTokens * EXPECTED_CACHED_SHARE : 0;
       const cached = Math.max(known, expected);
       uncachedTokens = Math.max(0, request.promptTokens - cached);
--- a/packages/routing/src/crashAttribution.ts
+++ b/packages/routing/src/crashAttribution.ts
@@ -67,6 +67,8 @@
 /** Cleared traits are exported for this long, so that peers clear them as well. */
 const CLEARED_EXPORT_MS = 10_000;
 
+const noop = () => {};
+
 function listTraits(crash: Crash, state: TraitState, scope: ExportScope): string[] {
   return [...crash.traits]
     .filter(([trait, own]) => own === state && (scope === 'all' || crash.own.has(trait)))
@@ -126,6 +128,8 @@
       },
       end: () => {
         run.endedAtMs ??= this.options.clock.monotonicMs();
+        // Its request is no longer needed and would stay in memory.
+        run.cancel = noop;
       },
     };
   }
--- a/packages/routing/src/crashReport.ts
+++ b/packages/routing/src/crashReport.ts
@@ -1,3 +1,5 @@
+import { MAX_CLIENT_KEY_LENGTH } from '@cactusstair/utils';
+
 /** One crash as instances tell each other. */
 export interface CrashReport {
   /** Id of the upstream. */
@@ -13,7 +15,8 @@
 /** Number of traits in all reports of one message; bounds its size. */
 export const MAX_EXPORTED_TRAITS = 1000;
 const MAX_IMPORTED_CRASHES = 100;
-const MAX_TRAIT_LENGTH = 64;
+/** Traits are keys of requests; ids of upstreams are not longer either. */
+const MAX_TRAIT_LENGTH = MAX_CLIENT_KEY_LENGTH;
 
 function isTraitList(value: unknown): value is string[] {
   return (
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -2,6 +2,7 @@
 export { alignColumns } from './alignColumns.js';
 export { describeInvalidStatus } from './answerStatus.js';
 export { ByteCollector } from './byteCollector.js';
+export { createClientKey, MAX_CLIENT_KEY_LENGTH } from './clientKey.js';
 export type { Clock } from './clock.js';
 export { CallerConnection } from './connections/callerConnection.js';
 export type { ConnectionGuardOptions, ConnectionState } from './connections/connectionGuard.js';
--- a/tests/platform/support/untrustedCallers.ts
+++ b/tests/platform/support/untrustedCallers.ts
@@ -4,7 +4,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 const SAMPLE_INTERVAL_MS = 50;
-/** Time for which connections stay open when everything is sent. */
+const STATUS_LINE = 'HTTP/1.1 ';
+/** Default of `holdMs`. */
 const HOLD_MS = 1000;
 
 /** Largest use of memory and descriptors by a process, sampled while it is watched. */
@@ -47,10 +48,16 @@
   head: string;
   /** Bytes that are sent again and again after the head. */
   block: Buffer;
+  /** Returns the bytes that are sent in place of `block`, which are as long. */
+  createBlock?: (connection: number, index: number) => Buffer;
   /** Bytes sent after the head in all, a multiple of the block's length. */
   totalBytes: number;
   /** Whether responses are read; otherwise they stay unread until the connection ends. */
   readsResponses: boolean;
+  /** Number of responses to wait for on each connection; default: none. */
+  responses?: number;
+  /** Time for which connections stay open when everything is sent; default: 1000. */
+  holdMs?: number;
 }
 
 /**
@@ -63,7 +70,7 @@
   for (let index = 0; index < options.connections; index += 1) {
     const socket = connect(options.port, '127.0.0.1');
     sockets.push(socket);
-    sent.push(sendAll(socket, options));
+    sent.push(sendAll(socket, index, options));
   }
   const timeout = new AbortController();
   await Promise.race([
@@ -71,7 +78,7 @@
     sleep(timeoutMs, undefined, { signal: timeout.signal }).catch(() => undefined),
   ]);
   timeout.abort();
-  await sleep(HOLD_MS);
+  await sleep(options.holdMs ?? HOLD_MS);
   return sockets;
 }
 
@@ -80,24 +87,39 @@
   for (const socket of sockets) socket.destroy();
 }
 
-function sendAll(socket: Socket, options: CrowdOptions): Promise<void> {
+/** Calls `onAll` when `count` responses, of which none has a body with a status line, have begun. */
+function countResponses(socket: Socket, count: number, onAll: () => void): void {
+  let left = count;
+  let tail = '';
+  socket.on('data', (chunk: Buffer) => {
+    const text = tail + chunk.toString('latin1');
+    left -= text.split(STATUS_LINE).length - 1;
+    tail = text.slice(1 - STATUS_LINE.length);
+    if (left <= 0) onAll();
+  });
+}
+
+function sendAll(socket: Socket, connection: number, options: CrowdOptions): Promise<void> {
+  const { block, createBlock = () => block, totalBytes } = options;
   return new Promise((resolve) => {
-    let left = options.totalBytes;
+    let left = totalBytes;
     const send = () => {
       while (left > 0) {
         if (socket.destroyed) return;
-        left -= options.block.length;
-        if (!socket.write(options.block)) {
+        const index = (totalBytes - left) / block.length;
+        left -= block.length;
+        if (!socket.write(createBlock(connection, index))) {
           socket.once('drain', send);
           return;
         }
       }
-      socket.write('', () => resolve());
+      if (options.responses === undefined) socket.write('', () => resolve());
     };
     socket.on('error', () => {});
     socket.on('close', () => resolve());
     // Without a listener for data, nothing is read once the socket's own buffer is full.
     if (options.readsResponses) socket.resume();
+    if (options.responses !== undefined) countResponses(socket, options.responses, resolve);
     socket.once('connect', () => {
       socket.write(options.head);
       send();
--- a/tests/relay/upstreams.test.ts
+++ b/tests/relay/upstreams.test.ts
@@ -2,7 +2,13 @@
 import { describe, it } from 'node:test';
 
 import type { SelectionRequest, UpstreamRecord } from '@cactusstair/relay';
-import { selectUpstream, Upstream, UpstreamDirectory, ZoneReachability } from '@cactusstair/relay';
+import {
+  computePartKey,
+  selectUpstream,
+  Upstream,
+  UpstreamDirectory,
+  ZoneReachability,
+} from '@cactusstair/relay';
 import { ManualClock } from '@cactusstair/utils';
 
 import { createRecord } from './support/records.js';
@@ -78,9 +84,10 @@
     it('clears the cached prompt parts when another run has the same id', () => {
       const { directory, put } = createDirectory();
       put(createRecord('a', { startedAtMs: 1 }));
-      directory.find('a')?.recordCachedPart('model', 'part');
+      const key = computePartKey('model', 'part');
+      directory.find('a')?.cachedParts.record(key);
       put(createRecord('a', { startedAtMs: 2 }));
-      assert.equal(directory.find('a')?.hasCachedPart('model', 'part'), false);
+      assert.equal(directory.find('a')?.cachedParts.has(key), false);
     });
 
     it('formats equal lists equally and different lists differently', () => {
@@ -180,7 +187,7 @@
         ],
       };
       const cached = choose([a, b], request) === 'a' ? b : a;
-      cached.recordCachedPart('large', 'shared');
+      cached.cachedParts.record(computePartKey('large', 'shared'));
       const home = choose([a, b], request);
       assert.equal(home, cached.id);
       cached.calls.add({ backlogMs: 1000, heldTokens: 0 });
