--- a/packages/utils/src/connections/connectionGuard.ts
+++ b/packages/utils/src/connections/connectionGuard.ts
@@ -125,6 +125,9 @@
   options: ConnectionGuardOptions = {},
 ): ConnectionGuard {
   const guard = new ConnectionGuard(options);
+  // By default Node.js drops all header lines after the first 1000, of which one may say how the body
+  // is framed. The size of a head bounds the number of its lines.
+  server.maxHeadersCount = 0;
   const listeners = server.listeners('connection') as ((socket: Socket) => void)[];
   server.removeAllListeners('connection');
   for (const listener of listeners) guard.onConnection((socket) => listener.call(server, socket));
--- a/tests/relay/support/relayFixture.ts
+++ b/tests/relay/support/relayFixture.ts
@@ -1,6 +1,7 @@
 import { platformDialect } from '@cactusstair/platform';
 import { EventLog, RelayNode } from '@cactusstair/relay';
 import type {
+  Dialect,
   PeerRecord,
   RelayBounds,
   RelayConfig,
@@ -131,6 +132,8 @@
   name?: string;
   /** Store that several instances share; holds a configuration already. */
   store?: MemoryStore;
+  /** Default: that of the platform. */
+  dialect?: Dialect;
 }
 
 /** A running relay with an in-memory store and scripted upstreams of the service `app`. */
@@ -149,8 +152,10 @@
   static async open(
     routes: Route[],
     clock?: Clock,
-    { name = 'instance-1', prepare, store = new MemoryStore(), ...bounds }: FixtureOptions = {},
+    options: FixtureOptions = {},
   ): Promise<RelayFixture> {
+    const { name = 'instance-1', prepare, dialect = platformDialect, ...rest } = options;
+    const { store = new MemoryStore(), ...bounds } = rest;
     const ports = (await findFreePorts(3)) as [number, number, number];
     const [callerPort, readinessPort, peerPort] = ports;
     const host = '127.0.0.1';
@@ -169,7 +174,7 @@
       seedHosts: [],
       bounds: { ...testBounds, ...bounds },
       store,
-      dialect: platformDialect,
+      dialect,
       log: new EventLog({ fields: {}, sink }),
       ...(clock ? { clock } : {}),
     });
