Count answers that break off against their version

An answer whose head has arrived and whose connection then ends is a bad answer now, unless the upstream has crashed: a crash ends all its requests, and may be the fault of one of them. `CrashDetector.check` tells the two apart, and now gives its result to all who ask during a check.

--- a/packages/relay/src/requests/attemptTracker.ts
+++ b/packages/relay/src/requests/attemptTracker.ts
@@ -99,9 +99,9 @@
       this.isNextAttemptFree = true;
       return true;
     },
-    lost: ({ upstream }, failure) => {
-      upstream.recordFailure();
-      if (failure.isDisconnected) this.context.crashDetector.check(upstream).catch(() => {});
+    lost: (attempt, failure) => {
+      attempt.upstream.recordFailure();
+      if (failure.isDisconnected) this.checkDisconnect(attempt).catch(() => {});
       this.recordRun();
       return this.canRunAgain;
     },
@@ -255,6 +255,21 @@
     return { events: eventCount, traits: this.job.traits };
   }
 
+  /**
+   * Finds out why an upstream has closed a connection. An answer that breaks off although its upstream
+   * runs on speaks against the upstream's version; a crash may be the request's fault.
+   */
+  private async checkDisconnect(attempt: Attempt): Promise<void> {
+    const { context, job } = this;
+    const latencyMs = context.clock.monotonicMs() - attempt.startedMs;
+    const hasCrashed = await context.crashDetector.check(attempt.upstream);
+    if (hasCrashed || attempt.answerStatus === 0) return;
+    context.rollouts.recordOutcome(job.service, attempt.record.version, {
+      isBad: true,
+      latencyMs,
+    });
+  }
+
   private recordRun(): void {
     this.runs += 1;
     this.job.exchange.mayHaveRun = true;
--- a/packages/relay/src/upstreams/crashDetector.ts
+++ b/packages/relay/src/upstreams/crashDetector.ts
@@ -26,7 +26,7 @@
  * nothing listens at its address until it has started again.
  */
 export class CrashDetector {
-  private readonly checking = new Set<string>();
+  private readonly checks = new Map<string, Promise<boolean>>();
 
   private readonly refusedAtMs = new WeakMap<Upstream, number>();
 
@@ -36,15 +36,23 @@
     private readonly onCrash: (upstream: Upstream) => void,
   ) {}
 
-  /** Checks an upstream that ended a connection before its answer was complete. */
-  async check(upstream: Upstream): Promise<void> {
-    if (this.checking.has(upstream.id)) return;
-    this.checking.add(upstream.id);
-    try {
-      if (await isRefusing(upstream)) this.recordRefused(upstream);
-    } finally {
-      this.checking.delete(upstream.id);
-    }
+  /**
+   * Checks an upstream that ended a connection before its answer was complete.
+   *
+   * @returns whether it has crashed
+   */
+  check(upstream: Upstream): Promise<boolean> {
+    const running = this.checks.get(upstream.id);
+    if (running) return running;
+    const check = this.runCheck(upstream).finally(() => this.checks.delete(upstream.id));
+    this.checks.set(upstream.id, check);
+    return check;
+  }
+
+  private async runCheck(upstream: Upstream): Promise<boolean> {
+    const hasCrashed = await isRefusing(upstream);
+    if (hasCrashed) this.recordRefused(upstream);
+    return hasCrashed;
   }
 
   /** Records that an upstream has refused a connection. */
