Bound what all connections together have sent and is not parsed

A connection that was not read on could hold up to 144 KiB: 16 KiB, one read more, and the one that Node.js makes before it stops.

`ReceiveBudget` is one account for all ports, a sixteenth of the machine's memory. New connections are not read before there is room for a read; when they have waited for 300 ms, or when connections that were idle send all at once, those that hold most give up their bytes. A connection whose request is served is closed after its response. Sockets are read on only when nothing is left in them, and what is taken is copied, so one connection holds at most 80 KiB. The parts of a long head become garbage several times its size, so they count more for the collection of garbage.

Who waits or loses by it: callers that send ahead (utils/receiveBudget): their request that is served is answered, the rest is not run, and a new caller is answered beside them.

The measuring of slices moves to a module of its own.

--- a/packages/relay/src/callerServer.ts
+++ b/packages/relay/src/callerServer.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
-import type { ConnectionGuard } from '@cactusstair/utils';
+import type { ConnectionGuard, ConnectionGuardOptions } from '@cactusstair/utils';
 import { guardConnections } from '@cactusstair/utils';
 
 import type { CallerLimits } from './config/relayConfig.js';
@@ -18,9 +18,8 @@
 
   private isClosing = false;
 
-  /** @param maxConnections largest number of connections */
   constructor(
-    maxConnections: number,
+    options: ConnectionGuardOptions,
     handle: (incoming: IncomingMessage, outgoing: ServerResponse) => void,
   ) {
     this.server = createServer(
@@ -37,7 +36,7 @@
         handle(incoming, outgoing);
       },
     );
-    this.guard = guardConnections(this.server, { maxConnections });
+    this.guard = guardConnections(this.server, options);
     this.guard.onConnection((socket) => {
       this.openRequests.set(socket, 0);
       socket.once('close', () => this.openRequests.delete(socket));
--- a/packages/relay/src/instanceLimits.ts
+++ b/packages/relay/src/instanceLimits.ts
@@ -6,6 +6,8 @@
 const BODY_MEMORY_SHARE = 0.125;
 /** Beyond this, more memory for bodies would not fit beside the other uses of a larger heap. */
 const MAX_BODY_MEMORY_BYTES = 64 * 1024 * 1024;
+/** Share of the memory for what connections have sent beyond that and what is not parsed yet. */
+const RECEIVE_MEMORY_SHARE = 0.0625;
 /** Assumed when the settings name no number of descriptors. */
 const DEFAULT_MAX_DESCRIPTORS = 10_000;
 /** Descriptors reserved for files, and for the connections to the store. */
@@ -21,6 +23,8 @@
 export interface CallerCapacity {
   /** Memory for the bodies of requests, in bytes. */
   bodyBytes: number;
+  /** Memory for bytes that were received and not yet parsed, at all ports. */
+  receiveBytes: number;
   /** Connections at the callers' port. */
   maxCallers: number;
   /** Connections at the readiness port. */
@@ -37,6 +41,7 @@
   const callerShare = (1 - STATUS_SHARE - PEER_SHARE) / DESCRIPTORS_PER_REQUEST;
   return {
     bodyBytes: Math.min(MAX_BODY_MEMORY_BYTES, memoryBytes * BODY_MEMORY_SHARE),
+    receiveBytes: memoryBytes * RECEIVE_MEMORY_SHARE,
     maxCallers: computeCount(descriptors * callerShare),
     maxStatus: computeCount(descriptors * STATUS_SHARE),
     maxPeers: computeCount(descriptors * PEER_SHARE),
--- a/packages/relay/src/observe/requestMetrics.ts
+++ b/packages/relay/src/observe/requestMetrics.ts
@@ -1,6 +1,7 @@
 import type { Gauge } from 'prom-client';
 
 import type { BodyBudget } from '@cactusstair/routing';
+import type { ReceiveBudget } from '@cactusstair/utils';
 
 import type { CallerServer } from '../callerServer.js';
 import type { Exchange } from '../requests/exchange.js';
@@ -38,6 +39,8 @@
   callers: Pick<CallerServer, 'connectionCount' | 'closedCount'>;
   /** Memory for bodies of requests. */
   bodies: Pick<BodyBudget, 'usedBytes' | 'waitingCount' | 'refusals'>;
+  /** Memory for what connections have sent and is not parsed. */
+  received: Pick<ReceiveBudget, 'droppedCount' | 'heldBytes' | 'waitingCount'>;
   configVersion: number;
   configAgeSeconds: number;
   upstreams: number;
@@ -221,11 +224,18 @@
 }
 
 /** Adds what callers hold: connections and bodies of requests. */
-function addCallers(create: CreateGauge, { bodies, callers }: MetricReadings): void {
+function addCallers(create: CreateGauge, { bodies, callers, received }: MetricReadings): void {
   create('caller_connections', 'Open connections of callers.', []).set(callers.connectionCount);
   create('closed_connections_total', 'Connections closed for others, or not accepted.', []).set(
     callers.closedCount,
   );
+  create('received_bytes', 'Bytes that are received and not parsed.', []).set(received.heldBytes);
+  create('waiting_connections', 'Connections that are not read yet.', []).set(
+    received.waitingCount,
+  );
+  create('dropped_connections_total', 'Connections whose unparsed bytes were dropped.', []).set(
+    received.droppedCount,
+  );
   create('body_bytes', 'Memory that bodies of requests take.', []).set(bodies.usedBytes);
   create('waiting_bodies', 'Bodies that wait for memory.', []).set(bodies.waitingCount);
   const refused = create('refused_bodies_total', 'Bodies refused for memory.', ['reason']);
--- a/packages/relay/src/observe/statusServer.ts
+++ b/packages/relay/src/observe/statusServer.ts
@@ -1,3 +1,4 @@
+import type { ConnectionGuardOptions } from '@cactusstair/utils';
 import { ignoreBody } from '@cactusstair/utils';
 
 import { CallerServer } from '../callerServer.js';
@@ -7,15 +8,14 @@
   readinessPath: string;
   isReady: () => boolean;
   formatMetrics: () => Promise<string>;
-  /** Largest number of connections. */
-  maxConnections: number;
+  connections: ConnectionGuardOptions;
 }
 
 const METRICS_PATH = '/metrics';
 
 /** Serves readiness, 200 or 503, and the metrics as text. */
 export function createStatusServer(options: StatusServerOptions): CallerServer {
-  return new CallerServer(options.maxConnections, (incoming, outgoing) => {
+  return new CallerServer(options.connections, (incoming, outgoing) => {
     ignoreBody(incoming, outgoing);
     if (incoming.url === METRICS_PATH) {
       options.formatMetrics().then(
--- a/packages/relay/src/peers/viewServer.ts
+++ b/packages/relay/src/peers/viewServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 
+import type { ConnectionGuardOptions } from '@cactusstair/utils';
 import { guardConnections, ignoreBody } from '@cactusstair/utils';
 
 import type { SourceFollower } from '../follow/sourceFollower.js';
@@ -30,10 +31,9 @@
 export class ViewServer {
   private readonly server: Server;
 
-  /** @param maxConnections largest number of connections; default: no limit */
   constructor(
     private readonly views: Readonly<Partial<Record<ViewName, Exporter>>>,
-    maxConnections = Infinity,
+    options: ConnectionGuardOptions = {},
   ) {
     this.server = createServer((incoming, outgoing) => {
       ignoreBody(incoming, outgoing);
@@ -41,7 +41,7 @@
       outgoing.writeHead(STATUS_BY_RESULT[answer.result], { 'content-type': 'application/json' });
       outgoing.end(answer.result === 'found' ? answer.text : undefined);
     });
-    guardConnections(this.server, { maxConnections });
+    guardConnections(this.server, options);
   }
 
   listen(address: SocketAddress): Promise<void> {
--- a/packages/relay/src/relayNode.ts
+++ b/packages/relay/src/relayNode.ts
@@ -1,6 +1,6 @@
 import { CrashAttribution } from '@cactusstair/routing';
 import type { Clock } from '@cactusstair/utils';
-import { LifecycleManager, systemClock } from '@cactusstair/utils';
+import { LifecycleManager, ReceiveBudget, systemClock } from '@cactusstair/utils';
 
 import { CallerServer } from './callerServer.js';
 import { ConfigIndex } from './config/configIndex.js';
@@ -43,6 +43,8 @@
 
   private readonly metrics = new RequestMetrics();
 
+  private readonly receiveBudget: ReceiveBudget;
+
   private readonly budgets: RetryBudgets;
 
   private readonly directory: UpstreamDirectory;
@@ -85,6 +87,9 @@
     this.clock = options.clock ?? systemClock;
     this.engines = new EngineEstimators(this.clock);
     const capacity = computeCallerCapacity(options.limits ?? {});
+    this.receiveBudget = new ReceiveBudget({ clock: this.clock, maxBytes: capacity.receiveBytes });
+    // All ports share the memory for what is received.
+    const guard = { clock: this.clock, receiveBudget: this.receiveBudget };
     this.self = {
       ...options.peers,
       name: options.name,
@@ -146,7 +151,7 @@
       hasHeardAll: () => this.peers.roster.isListed && this.peers.hasHeardAll,
       onConfig: (config) => this.applyConfig(config),
       log,
-      maxPeerConnections: capacity.maxPeers,
+      peerConnections: { ...guard, maxConnections: capacity.maxPeers },
     });
     this.context = this.createContext();
     this.handler = new RequestHandler({
@@ -158,16 +163,19 @@
       maxAbsenceAgeMs: bounds.configApplyMs - ABSENCE_AGE_MARGIN_MS,
       onEnd: (exchange) => this.recordEnd(exchange),
     });
-    this.callerServer = new CallerServer(capacity.maxCallers, (incoming, outgoing) => {
-      this.handler.handle(incoming, outgoing).catch((error: unknown) => {
-        this.recordFault('request', error as Error);
-      });
-    });
+    this.callerServer = new CallerServer(
+      { ...guard, maxConnections: capacity.maxCallers },
+      (incoming, outgoing) => {
+        this.handler.handle(incoming, outgoing).catch((error: unknown) => {
+          this.recordFault('request', error as Error);
+        });
+      },
+    );
     this.readinessServer = createStatusServer({
       readinessPath: options.readinessPath,
       isReady: () => this.isReady,
       formatMetrics: () => this.formatMetrics(),
-      maxConnections: capacity.maxStatus,
+      connections: { ...guard, maxConnections: capacity.maxStatus },
     });
   }
 
@@ -353,6 +361,7 @@
       openRequests: this.callerServer.openCount,
       callers: this.callerServer,
       bodies: this.handler.bodyBudget,
+      received: this.receiveBudget,
       configVersion: this.config?.config.version ?? 0,
       configAgeSeconds: this.views.getConfigAgeMs() / 1000,
       upstreams: this.directory.listAll().length,
--- a/packages/relay/src/storeViews.ts
+++ b/packages/relay/src/storeViews.ts
@@ -1,4 +1,4 @@
-import type { Clock, LifecycleManager } from '@cactusstair/utils';
+import type { Clock, ConnectionGuardOptions, LifecycleManager } from '@cactusstair/utils';
 
 import type { RelayConfig } from './config/relayConfig.js';
 import { RestoredConfig } from './config/restoredConfig.js';
@@ -37,8 +37,8 @@
   /** Called with each configuration that was read; the same version may be passed repeatedly. */
   onConfig: (config: RelayConfig) => void;
   log: EventLog;
-  /** Largest number of connections of other instances. */
-  maxPeerConnections: number;
+  /** Bounds on the connections of other instances. */
+  peerConnections: ConnectionGuardOptions;
 }
 
 /** Long-poll duration; the store allows up to 30 s, and fewer polls cost less. */
@@ -154,7 +154,7 @@
           }
         : {}),
     });
-    this.server = new ViewServer(this.listFollowers(), options.maxPeerConnections);
+    this.server = new ViewServer(this.listFollowers(), options.peerConnections);
   }
 
   /** Whether all states that requests depend on, besides the configuration, were read. */
--- a/packages/server/src/callers/callerServer.ts
+++ b/packages/server/src/callers/callerServer.ts
@@ -5,7 +5,7 @@
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 import { BodyBudget } from '@cactusstair/routing';
-import { guardConnections, systemClock } from '@cactusstair/utils';
+import { guardConnections, ReceiveBudget, systemClock } from '@cactusstair/utils';
 import type { FastifyInstance, FastifyReply } from 'fastify';
 
 import { addBodyParser } from './callerBodies.js';
@@ -36,6 +36,8 @@
 
 const IDLE_CONNECTION_TIMEOUT_MS = 60_000;
 const MAX_CHECK_INTERVAL_MS = 5000;
+/** Memory for what callers have sent and is not parsed yet, as a share of that for bodies. */
+const RECEIVE_MEMORY_SHARE = 0.5;
 
 class CallerModule {}
 
@@ -110,5 +112,11 @@
     receiveTimeoutMs: options.receiveTimeoutMs,
     replica: context.replica,
   });
-  guardConnections(fastify.server, { maxConnections });
+  guardConnections(fastify.server, {
+    maxConnections,
+    receiveBudget: new ReceiveBudget({
+      clock: systemClock,
+      maxBytes: bodyMemoryBytes * RECEIVE_MEMORY_SHARE,
+    }),
+  });
 }
--- a/packages/server/src/monitoring/monitoringServer.ts
+++ b/packages/server/src/monitoring/monitoringServer.ts
@@ -1,4 +1,4 @@
-import { guardConnections } from '@cactusstair/utils';
+import { guardConnections, ReceiveBudget, systemClock } from '@cactusstair/utils';
 import type { FastifyInstance } from 'fastify';
 import { fastify } from 'fastify';
 import type { Registry } from 'prom-client';
@@ -16,6 +16,8 @@
 
 /** Largest body that is read before a request is refused; no path of this server has a body. */
 const MAX_BODY_BYTES = 1024;
+/** Memory for what was received on all connections and is not parsed yet. */
+const MAX_RECEIVED_BYTES = 4 * 1024 * 1024;
 
 /** Serves `/metrics`, `/healthz` and `/readyz` for operators and the load balancer. */
 export class MonitoringServer {
@@ -23,7 +25,8 @@
 
   constructor({ registry, maxConnections, checkReadiness }: MonitoringServerOptions) {
     this.app = fastify({ forceCloseConnections: true, bodyLimit: MAX_BODY_BYTES });
-    guardConnections(this.app.server, { maxConnections });
+    const receiveBudget = new ReceiveBudget({ clock: systemClock, maxBytes: MAX_RECEIVED_BYTES });
+    guardConnections(this.app.server, { maxConnections, receiveBudget });
     this.app.get('/metrics', async (_request, reply) => {
       reply.type(registry.contentType);
       return registry.metrics();
--- a/packages/utils/src/connections/callerConnection.ts
+++ b/packages/utils/src/connections/callerConnection.ts
@@ -4,21 +4,16 @@
 
 import type { Clock } from '../clock.js';
 import { recordReadBytes } from './bufferCollection.js';
+import type { BodyProgress } from './messageSlices.js';
+import { measureBodySlice, measureHead, SLICE_BYTES } from './messageSlices.js';
 import { RateMeter } from './rateMeter.js';
+import type { ReceiveBudget, Receiver } from './receiveBudget.js';
 import { connectionTurns } from './turnQueue.js';
 
-/** Bytes that wait for the parser before no more is read; two reads of 64 KiB may exceed it. */
+/** Bytes that are taken from the socket at a time; it is read on when it has no others. */
 const MAX_PENDING_BYTES = 16 * 1024;
-/** Bytes passed to the parser at a time. One-byte chunks of such a slice take 1 to 2 ms. */
-const SLICE_BYTES = 4 * 1024;
-/** The same for a body without chunks, whose work does not depend on what the caller sends. */
-const PLAIN_SLICE_BYTES = 16 * 1024;
-/** Ends the head of each message, and a body in chunks. Node.js accepts no other line ends. */
-const MESSAGE_MARK = '\r\n\r\n';
-const ZERO_DIGIT = 0x30;
-const LINE_FEED = 0x0a;
-/** Begins the last chunk, which is empty; it may occur in the data of others. */
-const LAST_CHUNK_MARK = '\r\n0';
+/** Copies of a long head that become garbage while its request is relayed. */
+const LONG_HEAD_COPIES = 6;
 /**
  * After a refusal the connection stays open for this long, so that the caller can read it: closing a
  * connection with unread bytes resets it.
@@ -28,15 +23,11 @@
 const MAX_LINGER_BYTES = 256 * 1024;
 
 /** The last request that the parser found on a connection. */
-interface CurrentMessage {
+interface CurrentMessage extends BodyProgress {
   incoming: IncomingMessage;
   outgoing: ServerResponse;
-  /** Bytes of the body that the parser has not had; undefined if the body comes in chunks. */
-  leftBytes: number | undefined;
   /** Bytes that the parser has had of the body, with its framing. */
   passedBytes: number;
-  /** Whether the parser may be in the trailers of a body in chunks. */
-  mayBeInTrailers: boolean;
 }
 
 /**
@@ -44,7 +35,7 @@
  * when the response before it has been written. Bytes are passed on in slices, between which other
  * connections are served, and not while a body is held back.
  */
-export class CallerConnection extends Duplex {
+export class CallerConnection extends Duplex implements Receiver {
   private readonly rate: RateMeter;
 
   private pending: Buffer[] = [];
@@ -65,6 +56,12 @@
 
   private lingerBytes = 0;
 
+  /** Held bytes as the budget knows them. */
+  private countedBytes = 0;
+
+  /** Whether everything that the caller sends is dropped, and the next response is the last. */
+  private isDropping = false;
+
   /** Monotonic time at which bytes were last read or written. */
   progressAtMs: number;
 
@@ -73,15 +70,17 @@
   constructor(
     private readonly socket: Socket,
     private readonly clock: Clock,
+    private readonly budget?: ReceiveBudget,
   ) {
     super();
     this.progressAtMs = clock.monotonicMs();
     this.rate = new RateMeter(this.progressAtMs);
-    socket.on('data', (chunk: Buffer) => this.receive(chunk));
     socket.on('end', () => this.receiveEnd());
     socket.on('error', (error) => this.destroy(error));
     socket.on('close', () => this.destroy());
     socket.on('timeout', () => this.emit('timeout'));
+    if (budget) budget.add(this);
+    else this.startReceiving();
   }
 
   get remoteAddress(): string | undefined {
@@ -112,6 +111,35 @@
     return this.rate.getBytesPerSecond(this.clock.monotonicMs());
   }
 
+  /** Bytes that were received and that the parser has not had. */
+  get heldBytes(): number {
+    return this.pendingBytes + this.socket.readableLength;
+  }
+
+  /** Called by the budget. */
+  startReceiving(): void {
+    if (this.destroyed) return;
+    this.socket.on('readable', () => {
+      this.takeReceived();
+      this.pass();
+    });
+  }
+
+  /** Called by the budget: closes the connection, after the response to a request that is served. */
+  dropHeldBytes(): void {
+    if (!this.isServing) {
+      this.destroy();
+      return;
+    }
+    if (this.isDropping) return;
+    this.isDropping = true;
+    const { outgoing } = this.current!;
+    if (!outgoing.headersSent) outgoing.setHeader('connection', 'close');
+    outgoing.once('close', () => this.destroySoon());
+    this.dropPending();
+    this.takeReceived();
+  }
+
   /** Bytes that the parser has had of the body of the last request, with its framing. */
   get passedBodyBytes(): number {
     return this.current?.passedBytes ?? 0;
@@ -197,6 +225,7 @@
     clearTimeout(this.lingerTimer);
     connectionTurns.remove(this.passNext);
     this.dropPending();
+    this.budget?.remove(this, this.countedBytes);
     this.socket.destroy();
     done(error);
   }
@@ -225,18 +254,45 @@
     return current?.incoming.complete === false && current.leftBytes === undefined;
   }
 
+  /** Takes bytes from the socket, which reads no more while it has some. */
+  private takeReceived(): void {
+    this.recordHeldBytes();
+    while (this.canTakeReceived) {
+      const { readableLength } = this.socket;
+      const bytes = Math.min(readableLength, MAX_PENDING_BYTES - this.pendingBytes);
+      // Reading no bytes reports the end of the connection.
+      const chunk = this.socket.read(bytes) as Buffer | null;
+      if (!chunk) break;
+      this.receive(chunk);
+    }
+    this.recordHeldBytes();
+  }
+
+  private get canTakeReceived(): boolean {
+    if (this.destroyed) return false;
+    if (this.isLingering) return this.lingerBytes <= MAX_LINGER_BYTES;
+    // Small pieces cost more. A caller that leaves while it waits is noticed at the end of its bytes.
+    if (this.pendingBytes > 0 && this.canPass) return false;
+    return this.pendingBytes < MAX_PENDING_BYTES;
+  }
+
   private receive(chunk: Buffer): void {
     recordReadBytes(chunk.length);
     if (this.isLingering) {
       this.lingerBytes += chunk.length;
-      if (this.lingerBytes > MAX_LINGER_BYTES) this.socket.pause();
       return;
     }
     this.recordProgress(chunk.length);
-    this.pending.push(chunk);
+    if (this.isDropping) return;
+    this.pending.push(copyPart(chunk));
     this.pendingBytes += chunk.length;
-    this.pass();
-    if (this.pendingBytes >= MAX_PENDING_BYTES) this.socket.pause();
+  }
+
+  private recordHeldBytes(): void {
+    if (this.destroyed) return;
+    const change = this.heldBytes - this.countedBytes;
+    this.countedBytes += change;
+    this.budget?.record(this, change);
   }
 
   private receiveEnd(): void {
@@ -269,7 +325,7 @@
     const slice = this.takeSlice();
     this.canTakeBytes = this.push(slice);
     if (this.destroyed) return false;
-    if (this.pendingBytes < MAX_PENDING_BYTES && this.socket.isPaused()) this.socket.resume();
+    this.takeReceived();
     if (this.hasCallerEnded && this.isPastLastSlice) this.passEnd();
     return this.canPass;
   }
@@ -283,6 +339,7 @@
       message ? measureBodySlice(message, chunk) : measureHead(chunk),
     );
     if (message) message.passedBytes += slice.length;
+    else if (slice.length === SLICE_BYTES) recordReadBytes(slice.length * LONG_HEAD_COPIES);
     if (slice.length < chunk.length) this.pending[0] = chunk.subarray(slice.length);
     else this.pending.shift();
     this.pendingBytes -= slice.length;
@@ -290,7 +347,7 @@
   }
 
   private closeAfterWrites(): void {
-    const isWhole = this.current?.incoming.complete !== false && this.pendingBytes === 0;
+    const isWhole = this.current?.incoming.complete !== false && this.heldBytes === 0;
     if (this.destroyed || this.isLingering) return;
     if (isWhole || this.hasCallerEnded) {
       this.destroy();
@@ -299,7 +356,7 @@
     this.dropPending();
     this.lingerTimer = setTimeout(() => this.destroy(), LINGER_MS);
     this.socket.on('end', () => this.destroy());
-    this.socket.resume();
+    this.takeReceived();
   }
 
   private dropPending(): void {
@@ -322,37 +379,10 @@
   }
 }
 
-/** Returns the length of a slice up to the first mark at or after `fromIndex`. */
-function measureToMark(chunk: Buffer, fromIndex: number): number {
-  const markAt = chunk.subarray(0, SLICE_BYTES).indexOf(MESSAGE_MARK, fromIndex, 'latin1');
-  return markAt < 0 ? Math.min(SLICE_BYTES, chunk.length) : markAt + MESSAGE_MARK.length;
-}
-
-function measureHead(chunk: Buffer): number {
-  return measureToMark(chunk, 0);
-}
-
-/** Whether a slice may begin with the last chunk, the line end before it being in another slice. */
-function beginsLastChunk(chunk: Buffer): boolean {
-  return chunk[0] === ZERO_DIGIT || (chunk[0] === LINE_FEED && chunk[1] === ZERO_DIGIT);
-}
-
-/** Returns the length of a slice of a body, which must not hold the next message as well. */
-function measureBodySlice(message: CurrentMessage, chunk: Buffer): number {
-  if (message.leftBytes !== undefined) {
-    const bytes = Math.min(PLAIN_SLICE_BYTES, Math.max(1, message.leftBytes), chunk.length);
-    message.leftBytes -= bytes;
-    return bytes;
-  }
-  if (message.mayBeInTrailers && chunk.indexOf('\r\n', 0, 'latin1') === 0) {
-    message.mayBeInTrailers = false;
-    return 2;
-  }
-  const window = chunk.subarray(0, SLICE_BYTES);
-  const mayBeginLast = message.mayBeInTrailers || beginsLastChunk(chunk);
-  const lastChunkAt = mayBeginLast ? 0 : window.indexOf(LAST_CHUNK_MARK, 0, 'latin1');
-  if (lastChunkAt < 0) return window.length;
-  const bytes = measureToMark(chunk, lastChunkAt);
-  message.mayBeInTrailers = bytes === window.length;
-  return bytes;
+/** Returns bytes that do not keep the rest of a longer read in memory. */
+function copyPart(chunk: Buffer): Buffer {
+  if (chunk.length === chunk.buffer.byteLength) return chunk;
+  const copy = Buffer.allocUnsafeSlow(chunk.length);
+  chunk.copy(copy);
+  return copy;
 }
--- a/packages/utils/src/connections/connectionGuard.ts
+++ b/packages/utils/src/connections/connectionGuard.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../clock.js';
 import { systemClock } from '../clock.js';
 import { CallerConnection } from './callerConnection.js';
+import type { ReceiveBudget } from './receiveBudget.js';
 
 /** What decides which connection is closed for a new one. */
 export interface ConnectionState {
@@ -43,6 +44,8 @@
 export interface ConnectionGuardOptions {
   /** Default: no limit. */
   maxConnections?: number;
+  /** Memory for what connections have received; servers may share it. Default: no limit. */
+  receiveBudget?: ReceiveBudget;
   clock?: Clock;
 }
 
@@ -59,7 +62,7 @@
 
   private readonly maxConnections: number;
 
-  constructor(options: ConnectionGuardOptions) {
+  constructor(private readonly options: ConnectionGuardOptions) {
     this.clock = options.clock ?? systemClock;
     this.maxConnections = options.maxConnections ?? Infinity;
   }
@@ -75,7 +78,7 @@
       socket.destroy();
       return;
     }
-    const connection = new CallerConnection(socket, this.clock);
+    const connection = new CallerConnection(socket, this.clock, this.options.receiveBudget);
     this.connections.add(connection);
     connection.once('close', () => this.connections.delete(connection));
     // The HTTP server needs no more of a socket than this class has.
@@ -116,6 +119,12 @@
   incoming.resume();
 }
 
+/**
+ * Options of `net.Server`: a socket is not read before its connection is admitted, and reads no more
+ * while it has bytes that were not taken from it.
+ */
+const SOCKET_OPTIONS = { pauseOnConnect: true, highWaterMark: 1 };
+
 /**
  * Bounds what callers may send to an HTTP server. Listeners for `connection` that exist get the guarded
  * connections; further ones are added to the guard.
@@ -128,6 +137,7 @@
   // By default Node.js drops all header lines after the first 1000, of which one may say how the body
   // is framed. The size of a head bounds the number of its lines.
   server.maxHeadersCount = 0;
+  Object.assign(server, SOCKET_OPTIONS);
   const listeners = server.listeners('connection') as ((socket: Socket) => void)[];
   server.removeAllListeners('connection');
   for (const listener of listeners) guard.onConnection((socket) => listener.call(server, socket));
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -14,6 +14,8 @@
   ignoreBody,
   refuseBody,
 } from './connections/connectionGuard.js';
+export type { ReceiveBudgetOptions, Receiver } from './connections/receiveBudget.js';
+export { listByHeldBytes, READ_BYTES, ReceiveBudget } from './connections/receiveBudget.js';
 export { RateMeter } from './connections/rateMeter.js';
 export { connectionTurns, TurnQueue } from './connections/turnQueue.js';
 export { createDictionary } from './dictionary.js';
--- a/tests/relay/viewServer.test.ts
+++ b/tests/relay/viewServer.test.ts
@@ -41,7 +41,10 @@
         };
       },
     };
-    server = new ViewServer({ config: view, upstreams: nothing, rollouts: nothing }, 10);
+    server = new ViewServer(
+      { config: view, upstreams: nothing, rollouts: nothing },
+      { maxConnections: 10 },
+    );
     const [port] = (await findFreePorts(1)) as [number];
     await server.listen({ host: '127.0.0.1', port });
     socket = connect(port, '127.0.0.1');
