Format the metrics once for all who ask at the same time

Each request for metrics formatted all of them, so many connections at the readiness port could keep the process busy. `SharedCall` gives those who ask within 20 ms the same text; it is used for the metrics of the relay and of the entry instance.

--- a/packages/relay/src/observe/statusServer.ts
+++ b/packages/relay/src/observe/statusServer.ts
@@ -1,5 +1,5 @@
 import type { ConnectionGuardOptions } from '@cactusstair/utils';
-import { ignoreBody } from '@cactusstair/utils';
+import { ignoreBody, SharedCall, systemClock } from '@cactusstair/utils';
 
 import { CallerServer } from '../callerServer.js';
 
@@ -12,13 +12,20 @@
 }
 
 const METRICS_PATH = '/metrics';
+/** Formatting takes some milliseconds; a scrape needs no newer text. */
+const MAX_METRICS_AGE_MS = 20;
 
 /** Serves readiness, 200 or 503, and the metrics as text. */
 export function createStatusServer(options: StatusServerOptions): CallerServer {
+  const metrics = new SharedCall({
+    clock: systemClock,
+    maxAgeMs: MAX_METRICS_AGE_MS,
+    call: options.formatMetrics,
+  });
   return new CallerServer(options.connections, (incoming, outgoing) => {
     ignoreBody(incoming, outgoing);
     if (incoming.url === METRICS_PATH) {
-      options.formatMetrics().then(
+      metrics.get().then(
         (text) => {
           outgoing.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
           outgoing.end(text);
--- a/packages/server/src/monitoring/monitoringServer.ts
+++ b/packages/server/src/monitoring/monitoringServer.ts
@@ -1,4 +1,4 @@
-import { guardConnections, ReceiveBudget, systemClock } from '@cactusstair/utils';
+import { guardConnections, ReceiveBudget, SharedCall, systemClock } from '@cactusstair/utils';
 import type { FastifyInstance } from 'fastify';
 import { fastify } from 'fastify';
 import type { Registry } from 'prom-client';
@@ -19,6 +19,9 @@
 /** Memory for what was received on all connections and is not parsed yet. */
 const MAX_RECEIVED_BYTES = 4 * 1024 * 1024;
 
+/** Formatting takes some milliseconds; a scrape needs no newer text. */
+const MAX_METRICS_AGE_MS = 20;
+
 /** Serves `/metrics`, `/healthz` and `/readyz` for operators and the load balancer. */
 export class MonitoringServer {
   private readonly app: FastifyInstance;
@@ -27,9 +30,14 @@
     this.app = fastify({ forceCloseConnections: true, bodyLimit: MAX_BODY_BYTES });
     const receiveBudget = new ReceiveBudget({ clock: systemClock, maxBytes: MAX_RECEIVED_BYTES });
     guardConnections(this.app.server, { maxConnections, receiveBudget });
+    const metrics = new SharedCall({
+      clock: systemClock,
+      maxAgeMs: MAX_METRICS_AGE_MS,
+      call: () => registry.metrics(),
+    });
     this.app.get('/metrics', async (_request, reply) => {
       reply.type(registry.contentType);
-      return registry.metrics();
+      return metrics.get();
     });
     this.app.get('/healthz', async () => ({ status: 'ok' }));
     this.app.get('/readyz', async (_request, reply) => {
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -36,6 +36,8 @@
   loadSettings,
   parseSettings,
 } from './settings.js';
+export type { SharedCallOptions } from './sharedCall.js';
+export { SharedCall } from './sharedCall.js';
 export { hashFraction, hashText } from './textHash.js';
 export type { WaitOptions } from './waitFor.js';
 export { waitFor, WaitTimeoutError } from './waitFor.js';
