Read sockets as before, within the receive budget

The likely cause, not traced: each read stops and starts the watching of its socket, which costs system calls on machines with little of a core.

Sockets flow and pause as before again; the budget still decides when a connection is read first and who gives up its bytes. A paused socket counts as one read, since Node.js may read once more then, so the account does not miss it.

--- a/packages/relay/src/requests/requestKeys.ts
+++ b/packages/relay/src/requests/requestKeys.ts
@@ -22,7 +22,10 @@
   return selected.map(({ id, tokens }) => ({ id: createClientKey(id), tokens }));
 }
 
-/** Replaces what a caller chose as keys, and what is not passed on as it is, by bounded keys. */
+/**
+ * Returns bounded keys in place of what a caller chose. The headers that are passed on keep what it
+ * sent.
+ */
 export function createRequestKeys({
   promptParts,
   session,
--- a/packages/utils/src/connections/callerConnection.ts
+++ b/packages/utils/src/connections/callerConnection.ts
@@ -8,9 +8,10 @@
 import { measureBodySlice, measureHead, SLICE_BYTES } from './messageSlices.js';
 import { RateMeter } from './rateMeter.js';
 import type { ReceiveBudget, Receiver } from './receiveBudget.js';
+import { READ_BYTES } from './receiveBudget.js';
 import { connectionTurns } from './turnQueue.js';
 
-/** Bytes that are taken from the socket at a time; it is read on when it has no others. */
+/** Bytes that wait for the parser before no more is read; two reads of 64 KiB may exceed it. */
 const MAX_PENDING_BYTES = 16 * 1024;
 /** Copies of a long head that become garbage while its request is relayed. */
 const LONG_HEAD_COPIES = 6;
@@ -111,18 +112,17 @@
     return this.rate.getBytesPerSecond(this.clock.monotonicMs());
   }
 
-  /** Bytes that were received and that the parser has not had. */
+  /** Bytes that were received and that the parser has not had; Node.js may read once in a pause. */
   get heldBytes(): number {
-    return this.pendingBytes + this.socket.readableLength;
+    const readBytes = this.socket.isPaused() ? READ_BYTES : this.socket.readableLength;
+    return this.pendingBytes + readBytes;
   }
 
   /** Called by the budget. */
   startReceiving(): void {
     if (this.destroyed) return;
-    this.socket.on('readable', () => {
-      this.takeReceived();
-      this.pass();
-    });
+    this.socket.on('data', (chunk: Buffer) => this.receive(chunk));
+    this.socket.resume();
   }
 
   /** Called by the budget: closes the connection, after the response to a request that is served. */
@@ -137,7 +137,8 @@
     if (!outgoing.headersSent) outgoing.setHeader('connection', 'close');
     outgoing.once('close', () => this.destroySoon());
     this.dropPending();
-    this.takeReceived();
+    this.recordHeldBytes();
+    this.socket.resume();
   }
 
   /** Bytes that the parser has had of the body of the last request, with its framing. */
@@ -254,38 +255,23 @@
     return current?.incoming.complete === false && current.leftBytes === undefined;
   }
 
-  /** Takes bytes from the socket, which reads no more while it has some. */
-  private takeReceived(): void {
-    this.recordHeldBytes();
-    while (this.canTakeReceived) {
-      const { readableLength } = this.socket;
-      const bytes = Math.min(readableLength, MAX_PENDING_BYTES - this.pendingBytes);
-      // Reading no bytes reports the end of the connection.
-      const chunk = this.socket.read(bytes) as Buffer | null;
-      if (!chunk) break;
-      this.receive(chunk);
-    }
-    this.recordHeldBytes();
-  }
-
-  private get canTakeReceived(): boolean {
-    if (this.destroyed) return false;
-    if (this.isLingering) return this.lingerBytes <= MAX_LINGER_BYTES;
-    // Small pieces cost more. A caller that leaves while it waits is noticed at the end of its bytes.
-    if (this.pendingBytes > 0 && this.canPass) return false;
-    return this.pendingBytes < MAX_PENDING_BYTES;
-  }
-
   private receive(chunk: Buffer): void {
     recordReadBytes(chunk.length);
     if (this.isLingering) {
       this.lingerBytes += chunk.length;
+      if (this.lingerBytes > MAX_LINGER_BYTES) this.socket.pause();
       return;
     }
     this.recordProgress(chunk.length);
-    if (this.isDropping) return;
-    this.pending.push(copyPart(chunk));
+    if (this.isDropping) {
+      this.recordHeldBytes();
+      return;
+    }
+    this.pending.push(chunk);
     this.pendingBytes += chunk.length;
+    this.pass();
+    if (this.pendingBytes >= MAX_PENDING_BYTES) this.socket.pause();
+    this.recordHeldBytes();
   }
 
   private recordHeldBytes(): void {
@@ -325,7 +311,8 @@
     const slice = this.takeSlice();
     this.canTakeBytes = this.push(slice);
     if (this.destroyed) return false;
-    this.takeReceived();
+    if (this.pendingBytes < MAX_PENDING_BYTES && this.socket.isPaused()) this.socket.resume();
+    this.recordHeldBytes();
     if (this.hasCallerEnded && this.isPastLastSlice) this.passEnd();
     return this.canPass;
   }
@@ -347,7 +334,7 @@
   }
 
   private closeAfterWrites(): void {
-    const isWhole = this.current?.incoming.complete !== false && this.heldBytes === 0;
+    const isWhole = this.current?.incoming.complete !== false && this.pendingBytes === 0;
     if (this.destroyed || this.isLingering) return;
     if (isWhole || this.hasCallerEnded) {
       this.destroy();
@@ -356,7 +343,7 @@
     this.dropPending();
     this.lingerTimer = setTimeout(() => this.destroy(), LINGER_MS);
     this.socket.on('end', () => this.destroy());
-    this.takeReceived();
+    this.socket.resume();
   }
 
   private dropPending(): void {
@@ -378,11 +365,3 @@
     this.rate.record(bytes, this.progressAtMs);
   }
 }
-
-/** Returns bytes that do not keep the rest of a longer read in memory. */
-function copyPart(chunk: Buffer): Buffer {
-  if (chunk.length === chunk.buffer.byteLength) return chunk;
-  const copy = Buffer.allocUnsafeSlow(chunk.length);
-  chunk.copy(copy);
-  return copy;
-}
--- a/packages/utils/src/connections/connectionGuard.ts
+++ b/packages/utils/src/connections/connectionGuard.ts
@@ -119,11 +119,8 @@
   incoming.resume();
 }
 
-/**
- * Options of `net.Server`: a socket is not read before its connection is admitted, and reads no more
- * while it has bytes that were not taken from it.
- */
-const SOCKET_OPTIONS = { pauseOnConnect: true, highWaterMark: 1 };
+/** Option of `net.Server`: a socket is not read before the receive budget has room for it. */
+const SOCKET_OPTIONS = { pauseOnConnect: true };
 
 /**
  * Bounds what callers may send to an HTTP server. Listeners for `connection` that exist get the guarded
