Count what is left of a connection that drops its bytes after its socket is resumed

`dropHeldBytes` recorded the held bytes while the socket was still paused, so a connection whose request is served went on counting as one read of 64 KiB until its caller sent more: others were dropped for bytes that were no longer held, and the connection was counted in `dropped_connections_total` again by each check. No test shows it; found by reading.

--- a/packages/utils/src/connections/callerConnection.ts
+++ b/packages/utils/src/connections/callerConnection.ts
@@ -137,8 +137,8 @@
     if (!outgoing.headersSent) outgoing.setHeader('connection', 'close');
     outgoing.once('close', () => this.destroySoon());
     this.dropPending();
-    this.recordHeldBytes();
     this.socket.resume();
+    this.recordHeldBytes();
   }
 
   /** Bytes that the parser has had of the body of the last request, with its framing. */
